--- /dev/null
+++ b/core/src/lib.rs
@@ -0,0 +1,36 @@
+//! Decisions of fescuestack: versions, distribution, membership and calls.
+//!
+//! Nothing here does I/O, starts threads, reads a clock or draws its own random numbers. An input and
+//! a time go in, actions come out, so that tests, replays and nodes drive the same code.
+
+mod clock;
+mod code;
+mod config;
+mod control;
+mod delta;
+mod manifest;
+mod message;
+mod patience;
+mod snapshot;
+mod version;
+
+pub use clock::{ClockSpan, ClockTime};
+pub use code::{CallOutcome, ResultCode};
+pub use config::{
+    CallerClass, CallersPart, ConfigPart, FLEET_PART, FleetPart, NodeName, PartName,
+    PatiencePeriod, RegionEntry, RouteKind, RouteRule, ServicePart, SpreadPreference, TargetEntry,
+    TargetsPart, VALUE_LIMIT_BYTES,
+};
+pub use control::{
+    ControlAction, ControlInput, ControlSettings, PlatformFault, ReadAnswer, ValueRecord, VmEntry,
+    VmState,
+};
+pub use delta::{
+    HEAD_KEY, HeadRecord, ManifestRecord, PartContent, VersionDelta, delta_key, manifest_key,
+    page_key, part_key,
+};
+pub use manifest::{BUCKET_COUNT, BucketEntries, PartManifest, bucket_index};
+pub use message::{PeerAddress, PeerMessage};
+pub use patience::{DAY_MINUTES, PatienceZone};
+pub use snapshot::{ConfigSnapshot, RejectReason, ServiceView, TenantView};
+pub use version::{HASH_BYTES, PartHash, VersionId};
--- /dev/null
+++ b/fescuestack/src/main.rs
@@ -0,0 +1,3 @@
+//! The `fescuestack` command.
+
+fn main() {}
--- /dev/null
+++ b/http/src/lib.rs
@@ -0,0 +1,1 @@
+//! Guards around `async-h1` for exact message framing.
--- /dev/null
+++ b/operators/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operator port: status, explain, recording and metrics.
--- /dev/null
+++ b/peers/src/lib.rs
@@ -0,0 +1,1 @@
+//! Links between nodes.
--- /dev/null
+++ b/questionnaire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Generates the configuration from the operators' questionnaire.
--- /dev/null
+++ b/upstreams/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP client to upstreams and to other nodes.
