--- /dev/null
+++ b/standins/src/caller.rs
@@ -0,0 +1,167 @@
+//! Client of the load generator. It trusts no answer: truncated and foreign ones are told apart.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_std::net::TcpStream;
+use futures_lite::future::poll_once;
+use http_types::{Method, Request, Response, StatusCode, Url};
+use serde::Serialize;
+
+use crate::arrivals::LoadClass;
+use crate::exchange::{AnswerBody, KEY_HEADER, REQUEST_HEADER};
+use crate::ledger::request_of;
+
+/// What a caller saw of an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum AnswerVerdict {
+    /// A complete answer to the own request.
+    Done {
+        /// Time that the upstream had the request, in microseconds.
+        held_us: u64,
+    },
+    /// The request was certainly not run, says the answer.
+    NotRun,
+    /// The request may have run, says the answer.
+    Unknown,
+    /// The answer ended early.
+    Truncated,
+    /// The answer belongs to another request, although it says that the own one is done.
+    Foreign,
+    /// The connection could not be opened, or it ended without an answer.
+    Broken,
+    /// No answer came while the caller waited.
+    GaveUp,
+}
+
+/// Answer to an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallAnswer {
+    /// What the caller saw.
+    pub verdict: AnswerVerdict,
+    /// The node's result code, if the answer carries one.
+    pub code: Option<u16>,
+}
+
+impl CallAnswer {
+    const BROKEN: CallAnswer = CallAnswer { verdict: AnswerVerdict::Broken, code: None };
+    const TRUNCATED: CallAnswer = CallAnswer { verdict: AnswerVerdict::Truncated, code: None };
+}
+
+/// An idle connection older than this may already be closed by the other side.
+const IDLE_LIMIT: Duration = Duration::from_secs(1);
+
+/// Connections to the entries of a load, kept between requests.
+#[derive(Debug, Default)]
+pub struct CallerClient {
+    idle: Mutex<HashMap<SocketAddr, Vec<(TcpStream, Instant)>>>,
+}
+
+impl CallerClient {
+    /// Creates a client without connections.
+    pub fn new() -> CallerClient {
+        CallerClient::default()
+    }
+
+    /// Sends one attempt and waits for its answer. Dropping the future closes the connection, which
+    /// cancels the request.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        class: &LoadClass,
+        number: u64,
+        attempt: &str,
+    ) -> CallAnswer {
+        let Some(request) = build_request(class, number, attempt) else {
+            return CallAnswer::BROKEN;
+        };
+        let Some(stream) = self.connect(address).await else { return CallAnswer::BROKEN };
+        let Ok(mut response) = async_h1::connect(stream.clone(), request).await else {
+            return CallAnswer::BROKEN;
+        };
+        let declared = response.len();
+        let Ok(body) = response.body_bytes().await else { return CallAnswer::TRUNCATED };
+        if declared.is_some_and(|length| length != body.len()) {
+            return CallAnswer::TRUNCATED;
+        }
+        if header(&response, "connection") != Some("close") {
+            self.keep(address, stream);
+        }
+        let code = header(&response, "fescuestack-code").and_then(|code| code.parse().ok());
+        CallAnswer { verdict: judge_answer(&response, &body, attempt), code }
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Option<TcpStream> {
+        while let Some((stream, since)) = self.take(address) {
+            // Readable while idle means closed, or bytes that belong to no request.
+            let is_quiet = poll_once(stream.peek(&mut [0])).await.is_none();
+            if is_quiet && since.elapsed() < IDLE_LIMIT {
+                return Some(stream);
+            }
+        }
+        let stream = TcpStream::connect(address).await.ok()?;
+        stream.set_nodelay(true).ok()?;
+        Some(stream)
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<(TcpStream, Instant)> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.get_mut(&address)?.pop()
+    }
+
+    fn keep(&self, address: SocketAddr, stream: TcpStream) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.entry(address).or_default().push((stream, Instant::now()));
+    }
+}
+
+fn build_request(class: &LoadClass, number: u64, attempt: &str) -> Option<Request> {
+    let path = class.path.replace("{n}", &number.to_string());
+    let url = Url::parse(&format!("http://{}{path}", class.service)).ok()?;
+    let mut request = Request::new(class.method.parse::<Method>().ok()?, url);
+    request.insert_header(REQUEST_HEADER, attempt);
+    if class.has_key {
+        request.insert_header(KEY_HEADER, format!("key-{}", request_of(attempt)));
+    }
+    if !class.caller_class.is_empty() {
+        request.insert_header("fescuestack-class", class.caller_class.as_str());
+    }
+    if class.is_poison {
+        request.insert_header("poison", "1");
+    }
+    request.set_body(vec![b'b'; class.body_bytes]);
+    Some(request)
+}
+
+fn header<'a>(response: &'a Response, name: &str) -> Option<&'a str> {
+    response.header(name).map(|values| values.last().as_str())
+}
+
+/// Judges a complete answer. Without a node's outcome header the status decides, as for an upstream
+/// that is called directly.
+fn judge_answer(response: &Response, body: &[u8], attempt: &str) -> AnswerVerdict {
+    match header(response, "fescuestack-outcome") {
+        Some("not-run") => AnswerVerdict::NotRun,
+        Some("unknown") => AnswerVerdict::Unknown,
+        Some(_) => judge_body(body, attempt),
+        None => match response.status() {
+            StatusCode::Ok => judge_body(body, attempt),
+            StatusCode::ServiceUnavailable => AnswerVerdict::NotRun,
+            _ => AnswerVerdict::Unknown,
+        },
+    }
+}
+
+/// Whether the body is the stand-in's answer to any attempt of the own request: a recorded answer
+/// belongs to an earlier attempt.
+fn judge_body(body: &[u8], attempt: &str) -> AnswerVerdict {
+    match serde_json::from_slice::<AnswerBody>(body) {
+        Ok(answer) if request_of(&answer.request) == request_of(attempt) => {
+            AnswerVerdict::Done { held_us: answer.held_us }
+        }
+        _ => AnswerVerdict::Foreign,
+    }
+}
--- /dev/null
+++ b/standins/src/generator.rs
@@ -0,0 +1,190 @@
+//! Open-loop load generator: arrivals follow the plan, however slow the answers are.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_std::{future, task};
+use fescuestack_core::RouteKind;
+use serde::{Deserialize, Serialize};
+
+use crate::arrivals::{ArrivalPlan, LoadClass, LoadEntry, LoadPath, LoadSettings, PlannedArrival};
+use crate::caller::{AnswerVerdict, CallAnswer, CallerClient};
+use crate::ledger::RequestLedger;
+use crate::report::{LoadReport, MeasureReport};
+
+/// One attempt of a request, as its caller saw it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AttemptRecord {
+    /// Identifier of the attempt.
+    pub attempt: String,
+    /// The answer, or that the caller gave up.
+    pub answer: CallAnswer,
+}
+
+/// A request with all its attempts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestRecord {
+    /// Identifier of the request.
+    pub request: String,
+    /// Index of its class.
+    pub class: usize,
+    /// Index of its path.
+    pub path: usize,
+    /// Time from the planned arrival to the end of the last attempt, in microseconds.
+    pub latency_us: u64,
+    /// The attempts in order; the last one decided.
+    pub attempts: Vec<AttemptRecord>,
+}
+
+struct LoadState {
+    settings: LoadSettings,
+    client: CallerClient,
+    /// Keeps the requests of loads that share a ledger apart.
+    run: String,
+    started: Instant,
+    open: AtomicUsize,
+    records: Mutex<Vec<RequestRecord>>,
+}
+
+/// Runs a load to its end and reports on it. The counts that need the upstreams' side come from
+/// `ledger`; without one they are absent.
+pub async fn run_load(settings: LoadSettings, ledger: Option<&RequestLedger>) -> LoadReport {
+    // Two loads in one process with one seed still need different requests.
+    static RUNS: AtomicU64 = AtomicU64::new(0);
+    let run = format!("{}-{}", settings.seed, RUNS.fetch_add(1, Ordering::Relaxed));
+    let state = Arc::new(LoadState {
+        settings,
+        client: CallerClient::new(),
+        run,
+        started: Instant::now(),
+        open: AtomicUsize::new(0),
+        records: Mutex::new(Vec::new()),
+    });
+    let skipped = send_arrivals(&state).await;
+    wait_open(&state).await;
+    let settle = Duration::from_millis(state.settings.settle_ms);
+    task::sleep(settle).await;
+    let records = std::mem::take(&mut *lock(&state.records));
+    let view = ledger.map(RequestLedger::view);
+    LoadReport::new(&state.settings, &records, skipped, view.as_ref())
+}
+
+/// Spawns each request when it is due. Returns how many were skipped at the limit of open requests.
+async fn send_arrivals(state: &Arc<LoadState>) -> u64 {
+    let mut skipped = 0;
+    for arrival in ArrivalPlan::new(&state.settings) {
+        let due = state.started + Duration::from_micros(arrival.due_us);
+        let wait = due.saturating_duration_since(Instant::now());
+        if !wait.is_zero() {
+            task::sleep(wait).await;
+        }
+        if state.open.load(Ordering::SeqCst) >= state.settings.open_limit {
+            skipped += 1;
+            continue;
+        }
+        state.open.fetch_add(1, Ordering::SeqCst);
+        let state = state.clone();
+        task::spawn(async move {
+            let record = send_request(&state, arrival, due).await;
+            lock(&state.records).push(record);
+            state.open.fetch_sub(1, Ordering::SeqCst);
+        });
+    }
+    skipped
+}
+
+/// Waits until each request has ended. Each attempt ends by the caller's patience at the latest.
+async fn wait_open(state: &LoadState) {
+    while state.open.load(Ordering::SeqCst) > 0 {
+        task::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+async fn send_request(state: &LoadState, arrival: PlannedArrival, due: Instant) -> RequestRecord {
+    let class = &state.settings.classes[arrival.class];
+    let request = format!("{}-{}", state.run, arrival.number);
+    let mut attempts = Vec::new();
+    let mut since = due;
+    for number in 0..=class.resends {
+        let attempt = format!("{request}.{number}");
+        let answer = send_attempt(state, class, &arrival, &attempt, since).await;
+        attempts.push(AttemptRecord { attempt, answer });
+        if matches!(answer.verdict, AnswerVerdict::Done { .. } | AnswerVerdict::Foreign) {
+            break;
+        }
+        if number < class.resends {
+            task::sleep(Duration::from_millis(state.settings.resend_pause_ms)).await;
+            since = Instant::now();
+        }
+    }
+    let latency_us = due.elapsed().as_micros() as u64;
+    RequestRecord { request, class: arrival.class, path: arrival.path, latency_us, attempts }
+}
+
+/// Sends one attempt and waits until the patience, counted from `since`, is over.
+async fn send_attempt(
+    state: &LoadState,
+    class: &LoadClass,
+    arrival: &PlannedArrival,
+    attempt: &str,
+    since: Instant,
+) -> CallAnswer {
+    let until = since + Duration::from_millis(class.patience_ms);
+    let left = until.saturating_duration_since(Instant::now());
+    let call = state.client.call(arrival.address, class, arrival.number, attempt);
+    let gave_up = CallAnswer { verdict: AnswerVerdict::GaveUp, code: None };
+    future::timeout(left, call).await.unwrap_or(gave_up)
+}
+
+fn lock(records: &Mutex<Vec<RequestRecord>>) -> std::sync::MutexGuard<'_, Vec<RequestRecord>> {
+    records.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Settings of a comparison of calls through nodes with direct calls.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MeasureSettings {
+    /// Seed of the load.
+    pub seed: u64,
+    /// Mean arrivals per second, half of them through nodes and half direct.
+    pub rate: f64,
+    /// Length of the load, in seconds.
+    pub seconds: u64,
+    /// Caller ports of the nodes.
+    pub entries: Vec<SocketAddr>,
+    /// The upstreams, with the service that each runs.
+    pub upstreams: Vec<(String, SocketAddr)>,
+    /// The mix; empty for lookups of the first upstream's service.
+    pub classes: Vec<LoadClass>,
+}
+
+/// Label of the path through nodes.
+pub const NODE_PATH: &str = "node";
+
+/// Label of the direct path.
+pub const DIRECT_PATH: &str = "direct";
+
+/// Sends calls through nodes and directly to the upstreams, mixed in one run, so that both paths see
+/// the same machine load. The added latency is the difference between them.
+pub async fn measure_calls(
+    settings: MeasureSettings,
+    ledger: Option<&RequestLedger>,
+) -> MeasureReport {
+    let mut load = LoadSettings::new(settings.seed, settings.rate, settings.seconds * 1_000);
+    let nodes = settings.entries.iter().map(|&address| LoadEntry { service: None, address });
+    let direct = settings
+        .upstreams
+        .iter()
+        .map(|(service, address)| LoadEntry { service: Some(service.clone()), address: *address });
+    load.paths = vec![
+        LoadPath { label: NODE_PATH.to_owned(), weight: 1.0, entries: nodes.collect() },
+        LoadPath { label: DIRECT_PATH.to_owned(), weight: 1.0, entries: direct.collect() },
+    ];
+    load.paths.retain(|path| !path.entries.is_empty());
+    load.classes = settings.classes;
+    if let (true, Some((service, _))) = (load.classes.is_empty(), settings.upstreams.first()) {
+        load.classes = vec![LoadClass::new("lookup", service, RouteKind::Lookup)];
+    }
+    MeasureReport::new(run_load(load, ledger).await)
+}
--- /dev/null
+++ b/standins/src/ledger.rs
@@ -0,0 +1,132 @@
+//! Exact record of what the stand-in upstreams ran, against which the answers of nodes are checked.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use serde::{Deserialize, Serialize};
+
+/// How a run of a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RunEnd {
+    /// The run was completed.
+    Finished,
+    /// The client closed its connection while the request was running.
+    Cancelled,
+    /// The time given in `fescuestack-left-ms` passed while the request was running.
+    Expired,
+    /// The upstream died while the request was running.
+    Killed,
+}
+
+/// One run of a request at an upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunRecord {
+    /// Identifier of the attempt, as sent by the caller.
+    pub request: String,
+    /// Idempotency key, if the request had one.
+    pub key: Option<String>,
+    /// Name of the upstream.
+    pub upstream: String,
+    /// How the run ended, or `None` while it goes on.
+    pub end: Option<RunEnd>,
+}
+
+/// Index of a run in the ledger.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RunIndex(usize);
+
+/// The runs at all upstreams that share the ledger, in order of their start.
+#[derive(Debug, Default)]
+pub struct RequestLedger {
+    records: Mutex<Vec<RunRecord>>,
+}
+
+/// The runs of one ledger, grouped for look-up.
+#[derive(Debug, Default)]
+pub struct LedgerView {
+    by_attempt: HashMap<String, Vec<RunRecord>>,
+    by_request: HashMap<String, Vec<RunRecord>>,
+}
+
+impl RequestLedger {
+    /// Creates an empty ledger.
+    pub fn new() -> RequestLedger {
+        RequestLedger::default()
+    }
+
+    /// Records that `upstream` starts to run a request.
+    pub fn start(&self, request: &str, key: Option<&str>, upstream: &str) -> RunIndex {
+        let mut records = self.lock();
+        records.push(RunRecord {
+            request: request.to_owned(),
+            key: key.map(str::to_owned),
+            upstream: upstream.to_owned(),
+            end: None,
+        });
+        RunIndex(records.len() - 1)
+    }
+
+    /// Records how a run ended. The first end counts.
+    pub fn end(&self, run: RunIndex, end: RunEnd) {
+        let record = &mut self.lock()[run.0];
+        record.end.get_or_insert(end);
+    }
+
+    /// Number of runs that were started.
+    pub fn len(&self) -> usize {
+        self.lock().len()
+    }
+
+    /// Whether no run was started.
+    pub fn is_empty(&self) -> bool {
+        self.lock().is_empty()
+    }
+
+    /// Number of runs that have not ended.
+    pub fn open_runs(&self) -> usize {
+        self.lock().iter().filter(|record| record.end.is_none()).count()
+    }
+
+    /// Copies all runs, in order of their start.
+    pub fn records(&self) -> Vec<RunRecord> {
+        self.lock().clone()
+    }
+
+    /// Number of runs with this idempotency key.
+    pub fn key_runs(&self, key: &str) -> usize {
+        self.lock().iter().filter(|record| record.key.as_deref() == Some(key)).count()
+    }
+
+    /// Groups the runs by attempt and by request.
+    pub fn view(&self) -> LedgerView {
+        let mut view = LedgerView::default();
+        for record in self.records() {
+            let request = request_of(&record.request).to_owned();
+            view.by_request.entry(request).or_default().push(record.clone());
+            view.by_attempt.entry(record.request.clone()).or_default().push(record);
+        }
+        view
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<RunRecord>> {
+        self.records.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl LedgerView {
+    /// The runs of one attempt.
+    pub fn attempt(&self, attempt: &str) -> &[RunRecord] {
+        self.by_attempt.get(attempt).map_or(&[], Vec::as_slice)
+    }
+
+    /// The runs of all attempts of one request.
+    pub fn request(&self, request: &str) -> &[RunRecord] {
+        self.by_request.get(request).map_or(&[], Vec::as_slice)
+    }
+}
+
+/// The request that an attempt belongs to: attempt `17.2` is the third attempt of request `17`.
+pub fn request_of(attempt: &str) -> &str {
+    attempt.rsplit_once('.').map_or(attempt, |(request, _)| request)
+}
--- /dev/null
+++ b/standins/src/report.rs
@@ -0,0 +1,271 @@
+//! Report of a load: the callers' view, checked against the ledger of the upstreams.
+
+use std::collections::BTreeMap;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::arrivals::LoadSettings;
+use crate::caller::AnswerVerdict;
+use crate::generator::{DIRECT_PATH, NODE_PATH, RequestRecord};
+use crate::ledger::{LedgerView, RunEnd};
+
+/// Quantiles of a time, in microseconds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct TimeQuantiles {
+    /// Number of values.
+    pub count: u64,
+    /// Half of the values are not above it.
+    pub p50_us: u64,
+    /// 99 in 100 values are not above it.
+    pub p99_us: u64,
+    /// 999 in 1,000 values are not above it.
+    pub p999_us: u64,
+    /// The largest value.
+    pub max_us: u64,
+}
+
+/// What the ledger says about the requests of a class.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct LedgerCounts {
+    /// Runs that were started.
+    pub runs: u64,
+    /// Non-idempotent requests that were run more than once. A violation.
+    pub duplicates: u64,
+    /// Idempotent requests that were run more than once, which is allowed.
+    pub repeated: u64,
+    /// Requests answered as done of which no run was finished. A violation.
+    pub lost: u64,
+    /// Runs cut off although their caller was still waiting.
+    pub cut_off: u64,
+    /// Runs cut off by the death of an upstream.
+    pub killed: u64,
+    /// Attempts answered as not run that were run. A violation.
+    pub not_run_but_ran: u64,
+}
+
+/// Report on the requests of one class over one path.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct ClassReport {
+    /// Label of the path.
+    pub path: String,
+    /// Label of the class.
+    pub class: String,
+    /// Requests sent.
+    pub offered: u64,
+    /// Requests whose first attempt was answered as done within the patience.
+    pub answered: u64,
+    /// Requests answered as done on a later attempt.
+    pub answered_resent: u64,
+    /// Requests whose last attempt was answered as not run.
+    pub not_run: u64,
+    /// Requests whose last attempt was answered as unknown.
+    pub unknown: u64,
+    /// Requests whose last attempt got no answer within the patience.
+    pub gave_up: u64,
+    /// Requests whose last attempt ended with a broken connection.
+    pub broken: u64,
+    /// Requests whose last answer ended early, as the framing showed.
+    pub truncated: u64,
+    /// Requests answered as done with the answer to another request or a damaged one. A violation.
+    pub foreign: u64,
+    /// Last answers by the node's result code.
+    pub codes: BTreeMap<u16, u64>,
+    /// Latency of answered first attempts, from the planned arrival.
+    pub latency: TimeQuantiles,
+    /// The latency less the time that the upstream had the request.
+    pub overhead: TimeQuantiles,
+    /// Counts from the ledger, if there is one.
+    pub ledger: Option<LedgerCounts>,
+}
+
+/// Report of a load.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct LoadReport {
+    /// Seed of the load.
+    pub seed: u64,
+    /// Planned rate, in requests per second.
+    pub rate: f64,
+    /// Time in which requests arrived, in milliseconds.
+    pub duration_ms: u64,
+    /// Arrivals not sent because too many requests were open. The load is not open-loop if there are any.
+    pub skipped: u64,
+    /// Violations over all classes.
+    pub violations: u64,
+    /// One report for each path and class with requests.
+    pub classes: Vec<ClassReport>,
+}
+
+/// Latency that the nodes add to a class.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct AddedLatency {
+    /// Label of the class.
+    pub class: String,
+    /// Difference of the overheads' medians, in microseconds.
+    pub p50_us: i64,
+    /// Difference of the overheads' 99th percentiles, in microseconds.
+    pub p99_us: i64,
+    /// Difference of the overheads' 99.9th percentiles, in microseconds.
+    pub p999_us: i64,
+}
+
+/// Report of a comparison of calls through nodes with direct calls.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct MeasureReport {
+    /// Overhead through nodes less overhead of direct calls, for each class sent over both paths.
+    pub added: Vec<AddedLatency>,
+    /// Both paths.
+    pub load: LoadReport,
+}
+
+impl TimeQuantiles {
+    fn new(histogram: &Histogram<u64>) -> TimeQuantiles {
+        TimeQuantiles {
+            count: histogram.len(),
+            p50_us: histogram.value_at_quantile(0.5),
+            p99_us: histogram.value_at_quantile(0.99),
+            p999_us: histogram.value_at_quantile(0.999),
+            max_us: histogram.max(),
+        }
+    }
+}
+
+impl ClassReport {
+    /// Number of broken guarantees.
+    pub fn violations(&self) -> u64 {
+        let ledger = self.ledger.unwrap_or_default();
+        self.foreign + ledger.duplicates + ledger.lost + ledger.not_run_but_ran
+    }
+
+    fn add_outcome(&mut self, record: &RequestRecord) {
+        self.offered += 1;
+        let Some(last) = record.attempts.last() else { return };
+        let is_first = record.attempts.len() == 1;
+        let counter = match last.answer.verdict {
+            AnswerVerdict::Done { .. } if is_first => &mut self.answered,
+            AnswerVerdict::Done { .. } => &mut self.answered_resent,
+            AnswerVerdict::NotRun => &mut self.not_run,
+            AnswerVerdict::Unknown => &mut self.unknown,
+            AnswerVerdict::Truncated => &mut self.truncated,
+            AnswerVerdict::Foreign => &mut self.foreign,
+            AnswerVerdict::Broken => &mut self.broken,
+            AnswerVerdict::GaveUp => &mut self.gave_up,
+        };
+        *counter += 1;
+        if let Some(code) = last.answer.code {
+            *self.codes.entry(code).or_default() += 1;
+        }
+    }
+}
+
+impl LedgerCounts {
+    fn add_request(&mut self, record: &RequestRecord, is_idempotent: bool, view: &LedgerView) {
+        let runs = view.request(&record.request);
+        self.runs += runs.len() as u64;
+        if runs.len() > 1 {
+            let counter = if is_idempotent { &mut self.repeated } else { &mut self.duplicates };
+            *counter += 1;
+        }
+        let is_done = |verdict| matches!(verdict, AnswerVerdict::Done { .. });
+        let answered = record.attempts.iter().any(|attempt| is_done(attempt.answer.verdict));
+        let finished = runs.iter().any(|run| run.end == Some(RunEnd::Finished));
+        self.lost += u64::from(answered && !finished);
+        for attempt in &record.attempts {
+            let runs = view.attempt(&attempt.attempt);
+            let verdict = attempt.answer.verdict;
+            self.not_run_but_ran += u64::from(verdict == AnswerVerdict::NotRun && !runs.is_empty());
+            let ended = |end| runs.iter().filter(|run| run.end == Some(end)).count() as u64;
+            self.killed += ended(RunEnd::Killed);
+            // A run that ends when its caller's patience does was not cut off by anyone else.
+            let is_over = verdict == AnswerVerdict::GaveUp || attempt.answer.code == Some(303);
+            if !is_over {
+                self.cut_off += ended(RunEnd::Cancelled) + ended(RunEnd::Expired);
+            }
+        }
+    }
+}
+
+impl LoadReport {
+    /// Builds the report of a load that has ended.
+    pub fn new(
+        settings: &LoadSettings,
+        records: &[RequestRecord],
+        skipped: u64,
+        view: Option<&LedgerView>,
+    ) -> LoadReport {
+        let mut classes = Vec::new();
+        for (path, load_path) in settings.paths.iter().enumerate() {
+            for class in 0..settings.classes.len() {
+                let of_class =
+                    |record: &&RequestRecord| record.path == path && record.class == class;
+                let chosen: Vec<_> = records.iter().filter(of_class).collect();
+                if !chosen.is_empty() {
+                    let report = report_class(settings, class, &chosen, view);
+                    classes.push(ClassReport { path: load_path.label.clone(), ..report });
+                }
+            }
+        }
+        LoadReport {
+            seed: settings.seed,
+            rate: settings.rate,
+            duration_ms: settings.duration_ms,
+            skipped,
+            violations: classes.iter().map(ClassReport::violations).sum(),
+            classes,
+        }
+    }
+
+    /// The report on a class over a path.
+    pub fn class(&self, path: &str, class: &str) -> Option<&ClassReport> {
+        self.classes.iter().find(|report| report.path == path && report.class == class)
+    }
+}
+
+fn report_class(
+    settings: &LoadSettings,
+    class: usize,
+    records: &[&RequestRecord],
+    view: Option<&LedgerView>,
+) -> ClassReport {
+    let class = &settings.classes[class];
+    let mut report = ClassReport { class: class.label.clone(), ..ClassReport::default() };
+    let mut ledger = LedgerCounts::default();
+    // Three digits are enough to tell 1.300 ms from 1.301 ms.
+    let mut latency: Histogram<u64> = Histogram::new(3).expect("three digits are allowed");
+    let mut overhead = latency.clone();
+    for record in records {
+        report.add_outcome(record);
+        if let Some(view) = view {
+            ledger.add_request(record, class.kind.is_idempotent(), view);
+        }
+        if let [only] = &record.attempts[..]
+            && let AnswerVerdict::Done { held_us } = only.answer.verdict
+        {
+            // `saturating_record` would cut off at the size before the histogram has grown.
+            latency += record.latency_us;
+            overhead += record.latency_us.saturating_sub(held_us);
+        }
+    }
+    report.latency = TimeQuantiles::new(&latency);
+    report.overhead = TimeQuantiles::new(&overhead);
+    report.ledger = view.map(|_| ledger);
+    report
+}
+
+impl MeasureReport {
+    /// Compares the two paths of a load.
+    pub fn new(load: LoadReport) -> MeasureReport {
+        let through = load.classes.iter().filter(|report| report.path == NODE_PATH);
+        let added = through.filter_map(|node| {
+            let direct = load.class(DIRECT_PATH, &node.class)?;
+            let more = |node: u64, direct: u64| node as i64 - direct as i64;
+            Some(AddedLatency {
+                class: node.class.clone(),
+                p50_us: more(node.overhead.p50_us, direct.overhead.p50_us),
+                p99_us: more(node.overhead.p99_us, direct.overhead.p99_us),
+                p999_us: more(node.overhead.p999_us, direct.overhead.p999_us),
+            })
+        });
+        MeasureReport { added: added.collect(), load }
+    }
+}
--- /dev/null
+++ b/standins/src/upstream.rs
@@ -0,0 +1,437 @@
+//! Stand-in of an upstream: slots, connections, service times, load shedding and faults.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use fescuestack_core::{RouteKind, ServicePart};
+use futures_lite::{FutureExt, StreamExt};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+use serde::{Deserialize, Serialize};
+
+use crate::exchange;
+use crate::ledger::RequestLedger;
+
+/// What a health or load endpoint says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ProbeMode {
+    /// The state as it was this many milliseconds ago.
+    Lagging(u64),
+    /// Healthy and without load, whatever the state.
+    AlwaysGood,
+    /// Unhealthy and fully loaded, whatever the state.
+    AlwaysBad,
+}
+
+/// A route of the stand-in.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StandinRoute {
+    /// HTTP method, in upper case.
+    pub method: String,
+    /// Path prefix; the longest matching one wins.
+    pub prefix: String,
+    /// Kind of the route, which decides on the service time.
+    pub kind: RouteKind,
+}
+
+/// Settings of a stand-in upstream.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct UpstreamSettings {
+    /// Name, echoed in each answer.
+    pub name: String,
+    /// Address to listen at; port 0 lets the system choose.
+    pub address: SocketAddr,
+    /// Seed of the spread of service times.
+    pub seed: u64,
+    /// Requests that run at the same time.
+    pub slots: usize,
+    /// Requests that wait for a slot; more are refused before they run.
+    pub queue: usize,
+    /// Connections served at the same time; more are closed at once.
+    pub connections: usize,
+    /// Delay before the first request of a new connection is read, in microseconds.
+    pub connect_us: u64,
+    /// Service time of a lookup, in microseconds.
+    pub lookup_us: u64,
+    /// Service time of a search, in microseconds.
+    pub search_us: u64,
+    /// Service time of a submit, in microseconds.
+    pub submit_us: u64,
+    /// Service time of an upload for each KiB of body, in microseconds.
+    pub upload_us_per_kib: u64,
+    /// Spread of service times: each is multiplied by a factor drawn evenly from 1 ± this share.
+    pub spread: f64,
+    /// Factor on service times right after a start.
+    pub cold_factor: f64,
+    /// Time after a start in which the factor falls to 1, in milliseconds.
+    pub cold_ms: u64,
+    /// Size of an answer's body, in bytes, at least.
+    pub answer_bytes: usize,
+    /// What `/health` and `/load` say.
+    pub probes: ProbeMode,
+    /// Time until the stand-in starts again after a crash by a poison request, or `None` for never.
+    pub restart_ms: Option<u64>,
+    /// Routes; a path that matches none has its kind guessed from the method.
+    pub routes: Vec<StandinRoute>,
+}
+
+impl UpstreamSettings {
+    /// Settings of an upstream of the current deployments, listening at a loopback port chosen by the
+    /// system.
+    pub fn new(name: &str, seed: u64) -> UpstreamSettings {
+        UpstreamSettings {
+            name: name.to_owned(),
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            seed,
+            slots: 6,
+            queue: 6,
+            connections: 120,
+            connect_us: 1_000,
+            lookup_us: 2_000,
+            search_us: 200_000,
+            submit_us: 10_000,
+            // 20 ms for each MiB: a photo of 2 MiB takes as long as four submits.
+            upload_us_per_kib: 20,
+            spread: 0.3,
+            cold_factor: 4.0,
+            cold_ms: 2_000,
+            answer_bytes: 256,
+            probes: ProbeMode::Lagging(1_000),
+            restart_ms: Some(1_000),
+            routes: Vec::new(),
+        }
+    }
+
+    /// The same settings with the routes of `service`.
+    pub fn with_service(mut self, service: &ServicePart) -> UpstreamSettings {
+        let routes = service.routes.iter().map(|rule| StandinRoute {
+            method: rule.method.clone(),
+            prefix: rule.prefix.clone(),
+            kind: rule.kind,
+        });
+        self.routes = routes.collect();
+        self
+    }
+
+    /// The same settings without a cold start, so that service times do not depend on the run's age.
+    pub fn with_warm_start(mut self) -> UpstreamSettings {
+        self.cold_factor = 1.0;
+        self
+    }
+
+    /// The kind of route that a call takes.
+    pub fn kind(&self, method: &str, path: &str) -> RouteKind {
+        let matching = |route: &&StandinRoute| {
+            route.method.eq_ignore_ascii_case(method) && path.starts_with(&route.prefix)
+        };
+        match self.routes.iter().filter(matching).max_by_key(|route| route.prefix.len()) {
+            Some(route) => route.kind,
+            None if method.eq_ignore_ascii_case("POST") => RouteKind::Submit,
+            None if method.eq_ignore_ascii_case("PUT") => RouteKind::Upload,
+            None if path.contains("search") => RouteKind::Search,
+            None => RouteKind::Lookup,
+        }
+    }
+}
+
+/// Running and waiting requests of a stand-in at some time.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadSample {
+    /// Requests in a slot.
+    pub running: usize,
+    /// Requests that wait for a slot.
+    pub waiting: usize,
+    /// Whether the stand-in takes new work.
+    pub healthy: bool,
+}
+
+/// Samples kept for lagging probes.
+const SAMPLE_LIMIT: usize = 4_096;
+
+/// Shared state of a stand-in.
+#[derive(Debug)]
+pub(crate) struct StandinState {
+    pub(crate) settings: UpstreamSettings,
+    pub(crate) ledger: Arc<RequestLedger>,
+    pub(crate) permits: (Sender<()>, Receiver<()>),
+    pub(crate) running: AtomicUsize,
+    pub(crate) waiting: AtomicUsize,
+    pub(crate) draining: AtomicBool,
+    pub(crate) truncations: AtomicUsize,
+    pub(crate) losses: AtomicUsize,
+    /// Connections with a number below this one neither read nor write any more.
+    silent_below: AtomicU64,
+    next_connection: AtomicU64,
+    /// Number of deaths so far, by which a run knows that its life is over.
+    pub(crate) deaths: AtomicU64,
+    connections: AtomicUsize,
+    life: Mutex<StandinLife>,
+    rng: Mutex<Pcg64>,
+    samples: Mutex<VecDeque<(Instant, LoadSample)>>,
+}
+
+/// One life of the stand-in, from a start to its death.
+#[derive(Debug)]
+struct StandinLife {
+    started: Instant,
+    /// Held while the stand-in lives; its tasks end when it is dropped.
+    running: Option<Sender<()>>,
+}
+
+/// A running stand-in upstream. It dies when the last handle is dropped.
+#[derive(Debug, Clone)]
+pub struct UpstreamStandin {
+    state: Arc<StandinState>,
+    address: SocketAddr,
+    _owner: Arc<OwnerGuard>,
+}
+
+#[derive(Debug)]
+struct OwnerGuard(Arc<StandinState>);
+
+impl Drop for OwnerGuard {
+    fn drop(&mut self) {
+        self.0.kill();
+    }
+}
+
+impl UpstreamStandin {
+    /// Starts a stand-in that records its runs in `ledger`. Fails when the address cannot be bound.
+    pub async fn start(
+        settings: UpstreamSettings,
+        ledger: Arc<RequestLedger>,
+    ) -> io::Result<UpstreamStandin> {
+        let listener = TcpListener::bind(settings.address).await?;
+        let address = listener.local_addr()?;
+        let permits = async_channel::bounded(settings.slots.max(1));
+        (0..settings.slots).for_each(|_| permits.0.try_send(()).expect("one place for each slot"));
+        let state = Arc::new(StandinState {
+            rng: Mutex::new(Pcg64::seed_from_u64(settings.seed)),
+            settings: UpstreamSettings { address, ..settings },
+            ledger,
+            permits,
+            running: AtomicUsize::new(0),
+            waiting: AtomicUsize::new(0),
+            draining: AtomicBool::new(false),
+            truncations: AtomicUsize::new(0),
+            losses: AtomicUsize::new(0),
+            silent_below: AtomicU64::new(0),
+            next_connection: AtomicU64::new(0),
+            deaths: AtomicU64::new(0),
+            connections: AtomicUsize::new(0),
+            life: Mutex::new(StandinLife { started: Instant::now(), running: None }),
+            samples: Mutex::new(VecDeque::new()),
+        });
+        state.revive(listener);
+        let owner = Arc::new(OwnerGuard(state.clone()));
+        Ok(UpstreamStandin { state, address, _owner: owner })
+    }
+
+    /// Where the stand-in listens; the same over restarts.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The ledger that the stand-in writes to.
+    pub fn ledger(&self) -> &Arc<RequestLedger> {
+        &self.state.ledger
+    }
+
+    /// Requests that run and wait now.
+    pub fn load(&self) -> LoadSample {
+        self.state.sample()
+    }
+
+    /// Drops all connections and refuses new ones, as when the process dies.
+    pub fn die(&self) {
+        self.state.kill();
+    }
+
+    /// Starts again after a death, cold. Fails when the address cannot be bound.
+    pub async fn restart(&self) -> io::Result<()> {
+        restart_standin(&self.state).await
+    }
+
+    /// Makes all established connections silent for good; new ones work.
+    pub fn silence_connections(&self) {
+        let next = self.state.next_connection.load(Ordering::SeqCst);
+        self.state.silent_below.store(next, Ordering::SeqCst);
+    }
+
+    /// Cuts the next `count` answers in the middle.
+    pub fn truncate_answers(&self, count: usize) {
+        self.state.truncations.store(count, Ordering::SeqCst);
+    }
+
+    /// Runs the next `count` requests to the end, but closes the connection in place of an answer.
+    pub fn lose_answers(&self, count: usize) {
+        self.state.losses.store(count, Ordering::SeqCst);
+    }
+
+    /// Refuses new work, waits until running and waiting requests have been answered, and stops.
+    pub async fn drain(&self) {
+        self.state.draining.store(true, Ordering::SeqCst);
+        self.state.note_load();
+        while self.state.is_busy() {
+            task::sleep(Duration::from_millis(1)).await;
+        }
+        // Answers of the last requests are still on their way through their connection tasks.
+        task::sleep(Duration::from_millis(20)).await;
+        self.state.kill();
+    }
+}
+
+impl StandinState {
+    fn life(&self) -> MutexGuard<'_, StandinLife> {
+        self.life.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn is_alive(&self) -> bool {
+        self.life().running.is_some()
+    }
+
+    fn is_busy(&self) -> bool {
+        self.running.load(Ordering::SeqCst) + self.waiting.load(Ordering::SeqCst) > 0
+    }
+
+    pub(crate) fn kill(&self) {
+        self.deaths.fetch_add(1, Ordering::SeqCst);
+        self.life().running = None;
+        self.note_load();
+    }
+
+    fn revive(self: &Arc<StandinState>, listener: TcpListener) {
+        let (running, stop) = async_channel::bounded(1);
+        *self.life() = StandinLife { started: Instant::now(), running: Some(running) };
+        self.draining.store(false, Ordering::SeqCst);
+        self.note_load();
+        let state = self.clone();
+        task::spawn(async move {
+            let ended = stop.clone();
+            let accept = accept_connections(&state, listener, stop);
+            accept.or(async { ended.recv().await.unwrap_or_default() }).await;
+        });
+    }
+
+    /// Kills the stand-in and starts it again after the time in the settings.
+    pub(crate) fn crash(self: &Arc<StandinState>) {
+        self.kill();
+        let Some(restart_ms) = self.settings.restart_ms else { return };
+        let state = self.clone();
+        task::spawn(async move {
+            task::sleep(Duration::from_millis(restart_ms)).await;
+            if let Err(err) = restart_standin(&state).await {
+                log::error!("stand-in {} did not restart: {err}", state.settings.name);
+            }
+        });
+    }
+
+    pub(crate) fn is_silent(&self, connection: u64) -> bool {
+        connection < self.silent_below.load(Ordering::SeqCst)
+    }
+
+    /// Draws the service time of a request.
+    pub(crate) fn service_time(&self, kind: RouteKind, body_bytes: u64) -> Duration {
+        let settings = &self.settings;
+        let base = match kind {
+            RouteKind::Lookup => settings.lookup_us,
+            RouteKind::Search => settings.search_us,
+            RouteKind::Submit => settings.submit_us,
+            RouteKind::Upload => {
+                settings.submit_us + settings.upload_us_per_kib * body_bytes / 1024
+            }
+        };
+        let draw: f64 = self.rng.lock().unwrap_or_else(PoisonError::into_inner).random();
+        let spread = 1.0 + settings.spread * (2.0 * draw - 1.0);
+        let age = self.life().started.elapsed().as_millis() as f64;
+        let warm = (age / settings.cold_ms.max(1) as f64).min(1.0);
+        let cold = settings.cold_factor + (1.0 - settings.cold_factor) * warm;
+        Duration::from_micros((base as f64 * spread * cold) as u64)
+    }
+
+    pub(crate) fn sample(&self) -> LoadSample {
+        LoadSample {
+            running: self.running.load(Ordering::SeqCst),
+            waiting: self.waiting.load(Ordering::SeqCst),
+            healthy: self.is_alive() && !self.draining.load(Ordering::SeqCst),
+        }
+    }
+
+    /// Stores a sample for lagging probes.
+    pub(crate) fn note_load(&self) {
+        let sample = (Instant::now(), self.sample());
+        let mut samples = self.samples.lock().unwrap_or_else(PoisonError::into_inner);
+        if samples.len() == SAMPLE_LIMIT {
+            samples.pop_front();
+        }
+        samples.push_back(sample);
+    }
+
+    /// What the probe endpoints say now.
+    pub(crate) fn probe(&self) -> LoadSample {
+        let slots = self.settings.slots;
+        match self.settings.probes {
+            ProbeMode::AlwaysGood => LoadSample { running: 0, waiting: 0, healthy: true },
+            ProbeMode::AlwaysBad => LoadSample { running: slots, waiting: slots, healthy: false },
+            ProbeMode::Lagging(lag_ms) => {
+                let samples = self.samples.lock().unwrap_or_else(PoisonError::into_inner);
+                let lag = Duration::from_millis(lag_ms);
+                let old = samples.iter().rev().find(|(taken, _)| taken.elapsed() >= lag);
+                old.or(samples.front()).map(|(_, sample)| *sample).unwrap_or_default()
+            }
+        }
+    }
+}
+
+async fn restart_standin(state: &Arc<StandinState>) -> io::Result<()> {
+    if state.is_alive() {
+        return Ok(());
+    }
+    let listener = TcpListener::bind(state.settings.address).await?;
+    state.revive(listener);
+    Ok(())
+}
+
+async fn accept_connections(state: &Arc<StandinState>, listener: TcpListener, stop: Receiver<()>) {
+    let mut incoming = listener.incoming();
+    while let Some(stream) = incoming.next().await {
+        let Ok(stream) = stream else { continue };
+        let open = state.connections.fetch_add(1, Ordering::SeqCst);
+        let guard = ConnectionGuard(state.clone());
+        if open >= state.settings.connections {
+            continue;
+        }
+        let number = state.next_connection.fetch_add(1, Ordering::SeqCst);
+        task::spawn(serve_connection(guard, stream, number, stop.clone()));
+    }
+}
+
+struct ConnectionGuard(Arc<StandinState>);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.connections.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+async fn serve_connection(
+    guard: ConnectionGuard,
+    stream: TcpStream,
+    number: u64,
+    stop: Receiver<()>,
+) {
+    let serve = async {
+        let _ = stream.set_nodelay(true);
+        task::sleep(Duration::from_micros(guard.0.settings.connect_us)).await;
+        while exchange::serve_request(&guard.0, &stream, number).await {}
+    };
+    serve.or(async { stop.recv().await.unwrap_or_default() }).await;
+}
--- /dev/null
+++ b/standins/tests/generator.rs
@@ -0,0 +1,180 @@
+//! The load generator follows its plan, and its report finds what nodes do wrong.
+
+use std::sync::Arc;
+
+use async_std::net::TcpListener;
+use async_std::task;
+use fescuestack_core::RouteKind;
+use fescuestack_standins::{
+    ArrivalPlan, LoadClass, LoadEntry, LoadPath, LoadSettings, MeasureSettings, RequestLedger,
+    UpstreamSettings, UpstreamStandin, measure_calls, run_load,
+};
+use futures_lite::StreamExt;
+use http_types::{Response, StatusCode};
+
+fn settings(address: std::net::SocketAddr, class: LoadClass) -> LoadSettings {
+    let entries = vec![LoadEntry { service: None, address }];
+    let path = LoadPath { label: "node".to_owned(), weight: 1.0, entries };
+    let patient = LoadClass { patience_ms: 20_000, ..class };
+    LoadSettings {
+        count_limit: 40,
+        paths: vec![path],
+        classes: vec![patient],
+        ..LoadSettings::new(7, 400.0, 60_000)
+    }
+}
+
+async fn start(seed: u64, ledger: &Arc<RequestLedger>) -> UpstreamStandin {
+    let settings = UpstreamSettings { queue: 100, ..UpstreamSettings::new("a", seed) };
+    UpstreamStandin::start(settings, ledger.clone()).await.expect("a loopback port is free")
+}
+
+/// Serves each request with `answer` and leaves the connection open.
+async fn serve<F>(answer: F) -> std::net::SocketAddr
+where
+    F: Fn(&str) -> Response + Clone + Send + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port is free");
+    let address = listener.local_addr().expect("it is bound");
+    task::spawn(async move {
+        let mut incoming = listener.incoming();
+        while let Some(Ok(stream)) = incoming.next().await {
+            let answer = answer.clone();
+            task::spawn(async_h1::accept(stream, move |request| {
+                let id = request.header("x-request-id").map_or("", |id| id.as_str()).to_owned();
+                let answer = answer.clone();
+                async move { Ok(answer(&id)) }
+            }));
+        }
+    });
+    address
+}
+
+fn body(id: &str) -> String {
+    format!(r#"{{"request":"{id}","upstream":"x","received":0,"held_us":0,"padding":""}}"#)
+}
+
+/// Guards against a load that differs between runs of one seed, or whose rate drifts.
+#[test]
+fn plan_is_seeded_and_keeps_its_rate() {
+    let address = "127.0.0.1:1".parse().expect("an address");
+    let class = LoadClass::new("lookup", "register", RouteKind::Lookup);
+    let settings = LoadSettings { count_limit: 50_000, ..settings(address, class) };
+    let plan: Vec<_> = ArrivalPlan::new(&settings).collect();
+    assert!(plan.iter().eq(ArrivalPlan::new(&settings).collect::<Vec<_>>().iter()));
+    let other = LoadSettings { seed: 8, ..settings.clone() };
+    assert!(!plan.iter().eq(ArrivalPlan::new(&other).collect::<Vec<_>>().iter()));
+    // 24,000 arrivals are expected in a minute; 5 standard deviations are 775.
+    assert!(plan.len().abs_diff(24_000) < 775, "{} arrivals", plan.len());
+    // In a Poisson process the share of gaps above the mean is 1/e.
+    let gaps = plan.windows(2).filter(|pair| pair[1].due_us - pair[0].due_us > 2_500).count();
+    let share = gaps as f64 / plan.len() as f64;
+    assert!((share - (-1.0f64).exp()).abs() < 0.02, "share {share}");
+}
+
+/// Guards against false alarms: a correct path has no violation, and every run is accounted for.
+#[test]
+fn correct_path_has_no_violation() {
+    task::block_on(async {
+        let ledger = Arc::new(RequestLedger::new());
+        let standin = start(1, &ledger).await;
+        let submit = LoadClass::new("submit", "register", RouteKind::Submit);
+        let report = run_load(settings(standin.address(), submit), Some(&ledger)).await;
+        let class = report.class("node", "submit").expect("requests were sent");
+        assert_eq!((class.offered, class.answered, report.violations), (40, 40, 0));
+        let counts = class.ledger.expect("there is a ledger");
+        assert_eq!((counts.runs, counts.cut_off, counts.killed), (40, 0, 0));
+        assert_eq!(class.latency.count, 40);
+        serde_json::to_string(&report).expect("the report is JSON");
+    })
+}
+
+/// Guards against an answer "not run" to a request that ran: the resend then runs it twice.
+#[test]
+fn false_not_run_and_its_duplicate_are_violations() {
+    task::block_on(async {
+        let ledger = Arc::new(RequestLedger::new());
+        let runs = ledger.clone();
+        let address = serve(move |id| {
+            let run = runs.start(id, None, "x");
+            runs.end(run, fescuestack_standins::RunEnd::Finished);
+            let mut response = Response::new(StatusCode::ServiceUnavailable);
+            response.insert_header("fescuestack-outcome", "not-run");
+            response.insert_header("fescuestack-code", "201");
+            response
+        })
+        .await;
+        let class = LoadClass::new("submit", "register", RouteKind::Submit);
+        let class = LoadClass { resends: 1, ..class };
+        let report = run_load(settings(address, class), Some(&ledger)).await;
+        let class = report.class("node", "submit").expect("requests were sent");
+        let counts = class.ledger.expect("there is a ledger");
+        assert_eq!((counts.not_run_but_ran, counts.duplicates, counts.runs), (80, 40, 80));
+        assert_eq!(class.codes.get(&201), Some(&40));
+        assert_eq!(report.violations, 120);
+    })
+}
+
+/// Guards against mixed-up answers and against "done" for requests that no upstream finished.
+#[test]
+fn foreign_and_invented_answers_are_violations() {
+    task::block_on(async {
+        let ledger = RequestLedger::new();
+        let foreign = serve(|_| {
+            let mut response = Response::new(StatusCode::Ok);
+            response.set_body(body("0-0-0.0"));
+            response
+        })
+        .await;
+        let invented = serve(|id| {
+            let mut response = Response::new(StatusCode::Ok);
+            response.set_body(body(id));
+            response
+        })
+        .await;
+        let class = LoadClass::new("lookup", "register", RouteKind::Lookup);
+        let report = run_load(settings(foreign, class.clone()), Some(&ledger)).await;
+        assert_eq!((report.classes[0].foreign, report.violations), (40, 40));
+        let report = run_load(settings(invented, class), Some(&ledger)).await;
+        assert_eq!(report.classes[0].ledger.map(|counts| counts.lost), Some(40));
+    })
+}
+
+/// Guards against latencies counted from the send and not from the plan: at one slot and a backlog the
+/// last requests wait for all earlier ones.
+#[test]
+fn latency_counts_from_the_planned_arrival() {
+    task::block_on(async {
+        let ledger = Arc::new(RequestLedger::new());
+        let warm =
+            UpstreamSettings { slots: 1, queue: 100, spread: 0.0, ..UpstreamSettings::new("a", 1) };
+        let warm = warm.with_warm_start();
+        let standin = UpstreamStandin::start(warm, ledger.clone()).await.expect("a port is free");
+        let submit = LoadClass::new("submit", "register", RouteKind::Submit);
+        // 40 requests arrive within about 100 ms, and each takes 10 ms.
+        let report = run_load(settings(standin.address(), submit), Some(&ledger)).await;
+        let latency = report.classes[0].latency;
+        assert!(latency.max_us >= 250_000, "longest latency {} us", latency.max_us);
+    })
+}
+
+/// Guards against a comparison that misses a path: both carry calls in the same run.
+#[test]
+fn measures_both_paths_in_one_run() {
+    task::block_on(async {
+        let ledger = Arc::new(RequestLedger::new());
+        let (node, direct) = (start(1, &ledger).await, start(2, &ledger).await);
+        let settings = MeasureSettings {
+            seed: 3,
+            rate: 100.0,
+            seconds: 1,
+            entries: vec![node.address()],
+            upstreams: vec![("register".to_owned(), direct.address())],
+            classes: Vec::new(),
+        };
+        let report = measure_calls(settings, Some(&ledger)).await;
+        assert_eq!(report.added.len(), 1);
+        assert_eq!(report.load.classes.len(), 2);
+        assert_eq!(report.load.violations, 0);
+    })
+}
--- /dev/null
+++ b/standins/tests/upstream.rs
@@ -0,0 +1,165 @@
+//! The stand-in upstream behaves like an upstream, and its ledger is exact.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::net::TcpStream;
+use async_std::{future, task};
+use fescuestack_core::RouteKind;
+use fescuestack_standins::{
+    AnswerVerdict, CallerClient, LoadClass, ProbeMode, RequestLedger, RunEnd, UpstreamSettings,
+    UpstreamStandin,
+};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+
+/// Far above any service time here, so that the machine's speed does not matter.
+const LONG: Duration = Duration::from_secs(20);
+
+async fn start(settings: UpstreamSettings) -> UpstreamStandin {
+    let ledger = Arc::new(RequestLedger::new());
+    UpstreamStandin::start(settings, ledger).await.expect("a loopback port is free")
+}
+
+async fn call(standin: &UpstreamStandin, class: &LoadClass, attempt: &str) -> AnswerVerdict {
+    let client = CallerClient::new();
+    let call = client.call(standin.address(), class, 1, attempt);
+    future::timeout(LONG, call).await.expect("an answer in time").verdict
+}
+
+fn ends(standin: &UpstreamStandin) -> Vec<Option<RunEnd>> {
+    standin.ledger().records().iter().map(|record| record.end).collect()
+}
+
+async fn wait_until(condition: impl Fn() -> bool) {
+    let poll = async {
+        while !condition() {
+            task::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    future::timeout(LONG, poll).await.expect("the condition comes true");
+}
+
+fn class(kind: RouteKind) -> LoadClass {
+    LoadClass::new("test", "register", kind)
+}
+
+/// Guards against faults that go unseen: a damaged, lost or missing answer must not look done, and the
+/// ledger must tell which of them ran.
+#[test]
+fn faults_are_seen_by_the_caller_and_the_ledger() {
+    task::block_on(async {
+        let standin = start(UpstreamSettings::new("a", 1)).await;
+        let submit = class(RouteKind::Submit);
+        assert!(matches!(call(&standin, &submit, "1.0").await, AnswerVerdict::Done { .. }));
+        standin.truncate_answers(1);
+        assert_eq!(call(&standin, &submit, "2.0").await, AnswerVerdict::Truncated);
+        standin.lose_answers(1);
+        assert_eq!(call(&standin, &submit, "3.0").await, AnswerVerdict::Broken);
+        assert!(matches!(call(&standin, &submit, "4.0").await, AnswerVerdict::Done { .. }));
+        assert_eq!(ends(&standin), vec![Some(RunEnd::Finished); 4]);
+        assert_eq!(standin.ledger().key_runs("key-3"), 1);
+        standin.die();
+        wait_until(|| standin.load().running == 0).await;
+        task::sleep(Duration::from_millis(20)).await;
+        assert_eq!(call(&standin, &submit, "5.0").await, AnswerVerdict::Broken);
+        assert_eq!(standin.ledger().len(), 4, "a dead upstream runs nothing");
+        standin.restart().await.expect("the port is free again");
+        assert!(matches!(call(&standin, &submit, "6.0").await, AnswerVerdict::Done { .. }));
+    })
+}
+
+/// Guards against a refusal that ran: beyond slots and queue the answer is 503 and the ledger is empty.
+#[test]
+fn sheds_load_before_it_runs() {
+    task::block_on(async {
+        let settings = UpstreamSettings { slots: 1, queue: 1, ..UpstreamSettings::new("a", 2) };
+        // The slot is held for the whole test, so the third request always meets a full queue.
+        let standin = start(UpstreamSettings { search_us: 60_000_000, ..settings }).await;
+        let search = class(RouteKind::Search);
+        let holders: Vec<_> = ["1.0", "2.0"]
+            .map(|attempt| {
+                let (standin, search) = (standin.clone(), search.clone());
+                task::spawn(async move {
+                    CallerClient::new().call(standin.address(), &search, 1, attempt).await
+                })
+            })
+            .into();
+        wait_until(|| standin.load().running + standin.load().waiting == 2).await;
+        assert_eq!(call(&standin, &search, "3.0").await, AnswerVerdict::NotRun);
+        assert_eq!(standin.ledger().len(), 1);
+        for holder in holders {
+            holder.cancel().await;
+        }
+        wait_until(|| standin.ledger().open_runs() == 0).await;
+        assert!(ends(&standin).iter().all(|end| *end == Some(RunEnd::Cancelled)));
+    })
+}
+
+/// Guards against work for a caller that no longer waits: a deadline ends the run.
+#[test]
+fn stops_at_the_deadline_and_refuses_without_time_left() {
+    task::block_on(async {
+        let settings = UpstreamSettings::new("a", 3);
+        let standin = start(UpstreamSettings { search_us: 60_000_000, ..settings }).await;
+        for (left_ms, status, end) in [(0, "503", None), (1_000, "504", Some(RunEnd::Expired))] {
+            let before = standin.ledger().len();
+            let mut stream = TcpStream::connect(standin.address()).await.expect("it listens");
+            let head = format!(
+                "GET /search/1 HTTP/1.1\r\nhost: a\r\nfescuestack-left-ms: {left_ms}\r\n\r\n"
+            );
+            stream.write_all(head.as_bytes()).await.expect("the connection is open");
+            let mut answer = vec![0; 12];
+            stream.read_exact(&mut answer).await.expect("an answer comes");
+            assert!(answer.ends_with(status.as_bytes()), "{}", String::from_utf8_lossy(&answer));
+            assert_eq!(standin.ledger().records().get(before).and_then(|record| record.end), end);
+        }
+    })
+}
+
+/// Guards against a poison request that leaves the upstream alive, and against a restart that never
+/// comes.
+#[test]
+fn poison_kills_the_upstream_and_its_other_runs() {
+    task::block_on(async {
+        let settings = UpstreamSettings { restart_ms: Some(1), ..UpstreamSettings::new("a", 4) };
+        let standin = start(UpstreamSettings { search_us: 60_000_000, ..settings }).await;
+        let (bystander, search) = (standin.clone(), class(RouteKind::Search));
+        let bystander = task::spawn(async move { call(&bystander, &search, "1.0").await });
+        wait_until(|| standin.load().running == 1).await;
+        let poison = LoadClass { is_poison: true, ..class(RouteKind::Lookup) };
+        assert_eq!(call(&standin, &poison, "2.0").await, AnswerVerdict::Broken);
+        assert_eq!(bystander.await, AnswerVerdict::Broken);
+        assert_eq!(ends(&standin), vec![Some(RunEnd::Killed); 2]);
+        wait_until(|| standin.load().healthy).await;
+        let lookup = class(RouteKind::Lookup);
+        assert!(matches!(call(&standin, &lookup, "3.0").await, AnswerVerdict::Done { .. }));
+    })
+}
+
+/// Guards against a stand-in whose silence or drain differs from the real thing: established
+/// connections hang while new ones work, and a drain cuts nothing off.
+#[test]
+fn silence_spares_new_connections_and_drain_finishes_runs() {
+    task::block_on(async {
+        let settings =
+            UpstreamSettings { probes: ProbeMode::AlwaysGood, ..UpstreamSettings::new("a", 5) };
+        let standin = start(settings).await;
+        let client = CallerClient::new();
+        let lookup = class(RouteKind::Lookup);
+        let first = client.call(standin.address(), &lookup, 1, "1.0").await;
+        assert!(matches!(first.verdict, AnswerVerdict::Done { .. }));
+        standin.silence_connections();
+        let hung = client.call(standin.address(), &lookup, 1, "2.0");
+        assert!(future::timeout(Duration::from_millis(300), hung).await.is_err());
+        assert!(matches!(call(&standin, &lookup, "3.0").await, AnswerVerdict::Done { .. }));
+        assert_eq!(standin.ledger().len(), 2, "the silent connection ran nothing");
+
+        let (running, search) = (standin.clone(), class(RouteKind::Search));
+        let running = task::spawn(async move { call(&running, &search, "4.0").await });
+        wait_until(|| standin.load().running == 1).await;
+        standin.drain().await;
+        assert!(matches!(running.await, AnswerVerdict::Done { .. }));
+        assert_eq!(ends(&standin), vec![Some(RunEnd::Finished); 3]);
+        assert_eq!(call(&standin, &lookup, "5.0").await, AnswerVerdict::Broken);
+    })
+}
