Guard HTTP framing around async-h1

async-h1 2.3 ends a cut body without an error, takes the last of differing Content-Length headers, takes 1xx for the final answer, drops a request that follows in the same packet, and panics on header values beyond ASCII. Its chunk decoder takes an empty size line or the end of the connection for the last chunk and waits forever for trailers in two parts. Its client makes up a Date value with line ends, which cuts the head when the answer is passed on.

The guards read and check the head, let async-h1 parse it, and bound the body themselves. Heads and small bodies leave in one write. Tests run the raw library beside the guards for pipelining, cut uploads, cut answers, differing lengths, long heads, interim answers and the date.

--- /dev/null
+++ b/http/src/client.rs
@@ -0,0 +1,282 @@
+//! The client side of a connection.
+
+use std::fmt;
+use std::future::poll_fn;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll, Waker, ready};
+use std::time::{Duration, Instant};
+
+use async_std::future::timeout;
+use async_std::net::TcpStream;
+use futures_lite::io::Cursor;
+use http_types::headers::DATE;
+use http_types::{Body, Method, Request, Response};
+
+use crate::body::{BodySource, SharedBody, lock};
+use crate::hops::remove_hop_headers;
+use crate::reader::MessageReader;
+use crate::writer::{MessageWriter, WriteFault};
+use crate::{BodyFraming, HttpFault, scan_head, scan_status_line};
+
+/// Most interim answers (1xx) before the final one.
+const INTERIM_LIMIT: usize = 16;
+
+/// Why an exchange failed, by what the peer may have seen of the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, snafu::Snafu)]
+pub enum SendError {
+    /// No byte of the request left this machine.
+    #[snafu(display("the request was not sent: {kind}"))]
+    NotSent {
+        /// Kind of the I/O error.
+        kind: io::ErrorKind,
+    },
+    /// The peer may have seen the request, or a part of it.
+    #[snafu(display("the exchange was lost: {cause}"))]
+    Lost {
+        /// What ended the exchange.
+        cause: LossCause,
+    },
+}
+
+/// What ended an exchange after a byte of the request was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LossCause {
+    /// The connection broke before any byte of the answer.
+    Broken(io::ErrorKind),
+    /// The answer ended inside its head.
+    Cut,
+    /// The answer cannot be read.
+    Answer(HttpFault),
+    /// The body of the request failed or did not have its declared length.
+    Upload(io::ErrorKind),
+}
+
+impl fmt::Display for LossCause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            LossCause::Broken(kind) => write!(f, "{kind}"),
+            LossCause::Cut => f.write_str("the answer ended inside its head"),
+            LossCause::Answer(fault) => fault.fmt(f),
+            LossCause::Upload(kind) => write!(f, "the request body failed: {kind}"),
+        }
+    }
+}
+
+/// A connection to a server that carries one exchange at a time.
+#[derive(Debug)]
+pub struct ClientConnection {
+    stream: TcpStream,
+    exchange: Arc<Mutex<ClientExchange>>,
+    /// False while an exchange is open or when the server closes after it.
+    kept: bool,
+    used: Instant,
+}
+
+/// Both directions of the exchange in progress.
+#[derive(Debug)]
+struct ClientExchange {
+    reader: MessageReader,
+    /// The rest of an upload whose answer came early.
+    writer: Option<MessageWriter>,
+}
+
+impl ClientConnection {
+    /// Connects to `address`. Fails when that takes longer than `limit`.
+    pub async fn open(address: SocketAddr, limit: Duration) -> io::Result<ClientConnection> {
+        let opening = timeout(limit, TcpStream::connect(address));
+        let stream = opening.await.map_err(|_| io::ErrorKind::TimedOut)??;
+        stream.set_nodelay(true)?;
+        let reader = MessageReader::new(stream.clone());
+        let exchange = Arc::new(Mutex::new(ClientExchange { reader, writer: None }));
+        Ok(ClientConnection { stream, exchange, kept: true, used: Instant::now() })
+    }
+
+    /// How long ago the last exchange started, or the connection was opened.
+    pub fn idle(&self) -> Duration {
+        self.used.elapsed()
+    }
+
+    /// Whether another exchange may start: the last answer was read to its end as framed, its
+    /// request was sent whole, the server keeps the connection and has sent nothing since.
+    pub fn is_reusable(&self) -> bool {
+        let mut exchange = lock(&self.exchange);
+        if !self.kept || exchange.writer.is_some() || !exchange.reader.is_body_done() {
+            return false;
+        }
+        // Bytes without a request are a late or mismatched answer; zero bytes are a close.
+        let mut cx = Context::from_waker(Waker::noop());
+        exchange.reader.buffered().is_empty()
+            && exchange.reader.poll_fill_unlimited(&mut cx).is_pending()
+    }
+
+    /// Sends a request and returns the final answer, whose body streams.
+    ///
+    /// Dropping the future or the body before its end leaves the connection unusable. An answer
+    /// that comes before the end of the upload is returned at once; the rest of the upload goes
+    /// out while the body of the answer is read.
+    pub async fn send(&mut self, mut request: Request) -> Result<Response, SendError> {
+        if !self.is_reusable() {
+            return Err(SendError::NotSent { kind: io::ErrorKind::NotConnected });
+        }
+        self.kept = false;
+        self.used = Instant::now();
+        let method = request.method();
+        remove_hop_headers(request.as_mut());
+        let length = request.len().map(|length| length as u64);
+        let encoder = Box::new(async_h1::client::Encoder::new(request));
+        let writer = MessageWriter::new(self.stream.clone(), encoder, length, None);
+        lock(&self.exchange).writer = Some(writer);
+        let mut sending = RequestSending::default();
+        for _ in 0..INTERIM_LIMIT {
+            let head = poll_fn(|cx| sending.poll(&mut lock(&self.exchange), cx)).await?;
+            let answer = self.parse_answer(head, method).await.map_err(lost_answer)?;
+            if let Some(answer) = answer {
+                return Ok(answer);
+            }
+        }
+        Err(lost_answer(HttpFault::BadHead))
+    }
+
+    /// Parses the head of an answer. `None` stands for an interim one.
+    async fn parse_answer(
+        &mut self,
+        head: Vec<u8>,
+        method: Method,
+    ) -> Result<Option<Response>, HttpFault> {
+        let view = scan_head(&head)?;
+        let status = scan_status_line(view.first_line).ok_or(HttpFault::BadHead)?;
+        match status {
+            // Nothing here asks for another protocol.
+            101 => return Err(HttpFault::BadHead),
+            100..200 => return Ok(None),
+            _ => (),
+        }
+        let empty = method == Method::Head || matches!(status, 204 | 304);
+        let framing = view.framing;
+        if framing == BodyFraming::Absent && !empty {
+            return Err(HttpFault::NoLength);
+        }
+        let (close, dated, typed) = (view.close, view.dated, view.typed);
+        // The library sees the head only: it would end a cut body without an error.
+        let decoded = async_h1::client::decode(Cursor::new(head)).await;
+        let mut answer = decoded.map_err(|_| HttpFault::BadHead)?;
+        self.set_body(&mut answer, framing, empty)?;
+        if !typed {
+            answer.remove_header("content-type");
+        }
+        // The library makes up a date with line ends in it, which would end the head there.
+        if !dated {
+            answer.remove_header(DATE);
+        }
+        remove_hop_headers(answer.as_mut());
+        self.kept = !close;
+        Ok(Some(answer))
+    }
+
+    fn set_body(
+        &mut self,
+        answer: &mut Response,
+        framing: BodyFraming,
+        empty: bool,
+    ) -> Result<(), HttpFault> {
+        let mut exchange = lock(&self.exchange);
+        let started = if empty { BodyFraming::Absent } else { framing };
+        exchange.reader.start_body(started, false);
+        let length = match framing {
+            BodyFraming::Length(length) => {
+                Some(usize::try_from(length).map_err(|_| HttpFault::BadLength)?)
+            }
+            BodyFraming::Chunked | BodyFraming::Absent => None,
+        };
+        let body = if empty {
+            // Keeps the length that an answer to HEAD declares.
+            Body::from_reader(futures_lite::io::empty(), length.or(Some(0)))
+        } else if let Some(bytes) = exchange.reader.take_buffered_body() {
+            Body::from_bytes(bytes)
+        } else if exchange.reader.is_body_done() {
+            Body::empty()
+        } else {
+            Body::from_reader(SharedBody::new(self.exchange.clone()), length)
+        };
+        drop(exchange);
+        answer.set_body(body);
+        Ok(())
+    }
+}
+
+impl BodySource for ClientExchange {
+    fn poll_body(&mut self, cx: &mut Context<'_>, out: &mut [u8]) -> Poll<io::Result<usize>> {
+        if let Some(writer) = &mut self.writer
+            && let Poll::Ready(Ok(())) = writer.poll(cx)
+        {
+            self.writer = None;
+        }
+        self.reader.poll_body(cx, out)
+    }
+}
+
+/// The progress of a request up to the head of its answer.
+#[derive(Debug, Default)]
+struct RequestSending {
+    fault: Option<WriteFault>,
+    sent: bool,
+}
+
+impl RequestSending {
+    fn poll(
+        &mut self,
+        exchange: &mut ClientExchange,
+        cx: &mut Context<'_>,
+    ) -> Poll<Result<Vec<u8>, SendError>> {
+        self.poll_writer(exchange, cx)?;
+        let cause = match ready!(exchange.reader.poll_head(cx)) {
+            Ok(Some(head)) => return Poll::Ready(Ok(head)),
+            Ok(None) => LossCause::Broken(io::ErrorKind::UnexpectedEof),
+            Err(HttpFault::Broken { kind }) => LossCause::Broken(kind),
+            Err(HttpFault::HeadCut) => LossCause::Cut,
+            Err(fault) => LossCause::Answer(fault),
+        };
+        Poll::Ready(Err(self.fail(cause)))
+    }
+
+    fn poll_writer(
+        &mut self,
+        exchange: &mut ClientExchange,
+        cx: &mut Context<'_>,
+    ) -> Result<(), SendError> {
+        let Some(writer) = &mut exchange.writer else { return Ok(()) };
+        if self.fault.is_some() {
+            return Ok(());
+        }
+        let polled = writer.poll(cx);
+        self.sent |= writer.has_written();
+        match polled {
+            Poll::Pending => Ok(()),
+            Poll::Ready(Ok(())) => {
+                exchange.writer = None;
+                Ok(())
+            }
+            Poll::Ready(Err(WriteFault::Body(kind))) => Err(self.fail(LossCause::Upload(kind))),
+            // The server may have refused the upload before it closed, so its answer is still read.
+            Poll::Ready(Err(fault @ WriteFault::Peer(kind))) => {
+                self.fault = Some(fault);
+                if self.sent { Ok(()) } else { Err(self.fail(LossCause::Broken(kind))) }
+            }
+        }
+    }
+
+    fn fail(&self, cause: LossCause) -> SendError {
+        match cause {
+            LossCause::Broken(kind) | LossCause::Upload(kind) if !self.sent => {
+                SendError::NotSent { kind }
+            }
+            cause => SendError::Lost { cause },
+        }
+    }
+}
+
+fn lost_answer(fault: HttpFault) -> SendError {
+    SendError::Lost { cause: LossCause::Answer(fault) }
+}
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -1,1 +1,27 @@
 //! Guards around `async-h1` for exact message framing.
+//!
+//! `async-h1` parses heads and encodes messages. The guards read the head, refuse what can be read
+//! in two ways, bound each body by its framing and report every early end as an error.
+
+mod body;
+mod chunk;
+mod client;
+mod fault;
+mod hops;
+mod progress;
+mod reader;
+mod scan;
+mod server;
+mod writer;
+
+pub use chunk::ChunkScanner;
+pub use client::{ClientConnection, LossCause, SendError};
+pub use fault::HttpFault;
+pub use scan::{
+    BodyFraming, HEADER_LIMIT, HeadView, scan_decimal, scan_head, scan_head_end, scan_header,
+    scan_host, scan_request_line, scan_status_line,
+};
+pub use server::{ServerSettings, serve_connection, serve_listener};
+
+/// Longest head read from a peer, in bytes, with the empty line. `async-h1` fails on longer ones.
+pub const HEAD_LIMIT_BYTES: usize = 8 * 1024 - 1;
--- /dev/null
+++ b/http/src/progress.rs
@@ -0,0 +1,45 @@
+//! Time limit on the wait for the next byte.
+
+use std::fmt;
+use std::future::Future;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use async_std::task;
+
+/// A timer that is armed while a peer makes no progress.
+pub(crate) struct ProgressTimer {
+    interval: Option<Duration>,
+    sleep: Option<Pin<Box<dyn Future<Output = ()> + Send + Sync>>>,
+}
+
+impl ProgressTimer {
+    pub(crate) fn new(interval: Option<Duration>) -> ProgressTimer {
+        ProgressTimer { interval, sleep: None }
+    }
+
+    /// Notes progress and sets the next limit.
+    pub(crate) fn reset(&mut self, interval: Option<Duration>) {
+        self.interval = interval;
+        self.sleep = None;
+    }
+
+    /// Notes progress.
+    pub(crate) fn clear(&mut self) {
+        self.sleep = None;
+    }
+
+    /// Whether the peer made no progress for the interval. Wakes the task when that is so.
+    pub(crate) fn poll_expired(&mut self, cx: &mut Context<'_>) -> bool {
+        let Some(interval) = self.interval else { return false };
+        let sleep = self.sleep.get_or_insert_with(|| Box::pin(task::sleep(interval)));
+        sleep.as_mut().poll(cx) == Poll::Ready(())
+    }
+}
+
+impl fmt::Debug for ProgressTimer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("ProgressTimer").field("interval", &self.interval).finish()
+    }
+}
--- /dev/null
+++ b/http/src/server.rs
@@ -0,0 +1,312 @@
+//! The server side of a connection.
+
+use std::future::{Future, poll_fn};
+use std::io;
+use std::net::Shutdown;
+use std::pin::{Pin, pin};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, future};
+use http_types::headers::CONNECTION;
+use http_types::{Body, Method, Request, Response};
+
+use crate::body::{BodySource, SharedBody, lock};
+use crate::hops::remove_hop_headers;
+use crate::reader::MessageReader;
+use crate::writer::MessageWriter;
+use crate::{BodyFraming, HttpFault, scan_head, scan_request_line};
+
+/// Most bytes of an unread request that are skipped to keep a connection.
+const SKIP_LIMIT_BYTES: u64 = 64 * 1024;
+
+/// Time for a client to take a refusal before the connection is reset.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// Pause after a failed accept, which usually means that file descriptors ran out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Limits of a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ServerSettings {
+    /// How long a connection is kept without a request.
+    pub idle: Duration,
+    /// How long a head may take from its first byte.
+    pub head: Duration,
+    /// How long a peer may go without sending or taking a byte of a body.
+    pub progress: Duration,
+    /// Most connections of a listener. Others are closed at once.
+    pub connections: usize,
+}
+
+impl Default for ServerSettings {
+    fn default() -> ServerSettings {
+        ServerSettings {
+            idle: Duration::from_secs(60),
+            head: Duration::from_secs(10),
+            progress: Duration::from_secs(20),
+            connections: 4096,
+        }
+    }
+}
+
+/// Serves the connections of `listener` until the future is dropped. Connections run on their own.
+pub async fn serve_listener<F, Fut>(listener: TcpListener, settings: ServerSettings, handler: F)
+where
+    F: Fn(Result<Request, HttpFault>) -> Fut + Send + Sync + 'static,
+    Fut: Future<Output = Response> + Send + 'static,
+{
+    let handler = Arc::new(handler);
+    let count = Arc::new(AtomicUsize::new(0));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            task::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let place = ConnectionPlace::take(&count);
+        if count.load(Ordering::Relaxed) > settings.connections {
+            continue;
+        }
+        let handler = handler.clone();
+        task::spawn(async move {
+            let _place = place;
+            // A fault ends the connection and concerns nobody else.
+            let _ = serve_connection(stream, &settings, &*handler).await;
+        });
+    }
+}
+
+/// Serves the requests of a connection one after another.
+///
+/// The handler gets a request or the fault of one that was refused. Its future is dropped when the
+/// client closes the connection, also when it closes only its sending half. An answer with
+/// `connection: close` ends the connection. Fails when the connection ends inside a message.
+pub async fn serve_connection<F, Fut>(
+    stream: TcpStream,
+    settings: &ServerSettings,
+    handler: &F,
+) -> Result<(), HttpFault>
+where
+    F: Fn(Result<Request, HttpFault>) -> Fut,
+    Fut: Future<Output = Response>,
+{
+    stream.set_nodelay(true)?;
+    let reader = Arc::new(Mutex::new(MessageReader::new(stream.clone())));
+    let mut served = ServedConnection { stream, reader, settings, close: false };
+    while !served.close {
+        let incoming = match served.read_request().await {
+            Ok(Some(request)) => Ok(request),
+            Ok(None) => return Ok(()),
+            Err(fault @ (HttpFault::Broken { .. } | HttpFault::HeadCut)) => return Err(fault),
+            Err(fault) => Err(fault),
+        };
+        let refused = incoming.as_ref().err().copied();
+        served.close |= refused.is_some();
+        let method = incoming.as_ref().map_or(Method::Get, Request::method);
+        let answering = async {
+            let answer = handler(incoming).await;
+            served.write_answer(answer, method).await
+        };
+        let written = match until_closed(&served.reader, answering).await {
+            Some(written) => written?,
+            None => return Ok(()),
+        };
+        served.close |= written;
+        served.skip_body().await;
+        if let Some(fault) = refused {
+            return Err(fault);
+        }
+    }
+    Ok(())
+}
+
+struct ServedConnection<'a> {
+    stream: TcpStream,
+    reader: Arc<Mutex<MessageReader>>,
+    settings: &'a ServerSettings,
+    close: bool,
+}
+
+impl ServedConnection<'_> {
+    /// Reads a head. `None` means that the client left or sent nothing for the idle time.
+    async fn read_request(&mut self) -> Result<Option<Request>, HttpFault> {
+        lock(&self.reader).limit_waits(None);
+        if lock(&self.reader).buffered().is_empty() {
+            let first = poll_fn(|cx| lock(&self.reader).poll_fill_unlimited(cx));
+            match timeout(self.settings.idle, first).await {
+                Ok(Ok(count)) if count > 0 => (),
+                _ => return Ok(None),
+            }
+        }
+        let head = poll_fn(|cx| lock(&self.reader).poll_head(cx));
+        let head =
+            timeout(self.settings.head, head).await.map_err(|_| HttpFault::HeadTimeout)??;
+        match head {
+            Some(head) => self.parse_request(head).await.map(Some),
+            None => Ok(None),
+        }
+    }
+
+    async fn parse_request(&mut self, head: Vec<u8>) -> Result<Request, HttpFault> {
+        let view = scan_head(&head)?;
+        scan_request_line(view.first_line).ok_or(HttpFault::BadHead)?;
+        if view.hosts != 1 {
+            return Err(HttpFault::BadHead);
+        }
+        let (framing, typed) = (view.framing, view.typed);
+        self.close |= view.close;
+        lock(&self.reader).limit_waits(Some(self.settings.progress));
+        lock(&self.reader).start_body(framing, view.expects_continue);
+        // The library sees the head only: it would end a cut body without an error.
+        let decoded = async_h1::server::decode(HeadStream::new(head)).await;
+        let Ok(Some((mut request, _))) = decoded else { return Err(HttpFault::BadHead) };
+        let body = || SharedBody::new(self.reader.clone());
+        match framing {
+            BodyFraming::Absent | BodyFraming::Length(0) => drop(request.take_body()),
+            BodyFraming::Length(length) => {
+                let length = usize::try_from(length).map_err(|_| HttpFault::BadLength)?;
+                request.set_body(Body::from_reader(body(), Some(length)));
+            }
+            BodyFraming::Chunked => request.set_body(Body::from_reader(body(), None)),
+        }
+        if !typed {
+            request.remove_header("content-type");
+        }
+        remove_hop_headers(request.as_mut());
+        Ok(request)
+    }
+
+    /// Writes an answer and returns whether the connection has to be closed after it.
+    async fn write_answer(&self, mut answer: Response, method: Method) -> Result<bool, HttpFault> {
+        let asked = answer
+            .header(CONNECTION)
+            .is_some_and(|value| value.as_str().eq_ignore_ascii_case("close"));
+        remove_hop_headers(answer.as_mut());
+        let close = self.close || asked || lock(&self.reader).awaits_continue();
+        if close {
+            answer.insert_header(CONNECTION, "close");
+        }
+        let length = match method {
+            Method::Head => Some(0),
+            _ => answer.len().map(|length| length as u64),
+        };
+        let encoder = Box::new(async_h1::server::Encoder::new(answer, method));
+        let interval = Some(self.settings.progress);
+        let mut writer = MessageWriter::new(self.stream.clone(), encoder, length, interval);
+        let result = poll_fn(|cx| writer.poll(cx)).await;
+        // Closing without the end of the body shows the client that the answer is cut.
+        result.map(|()| close).map_err(|_| HttpFault::Broken { kind: io::ErrorKind::BrokenPipe })
+    }
+
+    /// Skips the rest of a request, or gives the client time to read the answer before the
+    /// connection is closed, because a close with unread bytes resets it.
+    async fn skip_body(&mut self) {
+        let done = lock(&self.reader).is_body_done();
+        if done && !self.close {
+            return;
+        }
+        if !self.close && !lock(&self.reader).awaits_continue() {
+            let mut rest = SharedBody::new(self.reader.clone()).take(SKIP_LIMIT_BYTES);
+            let _ = timeout(LINGER, skip(&mut rest)).await;
+            self.close = !lock(&self.reader).is_body_done();
+        }
+        if self.close {
+            let _ = self.stream.shutdown(Shutdown::Write);
+            let mut rest = self.stream.clone().take(SKIP_LIMIT_BYTES);
+            let _ = timeout(LINGER, skip(&mut rest)).await;
+        }
+    }
+}
+
+async fn skip<R: AsyncRead + Unpin>(rest: &mut R) -> io::Result<()> {
+    let mut buffer = vec![0; 4096];
+    while rest.read(&mut buffer).await? > 0 {}
+    Ok(())
+}
+
+/// Runs `work` until it is done or the client closes the connection.
+async fn until_closed<T>(
+    reader: &Mutex<MessageReader>,
+    work: impl Future<Output = T>,
+) -> Option<T> {
+    let mut work = pin!(work);
+    let closed = poll_fn(|cx| lock(reader).poll_close(cx));
+    future::or(async { Some(work.as_mut().await) }, async {
+        closed.await;
+        None
+    })
+    .await
+}
+
+impl BodySource for MessageReader {
+    fn poll_body(&mut self, cx: &mut Context<'_>, out: &mut [u8]) -> Poll<io::Result<usize>> {
+        MessageReader::poll_body(self, cx, out)
+    }
+}
+
+/// A head that is ready in memory, as the stream that the library reads it from.
+#[derive(Debug, Clone)]
+struct HeadStream {
+    head: Arc<Vec<u8>>,
+    position: usize,
+}
+
+impl HeadStream {
+    fn new(head: Vec<u8>) -> HeadStream {
+        HeadStream { head: Arc::new(head), position: 0 }
+    }
+}
+
+impl AsyncRead for HeadStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        out: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let rest = &self.head[self.position..];
+        let count = rest.len().min(out.len());
+        out[..count].copy_from_slice(&rest[..count]);
+        self.position += count;
+        Poll::Ready(Ok(count))
+    }
+}
+
+/// The library writes its own `100 Continue`; the reader does that in order with the answer.
+impl AsyncWrite for HeadStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Poll::Ready(Ok(bytes.len()))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_close(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+/// A place among the connections of a listener.
+struct ConnectionPlace(Arc<AtomicUsize>);
+
+impl ConnectionPlace {
+    fn take(count: &Arc<AtomicUsize>) -> ConnectionPlace {
+        count.fetch_add(1, Ordering::Relaxed);
+        ConnectionPlace(count.clone())
+    }
+}
+
+impl Drop for ConnectionPlace {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/http/src/writer.rs
@@ -0,0 +1,140 @@
+//! Writes an encoded message, with head and small body in one write.
+
+use std::fmt;
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use async_std::net::TcpStream;
+use futures_lite::{AsyncRead, AsyncWrite};
+
+use crate::progress::ProgressTimer;
+
+/// Bytes gathered before a write. The longest head and a small body fit.
+const BUFFER_BYTES: usize = 32 * 1024;
+
+/// Least room for another read from the encoder, in bytes. The chunked encoder of `async-h1`
+/// panics below 6.
+const ROOM_BYTES: usize = 1024;
+
+/// Why a message was not written to its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum WriteFault {
+    /// The body of the message failed or did not have its declared length.
+    Body(io::ErrorKind),
+    /// The connection failed.
+    Peer(io::ErrorKind),
+}
+
+/// The writing of one message.
+pub(crate) struct MessageWriter {
+    stream: TcpStream,
+    encoder: Box<dyn AsyncRead + Send + Sync + Unpin>,
+    /// Declared length of the body; `None` for chunks.
+    length: Option<u64>,
+    head_bytes: Option<u64>,
+    encoded: u64,
+    written: u64,
+    buffer: Vec<u8>,
+    start: usize,
+    end: usize,
+    ended: bool,
+    timer: ProgressTimer,
+}
+
+impl MessageWriter {
+    /// `encoder` gives the whole head on its first read, as the encoders of `async-h1` do.
+    pub(crate) fn new(
+        stream: TcpStream,
+        encoder: Box<dyn AsyncRead + Send + Sync + Unpin>,
+        length: Option<u64>,
+        interval: Option<Duration>,
+    ) -> MessageWriter {
+        MessageWriter {
+            stream,
+            encoder,
+            length,
+            head_bytes: None,
+            encoded: 0,
+            written: 0,
+            buffer: vec![0; BUFFER_BYTES],
+            start: 0,
+            end: 0,
+            ended: false,
+            timer: ProgressTimer::new(interval),
+        }
+    }
+
+    /// Whether any byte was handed to the system.
+    pub(crate) fn has_written(&self) -> bool {
+        self.written > 0
+    }
+
+    pub(crate) fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), WriteFault>> {
+        loop {
+            self.poll_encoder(cx)?;
+            if self.start == self.end {
+                return if self.ended { Poll::Ready(Ok(())) } else { Poll::Pending };
+            }
+            ready!(self.poll_stream(cx))?;
+        }
+    }
+
+    fn poll_encoder(&mut self, cx: &mut Context<'_>) -> Result<(), WriteFault> {
+        while !self.ended && self.buffer.len() - self.end >= ROOM_BYTES {
+            let room = &mut self.buffer[self.end..];
+            let room_bytes = room.len();
+            let count = match Pin::new(&mut self.encoder).poll_read(cx, room) {
+                Poll::Pending => return Ok(()),
+                Poll::Ready(Ok(count)) => count,
+                Poll::Ready(Err(error)) => return Err(WriteFault::Body(error.kind())),
+            };
+            if self.head_bytes.is_none() {
+                if count == room_bytes {
+                    return Err(WriteFault::Body(io::ErrorKind::InvalidInput));
+                }
+                self.head_bytes = Some(count as u64);
+            }
+            self.end += count;
+            self.encoded += count as u64;
+            self.ended = count == 0;
+        }
+        let body_bytes = self.encoded - self.head_bytes.unwrap_or(0);
+        match self.length {
+            Some(length) if self.ended && length != body_bytes => {
+                Err(WriteFault::Body(io::ErrorKind::UnexpectedEof))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn poll_stream(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), WriteFault>> {
+        let bytes = &self.buffer[self.start..self.end];
+        let count = match Pin::new(&mut self.stream).poll_write(cx, bytes) {
+            Poll::Ready(Ok(0)) => return fail(io::ErrorKind::WriteZero),
+            Poll::Ready(Ok(count)) => count,
+            Poll::Ready(Err(error)) => return fail(error.kind()),
+            Poll::Pending if self.timer.poll_expired(cx) => return fail(io::ErrorKind::TimedOut),
+            Poll::Pending => return Poll::Pending,
+        };
+        self.timer.clear();
+        self.written += count as u64;
+        self.start += count;
+        if self.start == self.end {
+            self.start = 0;
+            self.end = 0;
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+fn fail(kind: io::ErrorKind) -> Poll<Result<(), WriteFault>> {
+    Poll::Ready(Err(WriteFault::Peer(kind)))
+}
+
+impl fmt::Debug for MessageWriter {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("MessageWriter").field("written", &self.written).finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/http/tests/client.rs
@@ -0,0 +1,217 @@
+//! Client-side framing over loopback sockets. Where a test says so, raw `async-h1` has the fault.
+
+use std::time::Duration;
+
+use async_std::io::{ReadExt, WriteExt};
+use async_std::net::{SocketAddr, TcpListener, TcpStream};
+use async_std::task;
+use fescuestack_http::{ClientConnection, LossCause, SendError};
+use futures_lite::future::poll_once;
+use http_types::{Body, Method, Request, Response, Url};
+
+const LIMIT: Duration = Duration::from_secs(5);
+
+/// Serves each connection by reading a head and writing `answer`, in pieces with pauses.
+async fn start(answer: &'static [&'static [u8]], close: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    task::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            task::spawn(async move {
+                let mut buffer = [0; 4096];
+                while stream.read(&mut buffer).await.unwrap_or(0) > 0 {
+                    for part in answer {
+                        stream.write_all(part).await.unwrap();
+                        task::sleep(Duration::from_millis(10)).await;
+                    }
+                    if close {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+fn request(method: Method) -> Request {
+    Request::new(method, Url::parse("http://service/path?q=1").unwrap())
+}
+
+async fn open(address: SocketAddr) -> ClientConnection {
+    ClientConnection::open(address, LIMIT).await.unwrap()
+}
+
+async fn raw_body(address: SocketAddr) -> http_types::Result<String> {
+    let stream = TcpStream::connect(address).await.unwrap();
+    let mut answer = async_h1::connect(stream, request(Method::Get)).await?;
+    answer.body_string().await
+}
+
+/// Guards against taking `100 Continue` or `103 Early Hints` for the answer, as raw `async-h1` does.
+#[test]
+fn skips_interim_answers() {
+    task::block_on(async {
+        const ANSWER: &[&[u8]] = &[
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\nHTTP/1.1 200 OK\r\n",
+        b"content-length: 2\r\n\r\nok",
+    ];
+        let address = start(ANSWER, false).await;
+        let mut connection = open(address).await;
+        for _ in 0..2 {
+            let mut answer = connection.send(request(Method::Get)).await.unwrap();
+            assert_eq!(answer.status(), 200);
+            assert_eq!(answer.body_string().await.unwrap(), "ok");
+            assert!(connection.is_reusable());
+        }
+        let stream = TcpStream::connect(address).await.unwrap();
+        let raw = async_h1::connect(stream, request(Method::Get)).await.unwrap();
+        assert_eq!(raw.status(), 100);
+    })
+}
+
+/// Guards against passing on a cut answer, as raw `async-h1` does for a declared length.
+#[test]
+fn reports_cut_answers() {
+    task::block_on(async {
+        const LENGTH: &[&[u8]] = &[b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nabc"];
+        const CHUNK: &[&[u8]] =
+            &[b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n"];
+        const LAST: &[&[u8]] =
+            &[b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n"];
+        const SIZE: &[&[u8]] =
+            &[b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n\r\n"];
+        for parts in [LENGTH, CHUNK, LAST, SIZE] {
+            let mut connection = open(start(parts, true).await).await;
+            let mut answer = connection.send(request(Method::Get)).await.unwrap();
+            assert!(answer.body_bytes().await.is_err(), "{parts:?}");
+            assert!(!connection.is_reusable(), "{parts:?}");
+        }
+        assert_eq!(raw_body(start(LENGTH, true).await).await.unwrap(), "abc");
+        assert_eq!(raw_body(start(LAST, true).await).await.unwrap(), "abc");
+    })
+}
+
+/// Guards against answers that two readers take differently. Raw `async-h1` takes the last length
+/// and reads no body where there is no length.
+#[test]
+fn refuses_ambiguous_answers() {
+    task::block_on(async {
+        const DIFFERING: &[&[u8]] =
+            &[b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\ncontent-length: 2\r\n\r\nhello"];
+        const BOTH: &[&[u8]] =
+            &[b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\nhello"];
+        const ABSENT: &[&[u8]] = &[b"HTTP/1.1 200 OK\r\n\r\nhello"];
+        const HEAD: &[&[u8]] = &[b"HTTP/1.1 200 OK\r\ncontent-le"];
+        for parts in [DIFFERING, BOTH, ABSENT, HEAD] {
+            let mut connection = open(start(parts, true).await).await;
+            let error = connection.send(request(Method::Get)).await.unwrap_err();
+            let answer =
+                matches!(error, SendError::Lost { cause: LossCause::Answer(_) | LossCause::Cut });
+            assert!(answer, "{parts:?}: {error}");
+            assert!(!connection.is_reusable());
+            assert!(!format!("{error:?}").contains("backtrace"));
+        }
+        assert_eq!(raw_body(start(DIFFERING, true).await).await.unwrap(), "he");
+        assert_eq!(raw_body(start(ABSENT, true).await).await.unwrap(), "");
+    })
+}
+
+/// Guards against the date that raw `async-h1` makes up with line ends in it.
+#[test]
+fn adds_no_broken_date() {
+    task::block_on(async {
+        const ANSWER: &[&[u8]] = &[b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"];
+        let address = start(ANSWER, false).await;
+        let answer = open(address).await.send(request(Method::Get)).await.unwrap();
+        assert!(answer.header("date").is_none());
+        let stream = TcpStream::connect(address).await.unwrap();
+        let raw = async_h1::connect(stream, request(Method::Get)).await.unwrap();
+        assert!(raw.header("date").unwrap().as_str().contains('\n'));
+    })
+}
+
+/// Guards against reading the answer of an earlier exchange: an abandoned connection, one with
+/// bytes beyond its answer and one that the server closed are not used again.
+#[test]
+fn never_reuses_doubtful_connections() {
+    task::block_on(async {
+        const SLOW: &[&[u8]] = &[b"HTTP/1.1 200 OK\r\ncontent-length: 9000\r\n\r\n", b"abc"];
+        let mut connection = open(start(SLOW, false).await).await;
+        drop(connection.send(request(Method::Get)).await.unwrap());
+        let error = connection.send(request(Method::Get)).await.unwrap_err();
+        assert!(matches!(error, SendError::NotSent { .. }), "{error}");
+
+        let mut connection = open(start(SLOW, false).await).await;
+        assert!(poll_once(connection.send(request(Method::Get))).await.is_none());
+        assert!(!connection.is_reusable());
+
+        const EXTRA: &[&[u8]] =
+            &[b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", b"HTTP/1.1 500 X\r\n"];
+        let mut connection = open(start(EXTRA, false).await).await;
+        connection.send(request(Method::Get)).await.unwrap();
+        task::sleep(Duration::from_millis(100)).await;
+        assert!(!connection.is_reusable());
+
+        const CLOSED: &[&[u8]] = &[b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"];
+        let mut connection = open(start(CLOSED, true).await).await;
+        connection.send(request(Method::Get)).await.unwrap();
+        task::sleep(Duration::from_millis(100)).await;
+        assert!(!connection.is_reusable());
+    })
+}
+
+/// Guards against buffering whole bodies: a server echoes an upload while it still arrives.
+#[test]
+fn streams_both_ways() {
+    task::block_on(async {
+        use fescuestack_http::{HttpFault, ServerSettings, serve_listener};
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let echo = |incoming: Result<Request, HttpFault>| async {
+            let mut answer = Response::new(200);
+            answer.set_body(incoming.unwrap().take_body());
+            answer
+        };
+        task::spawn(serve_listener(listener, ServerSettings::default(), echo));
+        const BYTES: usize = 3_000_000;
+        let pattern: Vec<u8> = (0..BYTES).map(|index| (index % 251) as u8).collect();
+        let mut connection = open(address).await;
+        for declared in [Some(BYTES), None, Some(BYTES)] {
+            let mut upload = request(Method::Post);
+            let reader = futures_lite::io::Cursor::new(pattern.clone());
+            upload.set_body(Body::from_reader(reader, declared));
+            let mut answer = connection.send(upload).await.unwrap();
+            assert_eq!(answer.len(), declared);
+            assert!(answer.body_bytes().await.unwrap() == pattern);
+            assert!(connection.is_reusable());
+        }
+    })
+}
+
+/// Guards against an upload that has fewer bytes than declared and leaves the server waiting.
+#[test]
+fn reports_short_upload() {
+    task::block_on(async {
+        let address = start(&[], false).await;
+        let mut upload = request(Method::Post);
+        upload.set_body(Body::from_reader(
+            futures_lite::io::Cursor::new(vec![0; 100_000]),
+            Some(200_000),
+        ));
+        let error = open(address).await.send(upload).await.unwrap_err();
+        assert!(matches!(error, SendError::Lost { cause: LossCause::Upload(_) }), "{error}");
+    })
+}
+
+/// Guards against the length of an answer to HEAD being taken for a body or lost.
+#[test]
+fn keeps_length_of_head_answers() {
+    task::block_on(async {
+        const ANSWER: &[&[u8]] = &[b"HTTP/1.1 200 OK\r\ncontent-length: 70\r\n\r\n"];
+        let mut connection = open(start(ANSWER, false).await).await;
+        let answer = connection.send(request(Method::Head)).await.unwrap();
+        assert_eq!(answer.len(), Some(70));
+        assert!(connection.is_reusable());
+    })
+}
--- /dev/null
+++ b/http/tests/server.rs
@@ -0,0 +1,261 @@
+//! Server-side framing over loopback sockets. Where a test says so, raw `async-h1` has the fault.
+
+use std::time::Duration;
+
+use async_std::io::{ReadExt, WriteExt};
+use async_std::net::{SocketAddr, TcpListener, TcpStream};
+use async_std::task;
+use fescuestack_http::{HttpFault, ServerSettings, serve_listener};
+use http_types::{Request, Response, StatusCode};
+
+fn short_limits() -> ServerSettings {
+    let limit = Duration::from_millis(200);
+    ServerSettings { head: limit, progress: limit, ..ServerSettings::default() }
+}
+
+/// Answers with the path and the whole body, or 500 when the body ends early.
+async fn echo(incoming: Result<Request, HttpFault>) -> Response {
+    let mut request = match incoming {
+        Ok(request) => request,
+        Err(fault) => return fault.answer(),
+    };
+    let body = request.take_body().into_bytes().await;
+    let mut answer = Response::new(StatusCode::Ok);
+    match body {
+        Ok(body) => {
+            let body = String::from_utf8_lossy(&body).into_owned();
+            answer.set_body(format!("{} {body};", request.url().path()));
+        }
+        Err(_) => answer.set_status(StatusCode::InternalServerError),
+    }
+    answer
+}
+
+async fn start() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    task::spawn(serve_listener(listener, short_limits(), echo));
+    address
+}
+
+/// Starts a server on bare `async-h1`, to show which faults the guards keep out.
+async fn start_raw() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    task::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            task::spawn(async move {
+                let _ =
+                    async_h1::accept(stream, |request| async { Ok(echo(Ok(request)).await) }).await;
+            });
+        }
+    });
+    address
+}
+
+/// Sends `parts` with a pause between them and reads until the server closes or is silent.
+async fn exchange(address: SocketAddr, parts: &[&[u8]], half_close: bool) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.set_nodelay(true).unwrap();
+    for (index, part) in parts.iter().enumerate() {
+        if index > 0 {
+            task::sleep(Duration::from_millis(20)).await;
+        }
+        // A server that refuses the request may close before the last part.
+        if stream.write_all(part).await.is_err() {
+            break;
+        }
+    }
+    if half_close {
+        let _ = stream.shutdown(std::net::Shutdown::Write);
+    }
+    let mut answer = Vec::new();
+    let mut buffer = [0; 4096];
+    let silence = Duration::from_millis(600);
+    while let Ok(Ok(count)) = async_std::future::timeout(silence, stream.read(&mut buffer)).await {
+        if count == 0 {
+            break;
+        }
+        answer.extend_from_slice(&buffer[..count]);
+    }
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+const TWO_REQUESTS: &[u8] = b"POST /one HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\nabc\
+    GET /two HTTP/1.1\r\nhost: a\r\n\r\n";
+
+/// Guards against dropping the second request of a packet, as raw `async-h1` does.
+#[test]
+fn serves_pipelined_requests() {
+    task::block_on(async {
+        let answer = exchange(start().await, &[TWO_REQUESTS], false).await;
+        assert!(answer.contains("/one abc;"), "{answer}");
+        assert!(answer.contains("/two ;"), "{answer}");
+        let raw = exchange(start_raw().await, &[TWO_REQUESTS], false).await;
+        assert!(raw.contains("/one abc;") && !raw.contains("/two"), "{raw}");
+    })
+}
+
+/// Guards against losing the request after a chunked one in the same packet.
+#[test]
+fn serves_pipelined_chunks() {
+    task::block_on(async {
+        let parts: &[&[u8]] = &[
+            b"POST /one HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n0",
+            b"\r\nt: 1\r\n\r",
+            b"\nGET /two HTTP/1.1\r\nhost: a\r\n\r\n",
+        ];
+        let answer = exchange(start().await, parts, false).await;
+        assert!(answer.contains("/one abc;"), "{answer}");
+        assert!(answer.contains("/two ;"), "{answer}");
+        let raw = exchange(start_raw().await, parts, false).await;
+        assert!(!raw.contains("/one abc;"), "{raw}");
+    })
+}
+
+/// Guards against taking a cut upload for a whole one, as raw `async-h1` does.
+#[test]
+fn reports_cut_upload() {
+    task::block_on(async {
+        let cut: &[&[u8]] = &[b"POST /cut HTTP/1.1\r\nhost: a\r\ncontent-length: 10\r\n\r\nabc"];
+        let answer = exchange(start().await, cut, true).await;
+        assert!(answer.starts_with("HTTP/1.1 500"), "{answer}");
+        let raw = exchange(start_raw().await, cut, true).await;
+        assert!(raw.contains("/cut abc;"), "{raw}");
+    })
+}
+
+/// Guards against taking the end of the connection or an empty size line for the last chunk.
+#[test]
+fn reports_cut_chunks() {
+    task::block_on(async {
+        let head = b"POST /cut HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n";
+        for body in [
+            &b"3\r\nabc\r\n0\r\n"[..],
+            b"3\r\nabc\r\n\r\n",
+            b"3\r\nabc\r\n",
+            b"3\r\nabcd\r\n0\r\n\r\n",
+        ] {
+            let answer = exchange(start().await, &[head, body], true).await;
+            assert!(answer.starts_with("HTTP/1.1 500"), "{body:?}: {answer}");
+        }
+        let raw = exchange(start_raw().await, &[head, b"3\r\nabc\r\n0\r\n"], true).await;
+        assert!(raw.contains("/cut abc;"), "{raw}");
+    })
+}
+
+/// Guards against request smuggling by a body length that two readers take differently.
+#[test]
+fn refuses_ambiguous_length() {
+    task::block_on(async {
+        let heads = [
+            "content-length: 3\r\ncontent-length: 4",
+            "content-length: 3\r\ntransfer-encoding: chunked",
+            "transfer-encoding: chunked\r\ncontent-length: 3",
+            "transfer-encoding: gzip, chunked",
+            "transfer-encoding: chunked\r\ntransfer-encoding: chunked",
+            "content-length: +3",
+            "content-length: 3, 3",
+            "content-length: 99999999999999999999",
+            "content-length : 3",
+            "x: 1\n content-length: 3",
+            "x: caf\u{e9}",
+            "host: b",
+        ];
+        let address = start().await;
+        for lines in heads {
+            let head = format!("POST /x HTTP/1.1\r\nhost: a\r\n{lines}\r\n\r\nabcd");
+            let answer = exchange(address, &[head.as_bytes()], false).await;
+            assert!(answer.starts_with("HTTP/1.1 400"), "{lines}: {answer}");
+            assert!(answer.to_ascii_lowercase().contains("connection: close"), "{lines}: {answer}");
+            assert!(!answer.contains("/x"), "{lines}: {answer}");
+        }
+        let head =
+            b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\ncontent-length: 4\r\n\r\nabcd";
+        let raw = exchange(start_raw().await, &[head], false).await;
+        assert!(raw.contains("/x abcd;"), "raw async-h1 takes the last length: {raw}");
+    })
+}
+
+/// Guards against a head without bound; raw `async-h1` closes without an answer.
+#[test]
+fn refuses_long_head() {
+    task::block_on(async {
+        let long = format!("GET / HTTP/1.1\r\nhost: a\r\nx: {}\r\n\r\n", "y".repeat(9000));
+        let answer = exchange(start().await, &[long.as_bytes()], false).await;
+        assert!(answer.starts_with("HTTP/1.1 431"), "{answer}");
+        let many = format!("GET / HTTP/1.1\r\nhost: a\r\n{}\r\n", "x: y\r\n".repeat(101));
+        let answer = exchange(start().await, &[many.as_bytes()], false).await;
+        assert!(answer.starts_with("HTTP/1.1 431"), "{answer}");
+        let raw = exchange(start_raw().await, &[long.as_bytes()], false).await;
+        assert!(raw.is_empty(), "{raw}");
+    })
+}
+
+/// Guards against a client that holds a connection by sending a head or a body byte by byte.
+#[test]
+fn limits_slow_senders() {
+    task::block_on(async {
+        let address = start().await;
+        let answer = exchange(address, &[b"GET / HTT"], false).await;
+        assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+        let body = b"POST /slow HTTP/1.1\r\nhost: a\r\ncontent-length: 10\r\n\r\nabc";
+        let answer = exchange(address, &[body], false).await;
+        assert!(answer.starts_with("HTTP/1.1 500"), "{answer}");
+    })
+}
+
+/// Guards against a `100 Continue` that is missing or that arrives after the answer.
+#[test]
+fn sends_continue_before_answer() {
+    task::block_on(async {
+        let head =
+            b"POST /c HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\nexpect: 100-continue\r\n\r\n";
+        let answer = exchange(start().await, &[head, b"abc"], false).await;
+        assert!(answer.starts_with("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200"), "{answer}");
+        assert!(answer.contains("/c abc;"), "{answer}");
+    })
+}
+
+/// Guards against a connection that is not kept after an answer or kept after `close`.
+#[test]
+fn keeps_connection_as_asked() {
+    task::block_on(async {
+        let address = start().await;
+        let get = b"GET /k HTTP/1.1\r\nhost: a\r\n\r\n";
+        let answer = exchange(address, &[get, get], false).await;
+        assert_eq!(answer.matches("/k ;").count(), 2, "{answer}");
+        let last = b"GET /k HTTP/1.1\r\nhost: a\r\nconnection: x, close\r\n\r\n";
+        let answer = exchange(address, &[last, get], false).await;
+        assert_eq!(answer.matches("/k ;").count(), 1, "{answer}");
+    })
+}
+
+/// Guards against work that goes on for a client that has left.
+#[test]
+fn drops_handler_of_closed_connection() {
+    task::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (sender, receiver) = async_std::channel::bounded::<()>(1);
+        task::spawn(serve_listener(listener, short_limits(), move |_| {
+            let sender = sender.clone();
+            async move {
+                let _held = sender;
+                std::future::pending().await
+            }
+        }));
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n").await.unwrap();
+        task::sleep(Duration::from_millis(50)).await;
+        assert_eq!(receiver.sender_count(), 2);
+        drop(stream);
+        for _ in 0..100 {
+            if receiver.sender_count() == 1 {
+                return;
+            }
+            task::sleep(Duration::from_millis(20)).await;
+        }
+        panic!("the handler still runs");
+    })
+}
