Add the platform client, the node links, the operator port and the node's control driver

Cause: the core package decides but nothing carries its actions out. Change: HTTP client of the platform with its stand-in, tonic streams between nodes with a zstd-compressed postcard payload, operator port with metrics, settings with checks, and the control thread.

--- /dev/null
+++ b/fescuestack/src/cli.rs
@@ -0,0 +1,139 @@
+//! The command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use async_std::task;
+use clap::{Parser, Subcommand};
+use fescuestack_questionnaire::QuestionnaireCommand;
+
+use crate::logging::start_logging;
+use crate::node::{NodeOptions, NodeProcess};
+use crate::settings::NodeSettings;
+use crate::signals::wait_for_stop;
+
+/// Configuration distribution for a service mesh.
+#[derive(Debug, Parser)]
+#[command(name = "fescuestack", version)]
+pub(crate) struct CommandLine {
+    #[command(subcommand)]
+    command: MainCommand,
+}
+
+#[derive(Debug, Subcommand)]
+enum MainCommand {
+    /// Check, generate, compare and accept the operators' answers.
+    #[command(subcommand)]
+    Questionnaire(QuestionnaireCommand),
+    /// Run the process beside one upstream.
+    Node {
+        /// Settings file.
+        #[arg(long)]
+        settings: PathBuf,
+    },
+    /// Work with a settings file.
+    #[command(subcommand)]
+    Settings(SettingsCommand),
+    /// Show a node's versions, membership and role.
+    Status {
+        /// Operator port of the node.
+        #[arg(long)]
+        node: SocketAddr,
+    },
+    /// Show each decision that a node took on a call.
+    Explain {
+        /// Operator port of the node.
+        #[arg(long)]
+        node: SocketAddr,
+        /// Request id, from the header `fescuestack-request`.
+        request: String,
+    },
+    /// Save a node's recorded control inputs to standard output.
+    Record {
+        /// Operator port of the node.
+        #[arg(long)]
+        node: SocketAddr,
+    },
+}
+
+#[derive(Debug, Subcommand)]
+enum SettingsCommand {
+    /// Check a settings file and whether its addresses are free.
+    Check {
+        /// Settings file.
+        file: PathBuf,
+    },
+}
+
+impl CommandLine {
+    /// Runs the command.
+    pub(crate) fn run(self) -> ExitCode {
+        match self.command {
+            MainCommand::Questionnaire(command) => command.run(),
+            MainCommand::Node { settings } => run_node(&settings),
+            MainCommand::Settings(SettingsCommand::Check { file }) => check_settings(&file),
+            MainCommand::Status { node } => print_answer(node, "/status"),
+            MainCommand::Explain { node, request } => {
+                print_answer(node, &format!("/explain/{request}"))
+            }
+            MainCommand::Record { node } => print_answer(node, "/recording"),
+        }
+    }
+}
+
+fn run_node(path: &std::path::Path) -> ExitCode {
+    let settings = match NodeSettings::load(path) {
+        Ok(settings) => settings,
+        Err(err) => return fail(&err),
+    };
+    let _logger = match start_logging(&settings.log) {
+        Ok(handle) => handle,
+        Err(err) => return fail(&err),
+    };
+    task::block_on(async {
+        match NodeProcess::start(&settings, NodeOptions::default()).await {
+            Ok(node) => {
+                wait_for_stop().await;
+                log::info!("graceful shutdown begins");
+                node.stop().await;
+                ExitCode::SUCCESS
+            }
+            Err(err) => fail(&err),
+        }
+    })
+}
+
+fn check_settings(path: &std::path::Path) -> ExitCode {
+    let settings = match NodeSettings::load(path) {
+        Ok(settings) => settings,
+        Err(err) => return fail(&err),
+    };
+    let mut free = true;
+    for (name, address) in settings.listen.named() {
+        if let Err(err) = std::net::TcpListener::bind(address) {
+            eprintln!("604 listen.{name}: cannot listen on {address}: {err}");
+            free = false;
+        }
+    }
+    if !free {
+        return ExitCode::FAILURE;
+    }
+    println!("{}: settings of node {} are valid", path.display(), settings.node);
+    ExitCode::SUCCESS
+}
+
+fn print_answer(node: SocketAddr, path: &str) -> ExitCode {
+    match task::block_on(fescuestack_operators::fetch(node, path)) {
+        Ok(text) => {
+            println!("{}", text.trim_end());
+            ExitCode::SUCCESS
+        }
+        Err(err) => fail(&err),
+    }
+}
+
+pub(crate) fn fail(err: &dyn std::error::Error) -> ExitCode {
+    eprintln!("{err}");
+    ExitCode::FAILURE
+}
--- /dev/null
+++ b/fescuestack/src/controller.rs
@@ -0,0 +1,205 @@
+//! The control thread of a node: feeds inputs to the control state and carries out its actions.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use arc_swap::ArcSwapOption;
+use async_channel::{Receiver, Sender};
+use async_std::task;
+use fescuestack_core::{
+    ClockTime, ConfigSnapshot, ControlAction, ControlInput, ControlState, HEAD_KEY, PeerAddress,
+};
+use fescuestack_operators::NodeMetrics;
+use fescuestack_peers::{LinkEvent, LinkHub, LinkUsage};
+use fescuestack_platform::PlatformSource;
+
+/// How often the control state sees the time pass.
+const TICK_PERIOD: Duration = Duration::from_millis(100);
+
+/// Inputs that may wait. When it is full, links hold their peers back.
+const INPUT_LIMIT: usize = 1_024;
+
+/// Something the control thread is asked or told.
+pub(crate) enum ControlRequest {
+    /// An input for the control state.
+    Input(ControlInput),
+    /// Asks for the status, as JSON.
+    Status(Sender<String>),
+    /// Asks for the recorded inputs, as JSON lines.
+    Recording(Sender<String>),
+    /// Ends the thread at once.
+    Stop,
+}
+
+/// What the control thread shares with the rest of the node.
+#[derive(Clone)]
+pub(crate) struct ControlShared {
+    /// The active snapshot.
+    pub(crate) snapshot: Arc<ArcSwapOption<ConfigSnapshot>>,
+    /// Traffic on the links.
+    pub(crate) usage: Arc<LinkUsage>,
+    /// Metrics of the node.
+    pub(crate) metrics: Arc<NodeMetrics>,
+    /// Installed versions, for measurements.
+    pub(crate) installs: Option<Sender<InstallRecord>>,
+}
+
+/// A version that became active on a node.
+#[derive(Debug, Clone)]
+pub(crate) struct InstallRecord {
+    /// The version's number.
+    pub(crate) number: u64,
+    /// When it became active.
+    pub(crate) at: Instant,
+}
+
+/// Wall-clock time as the decisions see it.
+pub(crate) fn wall_clock() -> ClockTime {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    ClockTime::new(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
+}
+
+/// Drives a control state.
+pub(crate) struct ControlDriver<S: PlatformSource> {
+    state: ControlState,
+    links: LinkHub,
+    source: S,
+    requests: Receiver<ControlRequest>,
+    sender: Sender<ControlRequest>,
+    shared: ControlShared,
+    vms_key: String,
+    counted: (u64, u64),
+}
+
+/// Creates the channel on which the control thread is asked and told.
+pub(crate) fn control_channel() -> (Sender<ControlRequest>, Receiver<ControlRequest>) {
+    async_channel::bounded(INPUT_LIMIT)
+}
+
+impl<S: PlatformSource> ControlDriver<S> {
+    /// Creates a driver that takes requests from `channel`.
+    pub(crate) fn new(
+        state: ControlState,
+        node: &PeerAddress,
+        links: LinkHub,
+        source: S,
+        channel: (Sender<ControlRequest>, Receiver<ControlRequest>),
+        shared: ControlShared,
+    ) -> ControlDriver<S> {
+        let vms_key = format!("vms/{}", node.data_centre);
+        let (sender, requests) = channel;
+        ControlDriver { state, links, source, requests, sender, shared, vms_key, counted: (0, 0) }
+    }
+
+    /// Runs until a stop is requested. Blocks the calling thread.
+    pub(crate) fn run(mut self, events: Receiver<LinkEvent>) {
+        let sender = self.sender.clone();
+        task::spawn(forward_events(events, sender));
+        task::block_on(async move {
+            let mut next_tick = Instant::now();
+            loop {
+                // Checked before each input, so that a steady flow of inputs cannot hold ticks up.
+                let now = Instant::now();
+                if now >= next_tick {
+                    next_tick = now + TICK_PERIOD;
+                    self.handle(ControlInput::Tick);
+                    self.count_traffic();
+                }
+                let wait = next_tick.saturating_duration_since(now);
+                match async_std::future::timeout(wait, self.requests.recv()).await {
+                    Ok(Ok(ControlRequest::Input(input))) => self.handle(input),
+                    Ok(Ok(ControlRequest::Status(answer))) => {
+                        let _ = answer.try_send(self.status());
+                    }
+                    Ok(Ok(ControlRequest::Recording(answer))) => {
+                        let _ = answer.try_send(self.recording());
+                    }
+                    Ok(Ok(ControlRequest::Stop) | Err(_)) => return,
+                    Err(_) => (),
+                }
+            }
+        });
+    }
+
+    fn status(&self) -> String {
+        serde_json::to_string(&self.state.status()).unwrap_or_default()
+    }
+
+    fn recording(&self) -> String {
+        String::new()
+    }
+
+    fn handle(&mut self, input: ControlInput) {
+        let mut actions = Vec::new();
+        self.state.handle(wall_clock(), input, &mut actions);
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(&mut self, action: ControlAction) {
+        match action {
+            ControlAction::Send { to, message } => self.links.send(&to, &message),
+            ControlAction::ResetLink { peer } => self.links.reset(&peer),
+            ControlAction::Install(snapshot) => self.install(snapshot),
+            ControlAction::WatchHead { after } => {
+                let source = self.source.clone();
+                self.spawn_read(async move {
+                    ControlInput::HeadRead { result: source.watch(HEAD_KEY, after).await }
+                });
+            }
+            ControlAction::WatchVms { after } => {
+                let source = self.source.clone();
+                let key = self.vms_key.clone();
+                self.spawn_read(async move {
+                    ControlInput::VmsRead { result: source.watch(&key, after).await }
+                });
+            }
+            ControlAction::ReadValue { key } => {
+                let source = self.source.clone();
+                self.spawn_read(async move {
+                    let result = source.read(&key).await;
+                    ControlInput::ValueRead { key, result }
+                });
+            }
+        }
+    }
+
+    fn install(&mut self, snapshot: Arc<ConfigSnapshot>) {
+        let version = snapshot.version();
+        log::info!(version = version.to_string(), services = snapshot.services().count(); "version installed");
+        self.shared.snapshot.store(Some(snapshot));
+        self.shared.metrics.record_version();
+        if let Some(installs) = &self.shared.installs {
+            let record = InstallRecord { number: version.number, at: Instant::now() };
+            let _ = installs.try_send(record);
+        }
+    }
+
+    fn spawn_read(&self, read: impl Future<Output = ControlInput> + Send + 'static) {
+        let sender = self.sender.clone();
+        task::spawn(async move {
+            let _ = sender.send(ControlRequest::Input(read.await)).await;
+        });
+    }
+
+    fn count_traffic(&mut self) {
+        let sent = self.shared.usage.sent_bytes();
+        let received = self.shared.usage.received_bytes();
+        self.shared.metrics.record_control("sent", sent - self.counted.0);
+        self.shared.metrics.record_control("received", received - self.counted.1);
+        self.counted = (sent, received);
+    }
+}
+
+async fn forward_events(events: Receiver<LinkEvent>, sender: Sender<ControlRequest>) {
+    while let Ok(event) = events.recv().await {
+        let input = match event {
+            LinkEvent::Message { from, message } => ControlInput::Peer { from, message: *message },
+            LinkEvent::Lost { peer } => ControlInput::LinkLost { peer },
+        };
+        if sender.send(ControlRequest::Input(input)).await.is_err() {
+            return;
+        }
+    }
+}
--- a/fescuestack/src/main.rs
+++ b/fescuestack/src/main.rs
@@ -1,3 +1,16 @@
 //! The `fescuestack` command.
 
-fn main() {}
+mod cli;
+mod controller;
+mod logging;
+mod node;
+mod settings;
+mod signals;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+
+fn main() -> ExitCode {
+    cli::CommandLine::parse().run()
+}
--- /dev/null
+++ b/fescuestack/src/node.rs
@@ -0,0 +1,171 @@
+//! Assembly of a node: control thread, links, traffic and operator port.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use async_channel::Sender;
+use fescuestack_core::{ConfigSnapshot, ControlInput, ControlState, PeerAddress};
+use fescuestack_operators::{ExplainRing, MetricsError, NodeMetrics, OperatorPort, OperatorView};
+use fescuestack_peers::{LinkHub, LinkListener, LinkUsage};
+use fescuestack_platform::HttpSource;
+use snafu::{ResultExt, Snafu};
+
+use crate::controller::{
+    ControlDriver, ControlRequest, ControlShared, InstallRecord, control_channel,
+};
+use crate::settings::NodeSettings;
+
+/// Calls that `explain` can look back on.
+const EXPLAIN_CAPACITY: usize = 4_096;
+
+/// Link events that may wait for the control thread.
+const EVENT_LIMIT: usize = 1_024;
+
+/// Why a node cannot start.
+#[derive(Debug, Snafu)]
+pub(crate) enum NodeError {
+    /// A port is in use or its address does not belong to this machine.
+    #[snafu(display("604 listen.{port}: cannot listen on {address}: {source}"))]
+    Listen { port: &'static str, address: SocketAddr, source: std::io::Error },
+    /// The metrics exporter cannot be set up.
+    #[snafu(display("605 {source}"))]
+    Metrics { source: MetricsError },
+    /// The control thread cannot be started.
+    #[snafu(display("606 cannot start the control thread: {source}"))]
+    Thread { source: std::io::Error },
+}
+
+/// What a host may add to a node, for demonstrations and measurements.
+#[derive(Default)]
+pub(crate) struct NodeOptions {
+    /// Delay of control messages to a peer.
+    pub(crate) link_delay: Option<Box<dyn Fn(&PeerAddress) -> Duration + Send>>,
+    /// Told of each version that becomes active.
+    pub(crate) installs: Option<Sender<InstallRecord>>,
+}
+
+/// A running node.
+pub(crate) struct NodeProcess {
+    requests: Sender<ControlRequest>,
+    snapshot: Arc<ArcSwapOption<ConfigSnapshot>>,
+    usage: Arc<LinkUsage>,
+    thread: Option<JoinHandle<()>>,
+}
+
+struct NodeView {
+    requests: Sender<ControlRequest>,
+    metrics: Arc<NodeMetrics>,
+    ring: Arc<ExplainRing>,
+}
+
+impl NodeProcess {
+    /// Starts a node. Fails when a port cannot be listened on.
+    pub(crate) async fn start(
+        settings: &NodeSettings,
+        options: NodeOptions,
+    ) -> Result<NodeProcess, NodeError> {
+        let metrics = Arc::new(NodeMetrics::new().context(MetricsSnafu)?);
+        let ring = Arc::new(ExplainRing::new(EXPLAIN_CAPACITY));
+        let usage = Arc::new(LinkUsage::default());
+        let snapshot = Arc::new(ArcSwapOption::empty());
+        let channel = control_channel();
+        let requests = channel.0.clone();
+
+        let view = NodeView { requests: requests.clone(), metrics: metrics.clone(), ring };
+        let operator = settings.listen.operator;
+        OperatorPort::listen(operator, Arc::new(view))
+            .await
+            .context(ListenSnafu { port: "operator", address: operator })?;
+
+        let control = settings.control();
+        let (event_sender, events) = async_channel::bounded(EVENT_LIMIT);
+        let mut links = LinkHub::new(control.node.clone(), event_sender.clone(), usage.clone());
+        if let Some(delay) = options.link_delay {
+            links = links.with_delay(delay);
+        }
+        let address = settings.listen.control;
+        LinkListener::listen(address, event_sender, usage.clone())
+            .context(ListenSnafu { port: "control", address })?;
+
+        let shared = ControlShared {
+            snapshot: snapshot.clone(),
+            usage: usage.clone(),
+            metrics,
+            installs: options.installs,
+        };
+        let node = control.node.clone();
+        let state = ControlState::new(control, control_seed(&node));
+        let source = HttpSource::new(settings.platform);
+        let driver = ControlDriver::new(state, &node, links, source, channel, shared);
+        let thread = std::thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || driver.run(events))
+            .context(ThreadSnafu)?;
+        log::info!(node = &*node.name, data_centre = &*node.data_centre; "node started");
+        Ok(NodeProcess { requests, snapshot, usage, thread: Some(thread) })
+    }
+
+    /// Number of the active version, or zero when there is none.
+    pub(crate) fn version_number(&self) -> u64 {
+        self.snapshot.load().as_ref().map_or(0, |snapshot| snapshot.version().number)
+    }
+
+    /// Traffic on the control links.
+    pub(crate) fn usage(&self) -> &LinkUsage {
+        &self.usage
+    }
+
+    /// Stops gracefully: announces leaving, lets calls finish, then ends the control thread.
+    pub(crate) async fn stop(mut self) {
+        let _ = self.requests.send(ControlRequest::Input(ControlInput::Leave)).await;
+        let _ = self.requests.send(ControlRequest::Stop).await;
+        self.join();
+    }
+
+    fn join(&mut self) {
+        if let Some(thread) = self.thread.take()
+            && thread.join().is_err()
+        {
+            log::error!("control thread panicked");
+        }
+    }
+}
+
+/// Seed of the node's random choices. Nodes must differ, or jitter would not spread them.
+fn control_seed(node: &PeerAddress) -> u64 {
+    let hash = fescuestack_core::PartHash::new(node.name.as_bytes());
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_le_bytes(bytes) ^ crate::controller::wall_clock().millis()
+}
+
+impl OperatorView for NodeView {
+    async fn status(&self) -> Option<String> {
+        let (sender, answer) = async_channel::bounded(1);
+        self.requests.send(ControlRequest::Status(sender)).await.ok()?;
+        answer.recv().await.ok()
+    }
+
+    fn explain(&self, request: &str) -> Option<String> {
+        self.ring.get(request)
+    }
+
+    async fn recording(&self) -> Option<String> {
+        let (sender, answer) = async_channel::bounded(1);
+        self.requests.send(ControlRequest::Recording(sender)).await.ok()?;
+        answer.recv().await.ok()
+    }
+
+    fn metrics(&self) -> Option<String> {
+        match self.metrics.encode() {
+            Ok(text) => Some(text),
+            Err(err) => {
+                log::error!("{err}");
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/fescuestack/src/signals.rs
@@ -0,0 +1,14 @@
+//! Signals that ask the process to stop.
+
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+
+/// Waits for SIGTERM or SIGINT. Returns at once when signals cannot be listened to, which is logged.
+pub(crate) async fn wait_for_stop() {
+    match Signals::new([Signal::Term, Signal::Int]) {
+        Ok(mut signals) => {
+            signals.next().await;
+        }
+        Err(err) => log::error!("cannot listen to signals: {err}"),
+    }
+}
--- /dev/null
+++ b/operators/src/metrics.rs
@@ -0,0 +1,92 @@
+//! Metrics of a node, with histograms for each tenant and class.
+
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+use snafu::{ResultExt, Snafu};
+
+/// Upper bounds of the latency histogram's buckets, in milliseconds. They are dense around the added
+/// latency of 1.3 ms and reach up to the longest patience.
+const LATENCY_BOUNDS_MS: [f64; 16] = [
+    0.25, 0.5, 1.0, 1.3, 2.0, 4.0, 8.0, 16.0, 32.0, 64.0, 125.0, 250.0, 500.0, 1_000.0, 4_000.0,
+    16_000.0,
+];
+
+/// Why metrics cannot be provided.
+#[derive(Debug, Snafu)]
+pub enum MetricsError {
+    /// The exporter could not be set up.
+    #[snafu(display("cannot set up the metrics exporter: {source}"))]
+    Exporter {
+        /// The exporter's error.
+        source: opentelemetry_sdk::error::OTelSdkError,
+    },
+    /// The metrics could not be encoded.
+    #[snafu(display("cannot encode metrics: {source}"))]
+    Encode {
+        /// The encoder's error.
+        source: prometheus::Error,
+    },
+}
+
+/// Metrics of one node.
+#[derive(Debug)]
+pub struct NodeMetrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    latency: Histogram<f64>,
+    calls: Counter<u64>,
+    control_bytes: Counter<u64>,
+    versions: Counter<u64>,
+}
+
+impl NodeMetrics {
+    /// Creates the metrics of a node. Fails when the exporter cannot be set up.
+    pub fn new() -> Result<NodeMetrics, MetricsError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .context(ExporterSnafu)?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("fescuestack");
+        let latency = meter
+            .f64_histogram("fescuestack_call_latency")
+            .with_unit("ms")
+            .with_boundaries(LATENCY_BOUNDS_MS.to_vec())
+            .build();
+        let calls = meter.u64_counter("fescuestack_calls").build();
+        let control_bytes = meter.u64_counter("fescuestack_control").with_unit("By").build();
+        let versions = meter.u64_counter("fescuestack_versions_installed").build();
+        Ok(NodeMetrics { registry, _provider: provider, latency, calls, control_bytes, versions })
+    }
+
+    /// Counts a finished call.
+    pub fn record_call(&self, tenant: &str, class: &str, code: u16, elapsed: Duration) {
+        let tenant = KeyValue::new("tenant", tenant.to_owned());
+        let class = KeyValue::new("class", class.to_owned());
+        let code = KeyValue::new("code", i64::from(code));
+        self.latency.record(elapsed.as_secs_f64() * 1_000.0, &[tenant.clone(), class.clone()]);
+        self.calls.add(1, &[tenant, class, code]);
+    }
+
+    /// Counts control traffic since the last call, in bytes.
+    pub fn record_control(&self, direction: &'static str, bytes: u64) {
+        self.control_bytes.add(bytes, &[KeyValue::new("direction", direction)]);
+    }
+
+    /// Counts a version that became active.
+    pub fn record_version(&self) {
+        self.versions.add(1, &[]);
+    }
+
+    /// All metrics in the text format of Prometheus. Fails when a metric cannot be encoded.
+    pub fn encode(&self) -> Result<String, MetricsError> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text).context(EncodeSnafu)?;
+        Ok(String::from_utf8_lossy(&text).into_owned())
+    }
+}
--- /dev/null
+++ b/peers/src/address.rs
@@ -0,0 +1,30 @@
+//! The sender's address in the metadata of a stream.
+
+use fescuestack_core::PeerAddress;
+use tonic::metadata::{Ascii, MetadataMap, MetadataValue};
+
+const NODE_KEY: &str = "fescuestack-node";
+const DATA_CENTRE_KEY: &str = "fescuestack-data-centre";
+const CONTROL_KEY: &str = "fescuestack-control";
+
+/// Writes `address` to the metadata of a stream. Returns `None` when a name is not visible ASCII.
+pub(crate) fn write_address(address: &PeerAddress, metadata: &mut MetadataMap) -> Option<()> {
+    metadata.insert(NODE_KEY, ascii(&address.name)?);
+    metadata.insert(DATA_CENTRE_KEY, ascii(&address.data_centre)?);
+    metadata.insert(CONTROL_KEY, ascii(&address.control.to_string())?);
+    Some(())
+}
+
+/// Reads the sender's address from the metadata of a stream.
+pub(crate) fn read_address(metadata: &MetadataMap) -> Option<PeerAddress> {
+    let text = |key| metadata.get(key).and_then(|value| value.to_str().ok());
+    Some(PeerAddress {
+        name: text(NODE_KEY)?.into(),
+        data_centre: text(DATA_CENTRE_KEY)?.into(),
+        control: text(CONTROL_KEY)?.parse().ok()?,
+    })
+}
+
+fn ascii(text: &str) -> Option<MetadataValue<Ascii>> {
+    text.parse().ok()
+}
--- a/peers/src/lib.rs
+++ b/peers/src/lib.rs
@@ -1,1 +1,15 @@
-//! Links between nodes.
+//! Links between nodes: tonic streams that carry control messages.
+
+mod address;
+mod codec;
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+mod generated;
+mod link;
+mod listener;
+mod usage;
+
+pub use codec::{CodecError, decode_message, encode_message};
+pub use link::{LinkEvent, LinkHub};
+pub use listener::LinkListener;
+pub use usage::LinkUsage;
--- /dev/null
+++ b/peers/src/link.rs
@@ -0,0 +1,174 @@
+//! Outgoing streams: one for each peer that messages go to, opened when needed.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender, TrySendError};
+use async_std::task;
+use fescuestack_core::{PeerAddress, PeerMessage};
+use futures_lite::future;
+use tonic::Request;
+use tonic::transport::Endpoint;
+
+use crate::address::write_address;
+use crate::codec::encode_message;
+use crate::generated::Envelope;
+use crate::generated::node_link_client::NodeLinkClient;
+use crate::usage::LinkUsage;
+
+/// Messages that may wait for a slow peer. Beyond it new ones are dropped; repair makes up for them.
+const QUEUE_LIMIT: usize = 256;
+
+/// How long opening a link may take.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Something that the control thread hears from its links.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LinkEvent {
+    /// A message came in.
+    Message {
+        /// The sender.
+        from: PeerAddress,
+        /// The message.
+        message: Box<PeerMessage>,
+    },
+    /// The outgoing link to a peer could not be opened or broke.
+    Lost {
+        /// The peer.
+        peer: PeerAddress,
+    },
+}
+
+struct QueuedEnvelope {
+    envelope: Envelope,
+    due: Instant,
+}
+
+struct OpenLink {
+    queue: Sender<QueuedEnvelope>,
+    delay: Duration,
+    /// Dropping it ends the stream's task and closes the connection, also one that has gone silent.
+    _running: Sender<()>,
+}
+
+/// All outgoing links of a node. Belongs to the control thread.
+pub struct LinkHub {
+    node: PeerAddress,
+    links: HashMap<PeerAddress, OpenLink>,
+    events: Sender<LinkEvent>,
+    usage: Arc<LinkUsage>,
+    delay: Box<dyn Fn(&PeerAddress) -> Duration + Send>,
+}
+
+impl LinkHub {
+    /// Creates a hub for `node` that reports lost links to `events`.
+    pub fn new(node: PeerAddress, events: Sender<LinkEvent>, usage: Arc<LinkUsage>) -> LinkHub {
+        LinkHub { node, links: HashMap::new(), events, usage, delay: Box::new(|_| Duration::ZERO) }
+    }
+
+    /// Delays messages to each peer by what `delay` returns. Measurements on loopback use it to add
+    /// the delay between data centres.
+    pub fn with_delay(
+        mut self,
+        delay: impl Fn(&PeerAddress) -> Duration + Send + 'static,
+    ) -> LinkHub {
+        self.delay = Box::new(delay);
+        self
+    }
+
+    /// Queues a message for a peer and opens the link if there is none. A message to a peer whose
+    /// queue is full is dropped.
+    pub fn send(&mut self, to: &PeerAddress, message: &PeerMessage) {
+        let envelope = match encode_message(message) {
+            Ok(envelope) => envelope,
+            Err(err) => {
+                log::warn!("cannot encode a {} message: {err}", message.label());
+                return;
+            }
+        };
+        let payload = envelope.payload.len();
+        if self.links.get(to).is_none_or(|link| link.queue.is_closed()) {
+            let link = self.open(to);
+            self.links.insert(to.clone(), link);
+        }
+        let Some(link) = self.links.get(to) else { return };
+        let queued = QueuedEnvelope { envelope, due: Instant::now() + link.delay };
+        match link.queue.try_send(queued) {
+            Ok(()) => self.usage.count_sent(payload),
+            Err(TrySendError::Full(_)) => log::warn!("queue to {} is full", to.name),
+            Err(TrySendError::Closed(_)) => log::debug!("link to {} closed", to.name),
+        }
+    }
+
+    /// Closes the link to a peer. The next message opens a new one.
+    pub fn reset(&mut self, peer: &PeerAddress) {
+        self.links.remove(peer);
+    }
+
+    /// Number of links that are open or being opened.
+    pub fn open_links(&self) -> usize {
+        self.links.values().filter(|link| !link.queue.is_closed()).count()
+    }
+
+    fn open(&self, peer: &PeerAddress) -> OpenLink {
+        let (queue, envelopes) = async_channel::bounded(QUEUE_LIMIT);
+        let (running, stopped) = async_channel::bounded::<()>(1);
+        let stream = LinkStream { node: self.node.clone(), peer: peer.clone(), envelopes };
+        let events = self.events.clone();
+        let peer = peer.clone();
+        let delay = (self.delay)(&peer);
+        task::spawn(async move {
+            let reset = async {
+                let _ = stopped.recv().await;
+                None
+            };
+            // A link closed by `reset` is not a loss that control has to hear of.
+            if let Some(result) = future::or(reset, async { Some(stream.run().await) }).await {
+                if let Err(err) = result {
+                    log::debug!("link to {} lost: {err}", peer.name);
+                }
+                let _ = events.send(LinkEvent::Lost { peer }).await;
+            }
+        });
+        OpenLink { queue, delay, _running: running }
+    }
+}
+
+struct LinkStream {
+    node: PeerAddress,
+    peer: PeerAddress,
+    envelopes: Receiver<QueuedEnvelope>,
+}
+
+impl LinkStream {
+    async fn run(self) -> Result<(), tonic::Status> {
+        let endpoint = Endpoint::from_shared(format!("http://{}", self.peer.control))
+            .map_err(|err| tonic::Status::invalid_argument(err.to_string()))?
+            .connect_timeout(OPEN_TIMEOUT)
+            .tcp_nodelay(true);
+        let channel = endpoint
+            .connect()
+            .await
+            .map_err(|err| tonic::Status::unavailable(err.to_string()))?;
+        let mut request = Request::new(outgoing(self.envelopes));
+        write_address(&self.node, request.metadata_mut())
+            .ok_or_else(|| tonic::Status::invalid_argument("node name is not visible ASCII"))?;
+        NodeLinkClient::new(channel).deliver(request).await?;
+        Ok(())
+    }
+}
+
+/// The queued envelopes, none before it is due.
+fn outgoing(
+    queue: Receiver<QueuedEnvelope>,
+) -> impl futures_lite::Stream<Item = Envelope> + Send + 'static {
+    futures_lite::stream::unfold(queue, |queue| async move {
+        let queued = queue.recv().await.ok()?;
+        let wait = queued.due.saturating_duration_since(Instant::now());
+        if !wait.is_zero() {
+            task::sleep(wait).await;
+        }
+        Some((queued.envelope, queue))
+    })
+}
--- /dev/null
+++ b/peers/src/listener.rs
@@ -0,0 +1,76 @@
+//! Incoming streams from other nodes.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_channel::Sender;
+use async_std::task;
+use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
+use tonic::{Request, Response, Status, Streaming};
+
+use crate::address::read_address;
+use crate::codec::decode_message;
+use crate::generated::node_link_server::{NodeLink, NodeLinkServer};
+use crate::generated::{Closed, Envelope};
+use crate::link::LinkEvent;
+use crate::usage::LinkUsage;
+
+/// Largest envelope that is read from a stream, in bytes.
+const ENVELOPE_LIMIT_BYTES: usize = 4 * 1024 * 1024;
+
+/// The control port of a node.
+pub struct LinkListener;
+
+struct LinkServer {
+    events: Sender<LinkEvent>,
+    usage: Arc<LinkUsage>,
+}
+
+impl LinkListener {
+    /// Binds the control port and hands messages to `events` until the process ends. Fails when the
+    /// address is in use. Returns the bound address.
+    pub fn listen(
+        address: SocketAddr,
+        events: Sender<LinkEvent>,
+        usage: Arc<LinkUsage>,
+    ) -> io::Result<SocketAddr> {
+        let incoming = TcpIncoming::bind(address)?.with_nodelay(Some(true));
+        let bound = incoming.local_addr()?;
+        let service = NodeLinkServer::new(LinkServer { events, usage })
+            .max_decoding_message_size(ENVELOPE_LIMIT_BYTES);
+        task::spawn(async move {
+            let served = Server::builder().add_service(service).serve_with_incoming(incoming).await;
+            if let Err(err) = served {
+                log::error!("control port {bound} failed: {err}");
+            }
+        });
+        Ok(bound)
+    }
+}
+
+#[tonic::async_trait]
+impl NodeLink for LinkServer {
+    async fn deliver(
+        &self,
+        request: Request<Streaming<Envelope>>,
+    ) -> Result<Response<Closed>, Status> {
+        let from = read_address(request.metadata())
+            .ok_or_else(|| Status::invalid_argument("stream metadata lacks the sender"))?;
+        let mut envelopes = request.into_inner();
+        while let Some(envelope) = envelopes.message().await? {
+            self.usage.count_received(envelope.payload.len());
+            let message = decode_message(&envelope).map_err(|err| {
+                log::warn!("stream from {} closed: {err}", from.name);
+                Status::invalid_argument(err.to_string())
+            })?;
+            let event = LinkEvent::Message { from: from.clone(), message: Box::new(message) };
+            // Waiting here when control is busy makes HTTP/2 flow control hold the sender back.
+            if self.events.send(event).await.is_err() {
+                return Err(Status::unavailable("node is stopping"));
+            }
+        }
+        Ok(Response::new(Closed {}))
+    }
+}
--- /dev/null
+++ b/peers/src/usage.rs
@@ -0,0 +1,47 @@
+//! Counters of the traffic on links.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Framing of a message on a stream: 9 bytes of HTTP/2 frame header and 5 bytes of gRPC prefix.
+pub(crate) const FRAMING_BYTES: u64 = 14;
+
+/// Messages and bytes on all links of a node, framing included, TCP/IP headers not.
+#[derive(Debug, Default)]
+pub struct LinkUsage {
+    sent_messages: AtomicU64,
+    sent_bytes: AtomicU64,
+    received_messages: AtomicU64,
+    received_bytes: AtomicU64,
+}
+
+impl LinkUsage {
+    /// Messages sent so far.
+    pub fn sent_messages(&self) -> u64 {
+        self.sent_messages.load(Ordering::Relaxed)
+    }
+
+    /// Bytes sent so far.
+    pub fn sent_bytes(&self) -> u64 {
+        self.sent_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Messages received so far.
+    pub fn received_messages(&self) -> u64 {
+        self.received_messages.load(Ordering::Relaxed)
+    }
+
+    /// Bytes received so far.
+    pub fn received_bytes(&self) -> u64 {
+        self.received_bytes.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn count_sent(&self, payload: usize) {
+        self.sent_messages.fetch_add(1, Ordering::Relaxed);
+        self.sent_bytes.fetch_add(payload as u64 + FRAMING_BYTES, Ordering::Relaxed);
+    }
+
+    pub(crate) fn count_received(&self, payload: usize) {
+        self.received_messages.fetch_add(1, Ordering::Relaxed);
+        self.received_bytes.fetch_add(payload as u64 + FRAMING_BYTES, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/standins/src/platform.rs
@@ -0,0 +1,241 @@
+//! Stand-in of the platform's configuration service: read and watched over HTTP, with faults.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_std::future::timeout;
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use futures_lite::StreamExt;
+use http_types::{Request, Response, StatusCode};
+
+/// Calls a second that the platform's service allows over all its readers.
+const CALLS_PER_SECOND: u32 = 2_000;
+
+/// Longest wait of a watch.
+const WATCH_LIMIT: Duration = Duration::from_secs(30);
+
+/// How the stand-in behaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum PlatformMode {
+    /// Answers at once.
+    #[default]
+    Healthy,
+    /// Closes every connection without an answer.
+    Down,
+    /// Answers after this delay.
+    Slow(Duration),
+    /// Answers reads and watches with the values from before the mode was set.
+    Stale,
+}
+
+/// What the stand-in has been asked for.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PlatformUsage {
+    /// Reads and watches, counted when they arrive.
+    pub calls: u64,
+    /// Calls refused because of the rate limit.
+    pub throttled: u64,
+    /// Bytes of values sent.
+    pub bytes: u64,
+}
+
+#[derive(Debug, Clone)]
+struct StoredValue {
+    revision: u64,
+    content: Arc<str>,
+}
+
+#[derive(Debug, Default)]
+struct PlatformState {
+    mode: PlatformMode,
+    revision: u64,
+    values: BTreeMap<String, StoredValue>,
+    stale: BTreeMap<String, StoredValue>,
+    waiting: Vec<async_channel::Sender<()>>,
+    usage: PlatformUsage,
+    second: Option<Instant>,
+    calls_in_second: u32,
+}
+
+/// A platform service on loopback. Clones share their state.
+#[derive(Debug, Clone)]
+pub struct PlatformStandin {
+    address: SocketAddr,
+    state: Arc<Mutex<PlatformState>>,
+}
+
+enum ReadOutcome {
+    Found(StoredValue),
+    Unchanged,
+    Absent,
+    Throttled,
+    Closed,
+}
+
+impl PlatformStandin {
+    /// Binds to `address` and serves until the process ends. Fails when the address is in use.
+    pub async fn new(address: SocketAddr) -> io::Result<PlatformStandin> {
+        let listener = TcpListener::bind(address).await?;
+        let standin = PlatformStandin { address: listener.local_addr()?, state: Arc::default() };
+        task::spawn(standin.clone().accept(listener));
+        Ok(standin)
+    }
+
+    /// Where the service listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets values in the order given, so that a head that comes last never names an absent value.
+    pub fn publish<'a>(&self, values: impl IntoIterator<Item = (&'a str, &'a str)>) {
+        let mut state = self.lock();
+        for (key, content) in values {
+            let unchanged = state.values.get(key).is_some_and(|value| *value.content == *content);
+            if unchanged {
+                continue;
+            }
+            state.revision += 1;
+            let value = StoredValue { revision: state.revision, content: content.into() };
+            state.values.insert(key.to_owned(), value);
+        }
+        state.waiting.clear();
+    }
+
+    /// Changes the behaviour. Waiting watches end and look again.
+    pub fn set_mode(&self, mode: PlatformMode) {
+        let mut state = self.lock();
+        if mode == PlatformMode::Stale {
+            state.stale = state.values.clone();
+        }
+        state.mode = mode;
+        state.waiting.clear();
+    }
+
+    /// What has been asked for so far.
+    pub fn usage(&self) -> PlatformUsage {
+        self.lock().usage
+    }
+
+    fn lock(&self) -> MutexGuard<'_, PlatformState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn accept(self, listener: TcpListener) {
+        let mut incoming = listener.incoming();
+        while let Some(accepted) = incoming.next().await {
+            // A failed accept concerns one connection, not the listener.
+            if let Ok(stream) = accepted {
+                task::spawn(self.clone().serve(stream));
+            }
+        }
+    }
+
+    async fn serve(self, stream: TcpStream) {
+        // Without it, delayed acknowledgements add 40 ms to an answer.
+        if stream.set_nodelay(true).is_err() {
+            return;
+        }
+        // An error ends this connection only; the client opens another.
+        let _ = async_h1::accept(stream, |request| self.answer(request)).await;
+    }
+
+    async fn answer(&self, request: Request) -> http_types::Result<Response> {
+        let delay = match self.lock().mode {
+            PlatformMode::Slow(delay) => delay,
+            _ => Duration::ZERO,
+        };
+        task::sleep(delay).await;
+        let path = request.url().path();
+        let key = path.strip_prefix("/v1/values/").unwrap_or_default().to_owned();
+        let mut after = None;
+        let mut wait = Duration::ZERO;
+        for (name, value) in request.url().query_pairs() {
+            match &*name {
+                "after" => after = value.parse().ok(),
+                "wait_ms" => wait = Duration::from_millis(value.parse().unwrap_or(0)),
+                _ => (),
+            }
+        }
+        let outcome = self.look_up(&key, after, wait.min(WATCH_LIMIT)).await;
+        self.response(outcome)
+    }
+
+    async fn look_up(&self, key: &str, after: Option<u64>, wait: Duration) -> ReadOutcome {
+        let deadline = Instant::now() + wait;
+        let mut counted = false;
+        loop {
+            let woken = {
+                let mut state = self.lock();
+                if state.mode == PlatformMode::Down {
+                    return ReadOutcome::Closed;
+                }
+                if !counted && !state.count_call() {
+                    return ReadOutcome::Throttled;
+                }
+                counted = true;
+                let values = match state.mode {
+                    PlatformMode::Stale => &state.stale,
+                    _ => &state.values,
+                };
+                match values.get(key) {
+                    Some(value) if after != Some(value.revision) => {
+                        return ReadOutcome::Found(value.clone());
+                    }
+                    None if after.is_none() => return ReadOutcome::Absent,
+                    _ => (),
+                }
+                let (sender, receiver) = async_channel::bounded(1);
+                state.waiting.push(sender);
+                receiver
+            };
+            let left = deadline.saturating_duration_since(Instant::now());
+            // The sender is dropped to wake the watch, so both outcomes but the timeout mean "look again".
+            if left.is_zero() || timeout(left, woken.recv()).await.is_err() {
+                return ReadOutcome::Unchanged;
+            }
+        }
+    }
+
+    fn response(&self, outcome: ReadOutcome) -> http_types::Result<Response> {
+        match outcome {
+            ReadOutcome::Found(value) => {
+                self.lock().usage.bytes += value.content.len() as u64;
+                let mut response = Response::new(StatusCode::Ok);
+                response.insert_header("x-revision", value.revision.to_string());
+                response.set_body(&*value.content);
+                Ok(response)
+            }
+            ReadOutcome::Unchanged => Ok(Response::new(StatusCode::NoContent)),
+            ReadOutcome::Absent => Ok(Response::new(StatusCode::NotFound)),
+            ReadOutcome::Throttled => Ok(Response::new(StatusCode::TooManyRequests)),
+            ReadOutcome::Closed => {
+                Err(http_types::Error::from_str(StatusCode::ServiceUnavailable, "down"))
+            }
+        }
+    }
+}
+
+impl PlatformState {
+    /// Counts a call. Returns false when the limit of this second is reached.
+    fn count_call(&mut self) -> bool {
+        let now = Instant::now();
+        self.usage.calls += 1;
+        match self.second {
+            Some(second) if now.duration_since(second) < Duration::from_secs(1) => (),
+            _ => {
+                self.second = Some(now);
+                self.calls_in_second = 0;
+            }
+        }
+        self.calls_in_second += 1;
+        if self.calls_in_second > CALLS_PER_SECOND {
+            self.usage.throttled += 1;
+            return false;
+        }
+        true
+    }
+}
