--- a/standins/src/caller.rs
+++ b/standins/src/caller.rs
@@ -3,10 +3,9 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use async_std::net::TcpStream;
-use futures_lite::future::poll_once;
+use fescuestack_http::ClientConnection;
 use http_types::{Method, Request, Response, StatusCode, Url};
 use serde::Serialize;
 
@@ -54,10 +53,13 @@
 /// An idle connection older than this may already be closed by the other side.
 const IDLE_LIMIT: Duration = Duration::from_secs(1);
 
+/// Longest time for opening a connection. The patience of all classes is shorter or ends it anyway.
+const CONNECT_LIMIT: Duration = Duration::from_secs(30);
+
 /// Connections to the entries of a load, kept between requests.
 #[derive(Debug, Default)]
 pub struct CallerClient {
-    idle: Mutex<HashMap<SocketAddr, Vec<(TcpStream, Instant)>>>,
+    idle: Mutex<HashMap<SocketAddr, Vec<ClientConnection>>>,
 }
 
 impl CallerClient {
@@ -78,43 +80,31 @@
         let Some(request) = build_request(class, number, attempt) else {
             return CallAnswer::BROKEN;
         };
-        let Some(stream) = self.connect(address).await else { return CallAnswer::BROKEN };
-        let Ok(mut response) = async_h1::connect(stream.clone(), request).await else {
-            return CallAnswer::BROKEN;
-        };
-        let declared = response.len();
+        let Some(mut connection) = self.connect(address).await else { return CallAnswer::BROKEN };
+        let Ok(mut response) = connection.send(request).await else { return CallAnswer::BROKEN };
         let Ok(body) = response.body_bytes().await else { return CallAnswer::TRUNCATED };
-        if declared.is_some_and(|length| length != body.len()) {
-            return CallAnswer::TRUNCATED;
-        }
-        if header(&response, "connection") != Some("close") {
-            self.keep(address, stream);
-        }
+        self.keep(address, connection);
         let code = header(&response, "fescuestack-code").and_then(|code| code.parse().ok());
         CallAnswer { verdict: judge_answer(&response, &body, attempt), code }
     }
 
-    async fn connect(&self, address: SocketAddr) -> Option<TcpStream> {
-        while let Some((stream, since)) = self.take(address) {
-            // Readable while idle means closed, or bytes that belong to no request.
-            let is_quiet = poll_once(stream.peek(&mut [0])).await.is_none();
-            if is_quiet && since.elapsed() < IDLE_LIMIT {
-                return Some(stream);
+    async fn connect(&self, address: SocketAddr) -> Option<ClientConnection> {
+        while let Some(connection) = self.take(address) {
+            if connection.idle() < IDLE_LIMIT && connection.is_reusable() {
+                return Some(connection);
             }
         }
-        let stream = TcpStream::connect(address).await.ok()?;
-        stream.set_nodelay(true).ok()?;
-        Some(stream)
+        ClientConnection::open(address, CONNECT_LIMIT).await.ok()
     }
 
-    fn take(&self, address: SocketAddr) -> Option<(TcpStream, Instant)> {
+    fn take(&self, address: SocketAddr) -> Option<ClientConnection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.get_mut(&address)?.pop()
     }
 
-    fn keep(&self, address: SocketAddr, stream: TcpStream) {
+    fn keep(&self, address: SocketAddr, connection: ClientConnection) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.entry(address).or_default().push((stream, Instant::now()));
+        idle.entry(address).or_default().push(connection);
     }
 }
 
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,7 @@
 mod exchange;
 mod generator;
 mod ledger;
+mod platform;
 mod report;
 mod upstream;
 
@@ -15,6 +16,7 @@
     AttemptRecord, DIRECT_PATH, MeasureSettings, NODE_PATH, RequestRecord, measure_calls, run_load,
 };
 pub use ledger::{LedgerView, RequestLedger, RunEnd, RunIndex, RunRecord, request_of};
+pub use platform::{PlatformMode, PlatformStandin, PlatformUsage};
 pub use report::{
     AddedLatency, ClassReport, LedgerCounts, LoadReport, MeasureReport, TimeQuantiles,
 };
