Generate the configuration from the questionnaire

The configuration had no source that operators can read and review. The questionnaire is YAML; it is read into a tree first, because a typed deserializer stops at the first fault and operators need all of them.

A delta that would reach 1 MB is left out, since nodes can read the manifest; other values of that size are refused.

A generated fleet of 1,600 services and 15,000 targets passes check, generate and accept with every value under 1 MB.

--- /dev/null
+++ b/questionnaire/src/accept.rs
@@ -0,0 +1,101 @@
+//! Acceptance: from answers to the next version.
+
+use std::collections::BTreeSet;
+
+use fescuestack_core::{
+    ConfigSnapshot, HEAD_KEY, HeadRecord, PartContent, PartManifest, PartName, RejectReason,
+    VALUE_LIMIT_BYTES, VersionDelta, VersionId, delta_key,
+};
+
+use crate::answers::Answers;
+use crate::artefact::Artefact;
+use crate::check::check;
+use crate::error::{AnswerCode, AnswerFault, AnswerFaults};
+use crate::generate::{build_manifest, encode_json, encode_parts, generate, publish_values};
+
+/// Produces the version after `previous`, or the first version without it. Fails with all faults of
+/// the answers, or with the invariant that the version would break.
+pub fn accept(answers: &Answers, previous: Option<&Artefact>) -> Result<Artefact, AnswerFaults> {
+    match previous {
+        Some(artefact) => accept_after(answers, artefact.version()?, previous),
+        None => accept_after(answers, VersionId::NONE, None),
+    }
+}
+
+/// Produces the version after `base`. Without the artefact of `base` no delta is published. Fails
+/// when `previous` is of another version than `base`, because the operators then reviewed a change
+/// against a version that is no longer the accepted one.
+pub fn accept_after(
+    answers: &Answers,
+    base: VersionId,
+    previous: Option<&Artefact>,
+) -> Result<Artefact, AnswerFaults> {
+    let faults = check(answers);
+    if !faults.is_empty() {
+        return Err(AnswerFaults::with_file(faults, ""));
+    }
+    let before = previous.map(|artefact| base_snapshot(artefact, base)).transpose()?;
+    let contents = encode_parts(&generate(answers)?);
+    verify_sizes(contents.iter().map(|part| (&*part.name, &*part.content)))?;
+    let manifest = build_manifest(&contents);
+    let version = VersionId::new(base.number + 1, manifest.digest());
+    ConfigSnapshot::new(version, contents.iter().cloned()).map_err(refuse)?;
+    let mut values = publish_values(&contents, &manifest);
+    let delta = match before {
+        Some(before) => publish_delta(&before, version, &contents, &manifest)?,
+        None => None,
+    };
+    let delta_base = if delta.is_some() { base } else { VersionId::NONE };
+    values.extend(delta.map(|content| (delta_key(version), content)));
+    let head = HeadRecord { version, base: delta_base };
+    values.insert(HEAD_KEY.to_owned(), encode_json(&head));
+    verify_sizes(values.iter().map(|(key, content)| (key.as_str(), content.as_str())))?;
+    Ok(Artefact { values })
+}
+
+fn base_snapshot(artefact: &Artefact, base: VersionId) -> Result<ConfigSnapshot, AnswerFault> {
+    let before = artefact.snapshot()?;
+    if before.version() == base {
+        return Ok(before);
+    }
+    let message = format!("the base is {base}, but the previous artefact is {}", before.version());
+    Err(AnswerFault::without_place(AnswerCode::BaseMismatch, message))
+}
+
+/// The delta's content, or `None` when it would reach the size limit; nodes then read the manifest.
+fn publish_delta(
+    before: &ConfigSnapshot,
+    version: VersionId,
+    contents: &[PartContent],
+    manifest: &PartManifest,
+) -> Result<Option<String>, AnswerFault> {
+    let is_changed =
+        |part: &&PartContent| before.manifest().get(&part.name) != manifest.get(&part.name);
+    let kept: BTreeSet<&PartName> = contents.iter().map(|part| &part.name).collect();
+    let removed = before.manifest().entries().map(|(name, _)| name);
+    let mut removed: Vec<PartName> = removed.filter(|name| !kept.contains(name)).cloned().collect();
+    removed.sort_unstable();
+    let changed = contents.iter().filter(is_changed).cloned().collect();
+    let delta = VersionDelta { from: before.version(), to: version, changed, removed };
+    before.with_delta(&delta).map_err(refuse)?;
+    let content = encode_json(&delta);
+    Ok((content.len() < VALUE_LIMIT_BYTES).then_some(content))
+}
+
+fn refuse(reason: RejectReason) -> AnswerFault {
+    AnswerFault::without_place(AnswerCode::Refused, reason.to_string())
+}
+
+fn verify_sizes<'a>(values: impl Iterator<Item = (&'a str, &'a str)>) -> Result<(), AnswerFaults> {
+    let too_large = values.filter(|(_, content)| content.len() >= VALUE_LIMIT_BYTES);
+    let faults: Vec<AnswerFault> = too_large
+        .map(|(name, content)| {
+            let message = format!(
+                "`{name}` has {} bytes; split it so that it stays under {VALUE_LIMIT_BYTES}",
+                content.len()
+            );
+            AnswerFault::without_place(AnswerCode::ValueTooLarge, message)
+        })
+        .collect();
+    if faults.is_empty() { Ok(()) } else { Err(AnswerFaults::with_file(faults, "")) }
+}
--- /dev/null
+++ b/questionnaire/src/answers.rs
@@ -0,0 +1,420 @@
+//! The answers of a questionnaire, each with its place in the file.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use fescuestack_core::{DAY_MINUTES, RouteKind, SpreadPreference};
+use serde::{Serialize, Serializer};
+use serde_saphyr::Spanned;
+
+use crate::error::{AnswerCode, AnswerFault, AnswerFaults};
+use crate::tree::{MapReader, PlacedNode, hole, parse_tree, read_text};
+
+/// A minute of the local day, written as `HH:MM`; `24:00` is the end of the day.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct DayMinute(u16);
+
+impl DayMinute {
+    /// Creates a time of day from minutes since midnight; `None` past 24:00.
+    pub fn new(minute: u16) -> Option<DayMinute> {
+        (minute <= DAY_MINUTES).then_some(DayMinute(minute))
+    }
+
+    /// Parses `HH:MM`.
+    pub fn scan(text: &str) -> Option<DayMinute> {
+        let (hour, minute) = text.split_once(':')?;
+        let digits = |part: &str| part.len() == 2 && part.bytes().all(|byte| byte.is_ascii_digit());
+        if !digits(hour) || !digits(minute) {
+            return None;
+        }
+        let (hour, minute): (u16, u16) = (hour.parse().ok()?, minute.parse().ok()?);
+        if minute < 60 { DayMinute::new(hour * 60 + minute) } else { None }
+    }
+
+    /// Minutes since local midnight.
+    pub const fn minute(self) -> u16 {
+        self.0
+    }
+}
+
+impl fmt::Display for DayMinute {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:02}:{:02}", self.0 / 60, self.0 % 60)
+    }
+}
+
+impl Serialize for DayMinute {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+/// A whole questionnaire.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Answers {
+    /// Name of the deployment.
+    pub deployment: Spanned<String>,
+    /// What distribution optimises for.
+    pub preference: Spanned<SpreadPreference>,
+    /// One-way delay between data centres, in milliseconds.
+    pub link_delay_ms: Spanned<u64>,
+    /// One-way delay to callers, in milliseconds.
+    pub caller_delay_ms: Spanned<u64>,
+    /// Regions with their data centres.
+    pub regions: Spanned<Vec<RegionAnswer>>,
+    /// Tenants with their caller classes.
+    pub tenants: Spanned<Vec<TenantAnswer>>,
+    /// Services with routes and targets.
+    pub services: Spanned<Vec<ServiceAnswer>>,
+}
+
+/// A region.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct RegionAnswer {
+    /// Name of the region.
+    pub name: Spanned<String>,
+    /// Names of its data centres.
+    pub data_centres: Spanned<Vec<Spanned<String>>>,
+}
+
+/// A tenant: the team that runs services.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct TenantAnswer {
+    /// Name of the tenant.
+    pub name: Spanned<String>,
+    /// IANA time zone of the patience periods.
+    pub zone: Spanned<String>,
+    /// Caller classes.
+    pub classes: Spanned<Vec<ClassAnswer>>,
+}
+
+/// Where the callers of a class are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Default)]
+#[serde(rename_all = "kebab-case")]
+pub enum CallerOrigin {
+    /// Services of the mesh.
+    Internal,
+    /// Everyone else.
+    #[default]
+    Outside,
+}
+
+/// A class of callers.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct ClassAnswer {
+    /// Name, unique within the tenant.
+    pub name: Spanned<String>,
+    /// Where the callers are.
+    pub callers: Spanned<CallerOrigin>,
+    /// Periods that together cover the local day.
+    pub patience: Spanned<Vec<PeriodAnswer>>,
+}
+
+/// Patience during a period of the local day. A period whose end is not after its start spans
+/// midnight.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct PeriodAnswer {
+    /// Start of the period.
+    pub from: Spanned<DayMinute>,
+    /// End of the period.
+    pub to: Spanned<DayMinute>,
+    /// How long the callers wait, in milliseconds.
+    pub patience_ms: Spanned<u64>,
+}
+
+/// A service.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct ServiceAnswer {
+    /// Name of the service; the host of its calls.
+    pub name: Spanned<String>,
+    /// Tenant that runs it.
+    pub tenant: Spanned<String>,
+    /// Longest queue for each class at a target's node, in calls.
+    pub queue_limit: Spanned<u32>,
+    /// How long an idempotency key is remembered, in milliseconds.
+    pub key_window_ms: Spanned<u64>,
+    /// Routes.
+    pub routes: Spanned<Vec<RouteAnswer>>,
+    /// Targets listed one by one.
+    #[serde(skip_serializing_if = "is_empty")]
+    pub targets: Spanned<Vec<TargetAnswer>>,
+    /// Targets given in the short form.
+    #[serde(skip_serializing_if = "is_empty")]
+    pub target_series: Spanned<Vec<SeriesAnswer>>,
+}
+
+fn is_empty<T>(list: &Spanned<Vec<T>>) -> bool {
+    list.value.is_empty()
+}
+
+/// A route of a service.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct RouteAnswer {
+    /// HTTP method.
+    pub method: Spanned<String>,
+    /// Path prefix.
+    pub prefix: Spanned<String>,
+    /// Kind of the route.
+    pub kind: Spanned<RouteKind>,
+    /// Whether a request may ever run twice.
+    pub may_repeat: Spanned<bool>,
+    /// Whether only services of the mesh may call it.
+    pub internal_only: Spanned<bool>,
+    /// Largest request body, in bytes.
+    pub body_limit_bytes: Spanned<u64>,
+    /// Caller classes as `<tenant>/<class>`; the first is the default.
+    pub classes: Spanned<Vec<Spanned<String>>>,
+}
+
+/// A target: an upstream with the node beside it.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct TargetAnswer {
+    /// Name of target and node.
+    pub name: Spanned<String>,
+    /// Data centre of the VM.
+    pub data_centre: Spanned<String>,
+    /// Where the upstream listens.
+    pub upstream: Spanned<SocketAddr>,
+    /// Where the node takes relayed calls.
+    pub relay: Spanned<SocketAddr>,
+    /// Where the node takes control streams.
+    pub control: Spanned<SocketAddr>,
+    /// Calls the upstream runs at the same time.
+    pub slots: Spanned<u32>,
+    /// Connections the upstream accepts.
+    pub connections: Spanned<u32>,
+}
+
+/// Short form for `count` targets. Target `i`, from 0, is called `<prefix>-<i + 1>`, stands in data
+/// centre `over[i mod n]`, and its upstream listens at `base` with `i * address_step` added to the IP
+/// address and `i * port_step` to the port; relay and control take the two ports after that.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct SeriesAnswer {
+    /// Start of the targets' names.
+    pub prefix: Spanned<String>,
+    /// Number of targets.
+    pub count: Spanned<u32>,
+    /// Data centres, used in turn.
+    pub over: Spanned<Vec<Spanned<String>>>,
+    /// Address of the first upstream.
+    pub base: Spanned<SocketAddr>,
+    /// Distance between the ports of neighbours.
+    pub port_step: Spanned<u32>,
+    /// Distance between the IP addresses of neighbours.
+    pub address_step: Spanned<u32>,
+    /// Calls each upstream runs at the same time.
+    pub slots: Spanned<u32>,
+    /// Connections each upstream accepts.
+    pub connections: Spanned<u32>,
+}
+
+impl Answers {
+    /// Reads `text` and reports all faults at once, those of form and those of content.
+    pub fn scan(file: &str, text: &str) -> Result<Answers, AnswerFaults> {
+        let tree = parse_tree(text).map_err(|fault| AnswerFaults::with_file(vec![fault], file))?;
+        let mut faults = Vec::new();
+        let answers = read_answers(&tree, &mut faults);
+        let malformed = !faults.is_empty();
+        let checked = crate::check::check(&answers);
+        // Where an answer could not be read, a default without a place stands in for it. Faults of
+        // such defaults only follow from those reported already.
+        faults.extend(checked.into_iter().filter(|fault| !malformed || fault.line > 0));
+        if faults.is_empty() { Ok(answers) } else { Err(AnswerFaults::with_file(faults, file)) }
+    }
+
+    /// Writes the answers as YAML.
+    pub fn to_yaml(&self) -> String {
+        serde_saphyr::to_string(self).expect("answers hold only values that YAML can express")
+    }
+}
+
+fn read_answers(node: &PlacedNode, faults: &mut Vec<AnswerFault>) -> Answers {
+    let mut map = MapReader::new(node, faults);
+    let answers = Answers {
+        deployment: map.text("deployment"),
+        preference: map.parsed(
+            "preference",
+            "convergence or bytes",
+            AnswerCode::UnknownWord,
+            scan_preference,
+            SpreadPreference::default(),
+        ),
+        link_delay_ms: map.number("link-delay-ms"),
+        caller_delay_ms: map.number("caller-delay-ms"),
+        regions: map.list("regions", read_region),
+        tenants: map.list("tenants", read_tenant),
+        services: map.list("services", read_service),
+    };
+    map.finish();
+    answers
+}
+
+fn read_region(node: &PlacedNode, faults: &mut Vec<AnswerFault>) -> RegionAnswer {
+    let mut map = MapReader::new(node, faults);
+    let region =
+        RegionAnswer { name: map.text("name"), data_centres: map.list("data-centres", read_text) };
+    map.finish();
+    region
+}
+
+fn read_tenant(node: &PlacedNode, faults: &mut Vec<AnswerFault>) -> TenantAnswer {
+    let mut map = MapReader::new(node, faults);
+    let tenant = TenantAnswer {
+        name: map.text("name"),
+        zone: map.text("zone"),
+        classes: map.list("classes", read_class),
+    };
+    map.finish();
+    tenant
+}
+
+fn read_class(node: &PlacedNode, faults: &mut Vec<AnswerFault>) -> ClassAnswer {
+    let mut map = MapReader::new(node, faults);
+    let class = ClassAnswer {
+        name: map.text("name"),
+        callers: map.parsed(
+            "callers",
+            "internal or outside",
+            AnswerCode::UnknownWord,
+            scan_origin,
+            CallerOrigin::default(),
+        ),
+        patience: map.list("patience", read_period),
+    };
+    map.finish();
+    class
+}
+
+fn read_period(node: &PlacedNode, faults: &mut Vec<AnswerFault>) -> PeriodAnswer {
+    let mut map = MapReader::new(node, faults);
+    let kind = "a time of day as HH:MM from 00:00 to 24:00";
+    let code = AnswerCode::WrongKind;
+    let period = PeriodAnswer {
+        from: map.parsed("from", kind, code, DayMinute::scan, DayMinute::default()),
+        to: map.parsed("to", kind, code, DayMinute::scan, DayMinute::default()),
+        patience_ms: map.number("patience-ms"),
+    };
+    map.finish();
+    period
+}
+
+fn read_service(node: &PlacedNode, faults: &mut Vec<AnswerFault>) -> ServiceAnswer {
+    let mut map = MapReader::new(node, faults);
+    let mut service = ServiceAnswer {
+        name: map.text("name"),
+        tenant: map.text("tenant"),
+        queue_limit: map.count("queue-limit"),
+        key_window_ms: map.number("key-window-ms"),
+        routes: map.list("routes", read_route),
+        targets: map.optional_list("targets", read_target),
+        target_series: map.optional_list("target-series", read_series),
+    };
+    map.finish();
+    for series in &mut service.target_series.value {
+        if series.prefix.value.is_empty() {
+            series.prefix = service.name.clone();
+        }
+    }
+    service
+}
+
+fn read_route(node: &PlacedNode, faults: &mut Vec<AnswerFault>) -> RouteAnswer {
+    let mut map = MapReader::new(node, faults);
+    let route = RouteAnswer {
+        method: map.text("method"),
+        prefix: map.text("prefix"),
+        kind: map.parsed(
+            "kind",
+            "lookup, search, submit or upload",
+            AnswerCode::UnknownWord,
+            scan_kind,
+            RouteKind::Lookup,
+        ),
+        may_repeat: map.flag("may-repeat"),
+        internal_only: map.flag("internal-only"),
+        body_limit_bytes: map.number("body-limit-bytes"),
+        classes: map.list("classes", read_text),
+    };
+    map.finish();
+    route
+}
+
+fn read_address(map: &mut MapReader<'_>, key: &'static str) -> Spanned<SocketAddr> {
+    let kind = "<IP address>:<port>, such as 127.0.0.1:21000";
+    let unset = SocketAddr::from(([0, 0, 0, 0], 0));
+    map.parsed(key, kind, AnswerCode::BadAddress, |text| text.parse().ok(), unset)
+}
+
+fn read_target(node: &PlacedNode, faults: &mut Vec<AnswerFault>) -> TargetAnswer {
+    let mut map = MapReader::new(node, faults);
+    let target = TargetAnswer {
+        name: map.text("name"),
+        data_centre: map.text("data-centre"),
+        upstream: read_address(&mut map, "upstream"),
+        relay: read_address(&mut map, "relay"),
+        control: read_address(&mut map, "control"),
+        slots: map.count("slots"),
+        connections: map.count("connections"),
+    };
+    map.finish();
+    target
+}
+
+fn read_series(node: &PlacedNode, faults: &mut Vec<AnswerFault>) -> SeriesAnswer {
+    let mut map = MapReader::new(node, faults);
+    let prefix = match map.find("prefix") {
+        Some(_) => map.text("prefix"),
+        None => hole(String::new()),
+    };
+    let address_step = match map.find("address-step") {
+        Some(_) => map.count("address-step"),
+        None => hole(0),
+    };
+    let series = SeriesAnswer {
+        prefix,
+        count: map.count("count"),
+        over: map.list("over", read_text),
+        base: read_address(&mut map, "base"),
+        port_step: map.count("port-step"),
+        address_step,
+        slots: map.count("slots"),
+        connections: map.count("connections"),
+    };
+    map.finish();
+    series
+}
+
+fn scan_preference(word: &str) -> Option<SpreadPreference> {
+    match word {
+        "convergence" => Some(SpreadPreference::Convergence),
+        "bytes" => Some(SpreadPreference::Bytes),
+        _ => None,
+    }
+}
+
+fn scan_origin(word: &str) -> Option<CallerOrigin> {
+    match word {
+        "internal" => Some(CallerOrigin::Internal),
+        "outside" => Some(CallerOrigin::Outside),
+        _ => None,
+    }
+}
+
+fn scan_kind(word: &str) -> Option<RouteKind> {
+    match word {
+        "lookup" => Some(RouteKind::Lookup),
+        "search" => Some(RouteKind::Search),
+        "submit" => Some(RouteKind::Submit),
+        "upload" => Some(RouteKind::Upload),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/questionnaire/src/command.rs
@@ -0,0 +1,188 @@
+//! The subcommands around the questionnaire.
+
+use std::fs;
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use fescuestack_core::{ConfigPart, VersionId};
+
+use crate::accept::accept_after;
+use crate::answers::Answers;
+use crate::artefact::Artefact;
+use crate::difference::compare;
+use crate::error::{AnswerCode, AnswerFault, AnswerFaults};
+use crate::fleet::{FleetSize, generate_fleet};
+use crate::generate::{build_manifest, encode_parts, generate, publish_values};
+
+/// Works on questionnaires and artefacts.
+#[derive(Debug, clap::Parser)]
+pub struct QuestionnaireCommand {
+    /// What to do.
+    #[command(subcommand)]
+    pub action: QuestionnaireAction,
+}
+
+/// What to do with a questionnaire.
+#[derive(Debug, clap::Subcommand)]
+pub enum QuestionnaireAction {
+    /// Reports every fault of a questionnaire.
+    Check {
+        /// Questionnaire in YAML.
+        file: PathBuf,
+    },
+    /// Prints parts, manifest and pages as JSON.
+    Generate {
+        /// Questionnaire in YAML.
+        file: PathBuf,
+    },
+    /// Prints what changes for whom.
+    Diff {
+        /// Questionnaire in YAML or artefact in JSON.
+        old: PathBuf,
+        /// Questionnaire in YAML or artefact in JSON.
+        new: PathBuf,
+    },
+    /// Produces the artefact of the next version.
+    Accept {
+        /// Questionnaire in YAML.
+        file: PathBuf,
+        /// Artefact of the version in force.
+        #[arg(long)]
+        previous: Option<PathBuf>,
+        /// Version that the change was reviewed against, or `none` for the first version.
+        #[arg(long, value_parser = parse_base)]
+        base: Option<VersionId>,
+        /// Where to write the artefact; standard output without it.
+        #[arg(long)]
+        output: Option<PathBuf>,
+    },
+    /// Prints a generated questionnaire over 6 regions and 13 data centres.
+    Fleet {
+        /// Number of services.
+        #[arg(long)]
+        services: u32,
+        /// Number of targets.
+        #[arg(long)]
+        targets: u32,
+        /// Seed; the same seed gives the same questionnaire.
+        #[arg(long)]
+        seed: u64,
+    },
+}
+
+fn parse_base(text: &str) -> Result<VersionId, String> {
+    match text {
+        "none" => Ok(VersionId::NONE),
+        _ => VersionId::scan(text).ok_or_else(|| "write <number>-<digest> or none".to_owned()),
+    }
+}
+
+impl QuestionnaireCommand {
+    /// Runs the command on standard output and standard error. The exit code is 1 when there are
+    /// faults.
+    pub fn run(&self) -> ExitCode {
+        self.run_with(&mut io::stdout().lock(), &mut io::stderr().lock())
+    }
+
+    /// Runs the command and writes results to `output` and faults to `errors`.
+    pub fn run_with(&self, output: &mut impl Write, errors: &mut impl Write) -> ExitCode {
+        let written = self.action.execute().and_then(|text| {
+            let written = output.write_all(text.as_bytes()).and_then(|()| output.flush());
+            written.map_err(|err| unreadable(Path::new("standard output"), &err).into())
+        });
+        match written {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(faults) => {
+                // Nothing is left to report to when standard error fails.
+                let _ = writeln!(errors, "{faults}");
+                ExitCode::FAILURE
+            }
+        }
+    }
+}
+
+impl QuestionnaireAction {
+    /// The text to print.
+    fn execute(&self) -> Result<String, AnswerFaults> {
+        match self {
+            QuestionnaireAction::Check { file } => {
+                let answers = read_answers(file)?;
+                let (tenants, services) = (&answers.tenants.value, &answers.services.value);
+                let counts = format!("{} tenants, {} services", tenants.len(), services.len());
+                Ok(format!("{}: no faults in {counts}\n", file.display()))
+            }
+            QuestionnaireAction::Generate { file } => generate_file(file),
+            QuestionnaireAction::Diff { old, new } => {
+                let lines = compare(&read_parts(old)?, &read_parts(new)?);
+                let lines =
+                    if lines.is_empty() { vec!["Nothing changes.".to_owned()] } else { lines };
+                Ok(lines.join("\n") + "\n")
+            }
+            QuestionnaireAction::Accept { file, previous, base, output } => {
+                accept_file(file, previous.as_deref(), *base, output.as_deref())
+            }
+            QuestionnaireAction::Fleet { services, targets, seed } => {
+                Ok(generate_fleet(FleetSize::new(*services, *targets), *seed).to_yaml())
+            }
+        }
+    }
+}
+
+fn generate_file(file: &Path) -> Result<String, AnswerFaults> {
+    let contents = encode_parts(&generate(&read_answers(file)?)?);
+    let values = publish_values(&contents, &build_manifest(&contents));
+    Ok(Artefact { values }.to_json())
+}
+
+fn accept_file(
+    file: &Path,
+    previous: Option<&Path>,
+    base: Option<VersionId>,
+    output: Option<&Path>,
+) -> Result<String, AnswerFaults> {
+    let answers = read_answers(file)?;
+    let previous = previous.map(read_artefact).transpose()?;
+    let base = match (&previous, base) {
+        (_, Some(base)) => base,
+        (Some(artefact), None) => artefact.version()?,
+        (None, None) => {
+            let message =
+                "give --previous ARTEFACT, or --base VERSION (none for the first version)";
+            return Err(AnswerFault::without_place(AnswerCode::BaseMissing, message).into());
+        }
+    };
+    let artefact = accept_after(&answers, base, previous.as_ref())?;
+    let Some(output) = output else { return Ok(artefact.to_json()) };
+    fs::write(output, artefact.to_json()).map_err(|err| unreadable(output, &err))?;
+    Ok(format!("{} accepted as {}\n", file.display(), artefact.version()?))
+}
+
+fn read_file(file: &Path) -> Result<String, AnswerFaults> {
+    fs::read_to_string(file).map_err(|err| unreadable(file, &err).into())
+}
+
+fn read_answers(file: &Path) -> Result<Answers, AnswerFaults> {
+    Answers::scan(&file.display().to_string(), &read_file(file)?)
+}
+
+fn read_artefact(file: &Path) -> Result<Artefact, AnswerFaults> {
+    Artefact::scan(&read_file(file)?).map_err(|fault| with_file(fault, file))
+}
+
+fn read_parts(file: &Path) -> Result<Vec<ConfigPart>, AnswerFaults> {
+    if file.extension().is_some_and(|extension| extension == "json") {
+        read_artefact(file)?.parts().map_err(|fault| with_file(fault, file))
+    } else {
+        generate(&read_answers(file)?).map_err(|fault| with_file(fault, file))
+    }
+}
+
+fn with_file(fault: AnswerFault, file: &Path) -> AnswerFaults {
+    AnswerFaults::with_file(vec![fault], &file.display().to_string())
+}
+
+fn unreadable(file: &Path, err: &io::Error) -> AnswerFault {
+    let message = format!("{}: {err}", file.display());
+    AnswerFault::without_place(AnswerCode::FileUnreadable, message)
+}
--- /dev/null
+++ b/questionnaire/src/error.rs
@@ -0,0 +1,164 @@
+//! Numbered faults of a questionnaire, with the place and what to write instead.
+
+use std::fmt;
+use std::sync::Arc;
+
+use serde_saphyr::Location;
+
+macro_rules! answer_codes {
+    ($($name:ident = $number:literal, $label:literal, $meaning:literal, $remedy:literal;)*) => {
+        /// A numbered fault of a questionnaire or of its acceptance.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+        pub enum AnswerCode {
+            $(#[doc = concat!(stringify!($number), " ", $label, ": ", $meaning, ".")]
+            $name = $number,)*
+        }
+
+        impl AnswerCode {
+            /// Every code, in numeric order.
+            pub const ALL: &'static [AnswerCode] = &[$(AnswerCode::$name),*];
+
+            /// A label of a few words.
+            pub const fn label(self) -> &'static str {
+                match self {
+                    $(AnswerCode::$name => $label,)*
+                }
+            }
+
+            /// One sentence on what the code means.
+            pub const fn meaning(self) -> &'static str {
+                match self {
+                    $(AnswerCode::$name => $meaning,)*
+                }
+            }
+
+            /// What the operator does about it.
+            pub const fn remedy(self) -> &'static str {
+                match self {
+                    $(AnswerCode::$name => $remedy,)*
+                }
+            }
+        }
+    };
+}
+
+answer_codes! {
+    FileUnreadable = 501, "file unreadable", "a file cannot be read or written", "check path and permissions";
+    BrokenYaml = 502, "broken YAML", "the text is not valid YAML, or a key occurs twice", "correct the line named";
+    UnknownKey = 503, "unknown key", "the questionnaire has no such question", "use one of the keys listed in the message or delete the line";
+    MissingAnswer = 504, "missing answer", "a question has no answer", "add the key named";
+    WrongKind = 505, "wrong kind of answer", "the answer is of another type than the question asks for", "write a value of the type named";
+    UnknownWord = 506, "unknown word", "the answer is not one of the permitted words", "use one of the words listed in the message";
+    DuplicateName = 507, "duplicate name", "two entries of the same kind have one name", "rename one of them";
+    DuplicateAddress = 508, "duplicate address", "two ports of targets have the same address", "give each port its own address";
+    PatienceGap = 509, "gap in patience", "a time of day belongs to no patience period", "extend a period or add one";
+    PatienceOverlap = 510, "overlap in patience", "a time of day belongs to two patience periods", "shorten one of the periods";
+    UnknownZone = 511, "unknown time zone", "the time zone is not in the IANA database", "write a name such as Europe/Athens";
+    UnknownTenant = 512, "unknown tenant", "no tenant has this name", "use the name of a tenant of the questionnaire";
+    UnknownClass = 513, "unknown caller class", "no tenant has this caller class", "write <tenant>/<class> with names of the questionnaire";
+    UnknownDataCentre = 514, "unknown data centre", "no region has this data centre", "use a data centre listed under regions";
+    NoTargets = 515, "service without targets", "a service has no target that could answer", "add targets or a target series";
+    RepeatContradiction = 516, "repeat contradicts kind", "lookups and searches may be repeated, submits and uploads may not", "change the kind or the answer to may-repeat";
+    ZeroLimit = 517, "limit of zero", "the limit would refuse everything", "write a number of at least 1";
+    BodyLimitTooLarge = 518, "body limit too large", "the body limit exceeds what a node can hold for this kind of route", "lower it to the bound in the message";
+    BadName = 519, "bad name", "a name is not usable as host name and key", "use 1 to 63 lower-case letters, digits and hyphens";
+    BadAddress = 520, "bad address", "an address is malformed or a series runs past the last one", "write <IP address>:<port> and leave room for the series";
+    DuplicateRoute = 521, "duplicate route", "two routes of a service have the same method and prefix", "delete or change one of them";
+    OutsideClass = 522, "outside class on internal route", "an internal-only route names a class of outside callers", "remove the class or open the route";
+    MethodContradiction = 523, "method contradicts kind", "GET and HEAD are repeated by HTTP clients, so they cannot submit or upload", "use POST, PUT, PATCH or DELETE";
+    BadPrefix = 524, "bad prefix", "a path prefix does not begin with a slash or holds a blank, ? or #", "write a path such as /orders";
+    ValueTooLarge = 525, "value too large", "a published value would reach 1 MB", "split the service or the tenant";
+    BaseMissing = 526, "base version missing", "accept was given neither a previous artefact nor a base version", "give --previous, or --base none for the first version";
+    BaseMismatch = 527, "base version differs", "the base version is not that of the previous artefact", "take the newest artefact and review the difference again";
+    Refused = 528, "change refused", "the generated version breaks an invariant of the configuration", "see the 4xx code in the message";
+    BadArtefact = 529, "bad artefact", "the previous artefact is damaged", "take the artefact from where it was published";
+    TooManyTargets = 530, "too many targets", "the target series ask for more targets than the questionnaire may hold", "lower the count";
+}
+
+impl AnswerCode {
+    /// The number shown to operators.
+    pub const fn number(self) -> u16 {
+        self as u16
+    }
+}
+
+impl fmt::Display for AnswerCode {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.number(), self.label())
+    }
+}
+
+/// A fault with its place.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AnswerFault {
+    /// The numbered kind.
+    pub code: AnswerCode,
+    /// The file, or an empty string when the answers come from no file.
+    pub file: Arc<str>,
+    /// Line, counted from 1; zero when there is no place.
+    pub line: u64,
+    /// Column, counted from 1; zero when there is no place.
+    pub column: u64,
+    /// What is wrong and what to write instead.
+    pub message: String,
+}
+
+impl AnswerFault {
+    pub(crate) fn new(
+        code: AnswerCode,
+        place: Location,
+        message: impl Into<String>,
+    ) -> AnswerFault {
+        let (line, column) = (place.line(), place.column());
+        AnswerFault { code, file: "".into(), line, column, message: message.into() }
+    }
+
+    pub(crate) fn without_place(code: AnswerCode, message: impl Into<String>) -> AnswerFault {
+        AnswerFault::new(code, Location::UNKNOWN, message)
+    }
+}
+
+impl fmt::Display for AnswerFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if !self.file.is_empty() {
+            write!(f, "{}:", self.file)?;
+        }
+        if self.line > 0 {
+            write!(f, "{}:{}:", self.line, self.column)?;
+        }
+        if !self.file.is_empty() || self.line > 0 {
+            f.write_str(" ")?;
+        }
+        write!(f, "{}: {}", self.code, self.message)
+    }
+}
+
+/// All faults found, one per line when displayed.
+#[derive(Debug, Clone, PartialEq, Eq, snafu::Snafu)]
+#[snafu(display("{}", display_lines(faults)))]
+pub struct AnswerFaults {
+    /// The faults, ordered by line.
+    pub faults: Vec<AnswerFault>,
+}
+
+fn display_lines(faults: &[AnswerFault]) -> String {
+    let lines: Vec<String> = faults.iter().map(AnswerFault::to_string).collect();
+    lines.join("\n")
+}
+
+impl AnswerFaults {
+    pub(crate) fn with_file(mut faults: Vec<AnswerFault>, file: &str) -> AnswerFaults {
+        let file: Arc<str> = file.into();
+        for fault in &mut faults {
+            fault.file = file.clone();
+        }
+        faults.sort_by_key(|fault| (fault.line, fault.column, fault.code));
+        AnswerFaults { faults }
+    }
+}
+
+impl From<AnswerFault> for AnswerFaults {
+    fn from(fault: AnswerFault) -> AnswerFaults {
+        AnswerFaults { faults: vec![fault] }
+    }
+}
--- /dev/null
+++ b/questionnaire/src/generate.rs
@@ -0,0 +1,205 @@
+//! From answers to parts and published values.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+
+use fescuestack_core::{
+    CallerClass, CallersPart, ConfigPart, FleetPart, ManifestRecord, PartContent, PartManifest,
+    PatiencePeriod, RegionEntry, RouteRule, ServicePart, TargetEntry, TargetsPart, manifest_key,
+    page_key, part_key,
+};
+use serde_saphyr::Spanned;
+
+use crate::answers::{
+    Answers, CallerOrigin, ClassAnswer, RouteAnswer, SeriesAnswer, ServiceAnswer, TargetAnswer,
+};
+use crate::artefact::ValueMap;
+use crate::error::{AnswerCode, AnswerFault};
+
+/// Most targets in one series. More would not fit into a value of 1 MB at about 70 bytes each.
+pub const SERIES_LIMIT: u32 = 15_000;
+
+/// The configuration that the answers ask for, ordered by name of part. The same answers give the
+/// same parts. The answers have to be free of faults.
+pub fn generate(answers: &Answers) -> Result<Vec<ConfigPart>, AnswerFault> {
+    let mut parts = vec![ConfigPart::Fleet(fleet_part(answers))];
+    for tenant in &answers.tenants.value {
+        parts.push(ConfigPart::Callers(CallersPart {
+            tenant: tenant.name.value.clone(),
+            zone: tenant.zone.value.clone(),
+            classes: tenant.classes.value.iter().map(caller_class).collect(),
+        }));
+    }
+    for service in &answers.services.value {
+        parts.push(ConfigPart::Service(service_part(service)));
+        parts.push(ConfigPart::Targets(targets_part(service)?));
+    }
+    parts.sort_by_key(ConfigPart::name);
+    Ok(parts)
+}
+
+/// The published bytes of each part.
+pub fn encode_parts(parts: &[ConfigPart]) -> Vec<PartContent> {
+    let encode = |part: &ConfigPart| {
+        let text = String::from_utf8(part.encode()).expect("JSON is UTF-8");
+        PartContent::new(part.name(), text.into())
+    };
+    parts.iter().map(encode).collect()
+}
+
+/// The manifest of `contents`.
+pub fn build_manifest(contents: &[PartContent]) -> PartManifest {
+    let mut manifest = PartManifest::new();
+    let hashes = contents.iter().map(PartContent::hash);
+    manifest.update(contents.iter().map(|part| &part.name).zip(hashes), std::iter::empty());
+    manifest
+}
+
+/// The published values that make up a version, without `head` and delta.
+pub fn publish_values(contents: &[PartContent], manifest: &PartManifest) -> ValueMap {
+    let mut values = ValueMap::new();
+    for part in contents {
+        values.insert(part_key(part.hash()), part.content.to_string());
+    }
+    let pages = manifest.bucket_digests().to_vec();
+    for (index, digest) in pages.iter().enumerate() {
+        let bucket = manifest.bucket(index).expect("each digest belongs to a bucket");
+        values.insert(page_key(*digest), encode_json(bucket));
+    }
+    values.insert(manifest_key(manifest.digest()), encode_json(&ManifestRecord { pages }));
+    values
+}
+
+pub(crate) fn encode_json(value: &impl serde::Serialize) -> String {
+    serde_json::to_string(value).expect("published values hold only what JSON can express")
+}
+
+fn fleet_part(answers: &Answers) -> FleetPart {
+    let regions = answers.regions.value.iter().map(|region| RegionEntry {
+        name: region.name.value.clone(),
+        data_centres: texts(&region.data_centres),
+    });
+    FleetPart {
+        deployment: answers.deployment.value.clone(),
+        regions: regions.collect(),
+        preference: answers.preference.value,
+        link_delay_ms: answers.link_delay_ms.value,
+        caller_delay_ms: answers.caller_delay_ms.value,
+    }
+}
+
+fn texts(list: &Spanned<Vec<Spanned<String>>>) -> Vec<String> {
+    list.value.iter().map(|text| text.value.clone()).collect()
+}
+
+fn caller_class(class: &ClassAnswer) -> CallerClass {
+    let patience = class.patience.value.iter().map(|period| PatiencePeriod {
+        from_minute: period.from.value.minute(),
+        to_minute: period.to.value.minute(),
+        patience_ms: period.patience_ms.value,
+    });
+    CallerClass {
+        name: class.name.value.clone(),
+        internal: class.callers.value == CallerOrigin::Internal,
+        patience: patience.collect(),
+    }
+}
+
+fn service_part(service: &ServiceAnswer) -> ServicePart {
+    ServicePart {
+        service: service.name.value.clone(),
+        tenant: service.tenant.value.clone(),
+        routes: service.routes.value.iter().map(route_rule).collect(),
+        queue_limit: service.queue_limit.value,
+        key_window_ms: service.key_window_ms.value,
+    }
+}
+
+fn route_rule(route: &RouteAnswer) -> RouteRule {
+    RouteRule {
+        method: route.method.value.clone(),
+        prefix: route.prefix.value.clone(),
+        kind: route.kind.value,
+        internal_only: route.internal_only.value,
+        body_limit_bytes: route.body_limit_bytes.value,
+        classes: texts(&route.classes),
+    }
+}
+
+fn targets_part(service: &ServiceAnswer) -> Result<TargetsPart, AnswerFault> {
+    let mut targets: Vec<TargetEntry> = service.targets.value.iter().map(target_entry).collect();
+    for series in &service.target_series.value {
+        targets.extend(expand_series(series)?);
+    }
+    targets.sort_by(|left, right| left.name.cmp(&right.name));
+    Ok(TargetsPart { service: service.name.value.clone(), targets })
+}
+
+fn target_entry(target: &TargetAnswer) -> TargetEntry {
+    TargetEntry {
+        name: target.name.value.as_str().into(),
+        data_centre: target.data_centre.value.as_str().into(),
+        upstream: target.upstream.value,
+        relay: target.relay.value,
+        control: target.control.value,
+        slots: target.slots.value,
+        connections: target.connections.value,
+    }
+}
+
+/// The targets of a series, or the fault that stops it.
+pub(crate) fn expand_series(series: &SeriesAnswer) -> Result<Vec<TargetEntry>, AnswerFault> {
+    let count = series.count.value;
+    if count > SERIES_LIMIT {
+        let message = format!("a series of {count} targets; write at most {SERIES_LIMIT}");
+        return Err(AnswerFault::new(AnswerCode::TooManyTargets, series.count.referenced, message));
+    }
+    if series.over.value.is_empty() {
+        return Ok(Vec::new());
+    }
+    let data_centres: Vec<Arc<str>> =
+        series.over.value.iter().map(|name| name.value.as_str().into()).collect();
+    (0..count).map(|index| series_target(series, &data_centres, index)).collect()
+}
+
+fn series_target(
+    series: &SeriesAnswer,
+    data_centres: &[Arc<str>],
+    index: u32,
+) -> Result<TargetEntry, AnswerFault> {
+    let base = series.base.value;
+    let address = |port: u32| {
+        let ip = shift_ip(base.ip(), u64::from(index) * u64::from(series.address_step.value))?;
+        let offset = u64::from(index) * u64::from(series.port_step.value) + u64::from(port);
+        let port = u16::try_from(u64::from(base.port()) + offset).ok()?;
+        Some(SocketAddr::new(ip, port))
+    };
+    let addresses = address(0).zip(address(1)).zip(address(2));
+    let Some(((upstream, relay), control)) = addresses else {
+        let message = format!(
+            "target {} of the series runs past the last port or address; write a lower base, count \
+             or step",
+            index + 1
+        );
+        return Err(AnswerFault::new(AnswerCode::BadAddress, series.base.referenced, message));
+    };
+    Ok(TargetEntry {
+        name: format!("{}-{}", series.prefix.value, index + 1).into(),
+        data_centre: data_centres[index as usize % data_centres.len()].clone(),
+        upstream,
+        relay,
+        control,
+        slots: series.slots.value,
+        connections: series.connections.value,
+    })
+}
+
+fn shift_ip(ip: IpAddr, offset: u64) -> Option<IpAddr> {
+    match ip {
+        IpAddr::V4(ip) => {
+            let shifted = u64::from(u32::from(ip)).checked_add(offset)?;
+            Some(IpAddr::V4(u32::try_from(shifted).ok()?.into()))
+        }
+        IpAddr::V6(ip) => Some(IpAddr::V6(u128::from(ip).checked_add(offset.into())?.into())),
+    }
+}
--- a/questionnaire/src/lib.rs
+++ b/questionnaire/src/lib.rs
@@ -1,1 +1,29 @@
 //! Generates the configuration from the operators' questionnaire.
+//!
+//! A questionnaire is read and checked ([`Answers::scan`]), turned into parts ([`generate`]), compared
+//! with what is in force ([`compare`]) and accepted as the next version ([`accept`]). Apart from
+//! [`QuestionnaireCommand`] nothing here does I/O.
+
+mod accept;
+mod answers;
+mod artefact;
+mod check;
+mod command;
+mod difference;
+mod error;
+mod fleet;
+mod generate;
+mod tree;
+
+pub use accept::{accept, accept_after};
+pub use answers::{
+    Answers, CallerOrigin, ClassAnswer, DayMinute, PeriodAnswer, RegionAnswer, RouteAnswer,
+    SeriesAnswer, ServiceAnswer, TargetAnswer, TenantAnswer,
+};
+pub use artefact::{Artefact, ValueMap};
+pub use check::{BODY_LIMIT_BYTES, UPLOAD_LIMIT_BYTES, check};
+pub use command::{QuestionnaireAction, QuestionnaireCommand};
+pub use difference::compare;
+pub use error::{AnswerCode, AnswerFault, AnswerFaults};
+pub use fleet::{FleetSize, generate_fleet};
+pub use generate::{SERIES_LIMIT, build_manifest, encode_parts, generate, publish_values};
--- /dev/null
+++ b/questionnaire/tests/deployments.rs
@@ -0,0 +1,163 @@
+//! The worked questionnaires and a generated fleet through check, generate, compare and accept.
+
+use std::collections::BTreeSet;
+
+use fescuestack_core::{
+    ConfigPart, RouteKind, SpreadPreference, VALUE_LIMIT_BYTES, VersionDelta, VersionId, delta_key,
+};
+use fescuestack_questionnaire::{
+    AnswerCode, Answers, Artefact, FleetSize, accept, accept_after, compare, encode_parts,
+    generate, generate_fleet,
+};
+
+const COUNCIL: &str = include_str!("../../deployments/council.yaml");
+const PLAKIDIA: &str = include_str!("../../deployments/plakidia.yaml");
+
+fn scan(text: &str) -> Answers {
+    Answers::scan("test.yaml", text).unwrap_or_else(|faults| panic!("{faults}"))
+}
+
+/// Guards against a worked questionnaire that the node would refuse, and against ports outside the
+/// range that is set aside for the demo.
+#[test]
+fn deployments_are_accepted() {
+    let expected = [
+        (COUNCIL, SpreadPreference::Convergence, vec![("gallery", 4), ("register", 6)]),
+        (PLAKIDIA, SpreadPreference::Bytes, vec![("claims", 5), ("ordering", 7)]),
+    ];
+    for (text, preference, services) in expected {
+        let snapshot = accept(&scan(text), None).unwrap().snapshot().unwrap();
+        assert_eq!(snapshot.fleet().preference, preference);
+        assert_eq!(snapshot.version().number, 1);
+        let mut found: Vec<(&str, usize)> = snapshot
+            .services()
+            .map(|service| (service.part.service.as_str(), service.targets.len()))
+            .collect();
+        found.sort_unstable();
+        assert_eq!(found, services);
+        for target in snapshot.services().flat_map(|service| &service.targets) {
+            for address in [target.upstream, target.relay, target.control] {
+                assert!(address.ip().is_loopback() && (21000..24000).contains(&address.port()));
+            }
+        }
+    }
+}
+
+/// Guards against worked questionnaires that leave a route kind or an internal-only route untried.
+#[test]
+fn deployments_hold_every_route_kind() {
+    let parts = [generate(&scan(COUNCIL)).unwrap(), generate(&scan(PLAKIDIA)).unwrap()];
+    for parts in &parts {
+        let services = parts.iter().filter_map(|part| match part {
+            ConfigPart::Service(part) => Some(part),
+            _ => None,
+        });
+        let routes: Vec<_> = services.flat_map(|service| &service.routes).collect();
+        for kind in [RouteKind::Lookup, RouteKind::Search, RouteKind::Submit, RouteKind::Upload] {
+            assert!(routes.iter().any(|route| route.kind == kind), "{kind:?}");
+        }
+        assert!(routes.iter().any(|route| route.internal_only));
+    }
+}
+
+/// Guards against generation that depends on hash order or on the order of answers.
+#[test]
+fn generation_is_deterministic() {
+    for text in [COUNCIL, PLAKIDIA] {
+        let artefacts = [accept(&scan(text), None).unwrap(), accept(&scan(text), None).unwrap()];
+        assert_eq!(artefacts[0].to_json(), artefacts[1].to_json());
+    }
+    let (left, right) =
+        (generate_fleet(FleetSize::new(40, 200), 7), generate_fleet(FleetSize::new(40, 200), 7));
+    assert_eq!(left.to_yaml(), right.to_yaml());
+    assert_ne!(left.to_yaml(), generate_fleet(FleetSize::new(40, 200), 8).to_yaml());
+}
+
+/// Guards against a delta that carries more than the change, or that does not lead to the version.
+#[test]
+fn acceptance_publishes_the_delta() {
+    let first = accept(&scan(COUNCIL), None).unwrap();
+    assert_eq!(first.head().unwrap().base, VersionId::NONE);
+    let changed = COUNCIL.replace("queue-limit: 48", "queue-limit: 40");
+    let second = accept(&scan(&changed), Some(&first)).unwrap();
+    let head = second.head().unwrap();
+    assert_eq!(head.version.number, 2);
+    assert_eq!(head.base, first.version().unwrap());
+    let delta: VersionDelta =
+        serde_json::from_str(&second.values[&delta_key(head.version)]).unwrap();
+    let names: Vec<&str> = delta.changed.iter().map(|part| &*part.name).collect();
+    assert_eq!(names, ["service/register"]);
+    let reached = first.snapshot().unwrap().with_delta(&delta).unwrap();
+    assert_eq!(reached.version(), head.version);
+    let reread = Artefact::scan(&second.to_json()).unwrap();
+    assert_eq!(reread, second);
+}
+
+/// Guards against an acceptance on top of a version that the operators did not review.
+#[test]
+fn acceptance_requires_the_right_base() {
+    let first = accept(&scan(COUNCIL), None).unwrap();
+    let second = accept(&scan(COUNCIL), Some(&first)).unwrap();
+    let base = first.version().unwrap();
+    let faults = accept_after(&scan(COUNCIL), base, Some(&second)).unwrap_err().faults;
+    assert_eq!(faults[0].code, AnswerCode::BaseMismatch);
+    let rollback = accept(&scan(COUNCIL), Some(&second)).unwrap();
+    assert_eq!(rollback.version().unwrap().number, 3, "a rollback is a new number");
+}
+
+/// Guards against a damaged artefact that is taken as the base.
+#[test]
+fn damaged_artefact_is_refused() {
+    let mut artefact = accept(&scan(COUNCIL), None).unwrap();
+    let part = artefact.values.iter_mut().find(|(key, _)| key.starts_with("parts/")).unwrap();
+    part.1.push(' ');
+    let faults = accept(&scan(COUNCIL), Some(&artefact)).unwrap_err().faults;
+    assert_eq!(faults[0].code, AnswerCode::BadArtefact);
+}
+
+/// Guards against a part that the platform refuses.
+#[test]
+fn large_part_is_refused() {
+    let single = generate_fleet(FleetSize::new(1, 14_900), 1);
+    let faults = accept(&single, None).unwrap_err().faults;
+    assert_eq!(faults[0].code, AnswerCode::ValueTooLarge);
+    assert!(faults[0].message.contains("targets/service-0"), "{}", faults[0]);
+}
+
+/// Guards against a delta above the limit, which would block every change of the whole fleet.
+#[test]
+fn large_delta_is_left_out() {
+    let mut answers = generate_fleet(FleetSize::new(2, 14_000), 1);
+    let first = accept(&answers, None).unwrap();
+    for service in &mut answers.services.value {
+        service.target_series.value[0].slots.value = 7;
+    }
+    let second = accept(&answers, Some(&first)).unwrap();
+    let head = second.head().unwrap();
+    assert_eq!((head.version.number, head.base), (2, VersionId::NONE));
+    assert!(!second.values.contains_key(&delta_key(head.version)));
+    assert!(second.values.values().all(|value| value.len() < VALUE_LIMIT_BYTES));
+}
+
+/// Guards against a fleet of the required size that does not fit the published form.
+#[test]
+fn required_fleet_is_accepted() {
+    let yaml = generate_fleet(FleetSize::new(1_600, 15_000), 42).to_yaml();
+    let answers = scan(&yaml);
+    let first = accept(&answers, None).unwrap();
+    let snapshot = first.snapshot().unwrap();
+    assert_eq!(snapshot.services().count(), 1_600);
+    assert_eq!(snapshot.services().map(|service| service.targets.len()).sum::<usize>(), 15_000);
+    let regions = &snapshot.fleet().regions;
+    let places: BTreeSet<&String> = regions.iter().flat_map(|it| &it.data_centres).collect();
+    assert_eq!((regions.len(), places.len()), (6, 13));
+    assert!(first.values.values().all(|value| value.len() < VALUE_LIMIT_BYTES));
+    let mut changed = answers.clone();
+    changed.services.value[9].queue_limit.value += 1;
+    let second = accept(&changed, Some(&first)).unwrap();
+    let delta = &second.values[&delta_key(second.version().unwrap())];
+    assert!(delta.len() < 10_000, "one changed service costs {} bytes", delta.len());
+    let lines = compare(&generate(&answers).unwrap(), &generate(&changed).unwrap());
+    assert_eq!(lines.len(), 1, "{lines:?}");
+    assert_eq!(encode_parts(&generate(&answers).unwrap()).len(), 1 + 80 + 2 * 1_600);
+}
