Add the request decisions: deadline, balancer, admission, retries, keys, drain

The HTTP packages need the public interface of the call path. This is a first working version of it: CallDeadline, TargetBalancer, AdmissionQueue, RetryBudget, KeyTable with custody of moved keys, QuarantineList, DrainState, TargetGate (the node beside a target) and RequestPlan (the entry node).

--- /dev/null
+++ b/core/src/custody.rs
@@ -0,0 +1,168 @@
+//! Which earlier owners of a key a target has to ask before it runs a request.
+//!
+//! A target that becomes the owner of keys by a change of targets does not know what the earlier owner
+//! ran. Nor does it know whether the earlier owner has applied the change: behind a partition it may go
+//! on for as long as the partition lasts. So the obligation to ask ends only when the earlier owner has
+//! confirmed that it applied the change and a key window has passed since. The exception is a target that the
+//! configuration no longer has, which cannot be waited for: there a window after the change suffices.
+
+use rustc_hash::FxHashMap;
+
+use crate::clock::{ClockSpan, ClockTime};
+use crate::config::NodeName;
+use crate::owner::owner_name;
+use crate::version::VersionId;
+
+/// Most sets of targets that are remembered. A service's targets change about 50 times a day.
+const PAST_LIMIT: usize = 16;
+
+/// A set of targets that has been replaced.
+#[derive(Debug, Clone)]
+struct PastTargets {
+    targets: Vec<NodeName>,
+    /// The first version without this set.
+    version: VersionId,
+    replaced_at: ClockTime,
+    /// Whether versions between this set and the next were not seen.
+    skipped: bool,
+    /// When each target stated that it has applied `version` or a newer one.
+    confirmed: FxHashMap<NodeName, ClockTime>,
+}
+
+/// Whom to ask about a key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum CustodyDuty {
+    /// These targets, possibly none.
+    Ask(Vec<NodeName>),
+    /// It cannot be known until this time.
+    Unsure(ClockTime),
+}
+
+/// The targets of a service over time, as one of them sees it.
+#[derive(Debug, Clone)]
+pub(crate) struct KeyCustody {
+    node: NodeName,
+    window: ClockSpan,
+    current: Vec<NodeName>,
+    version: VersionId,
+    past: Vec<PastTargets>,
+    /// Keys that this node did not own all the time cannot be vouched for until then.
+    unsure_until: ClockTime,
+}
+
+impl KeyCustody {
+    /// Creates the state of a node that has no configuration yet and owns nothing.
+    pub(crate) fn new(node: NodeName, window: ClockSpan) -> KeyCustody {
+        KeyCustody {
+            node,
+            window,
+            current: Vec::new(),
+            version: VersionId::NONE,
+            past: Vec::new(),
+            unsure_until: ClockTime::ZERO,
+        }
+    }
+
+    pub(crate) fn node(&self) -> &NodeName {
+        &self.node
+    }
+
+    pub(crate) fn version(&self) -> VersionId {
+        self.version
+    }
+
+    pub(crate) fn set_window(&mut self, window: ClockSpan) {
+        self.window = self.window.max(window);
+    }
+
+    /// Takes over the targets of a newer version.
+    pub(crate) fn update(&mut self, now: ClockTime, version: VersionId, targets: Vec<NodeName>) {
+        if version <= self.version {
+            return;
+        }
+        let skipped = version.number > self.version.number + 1;
+        let is_first = self.version == VersionId::NONE;
+        self.version = version;
+        if targets == self.current {
+            return;
+        }
+        let before = std::mem::replace(&mut self.current, targets);
+        if is_first {
+            // A node that is new in the configuration takes its keys from the targets that own them
+            // without it. They may not have applied this version yet.
+            let others = self.current.iter().filter(|name| **name != self.node).cloned().collect();
+            self.push(now, others, false);
+        } else {
+            self.push(now, before, skipped);
+        }
+    }
+
+    /// Whether this node owns `key`.
+    pub(crate) fn is_owner(&self, key: &str) -> bool {
+        owner_name(&self.current, key) == Some(&self.node)
+    }
+
+    /// Whom to ask about a key that this node owns.
+    pub(crate) fn duty(&self, now: ClockTime, key: &str) -> CustodyDuty {
+        let mut asked: Vec<NodeName> = Vec::new();
+        let mut moved = false;
+        for past in &self.past {
+            let Some(owner) = owner_name(&past.targets, key) else { continue };
+            if *owner == self.node {
+                continue;
+            }
+            moved = true;
+            let sure_at = past.replaced_at + self.window;
+            if past.skipped && now < sure_at {
+                return CustodyDuty::Unsure(sure_at);
+            }
+            if !self.is_discharged(now, past, owner) && !asked.contains(owner) {
+                asked.push(owner.clone());
+            }
+        }
+        if moved && now < self.unsure_until {
+            return CustodyDuty::Unsure(self.unsure_until);
+        }
+        CustodyDuty::Ask(asked)
+    }
+
+    /// Notes the version that another target stated to have applied.
+    pub(crate) fn confirm(&mut self, now: ClockTime, name: &NodeName, version: VersionId) {
+        for past in &mut self.past {
+            if past.version <= version && past.targets.contains(name) {
+                past.confirmed.entry(name.clone()).or_insert(now);
+            }
+        }
+        self.forget(now);
+    }
+
+    fn push(&mut self, now: ClockTime, targets: Vec<NodeName>, skipped: bool) {
+        self.forget(now);
+        if self.past.len() >= PAST_LIMIT {
+            // What the oldest set would have required to ask can no longer be known.
+            self.past.remove(0);
+            self.unsure_until = now + self.window;
+        }
+        let version = self.version;
+        let confirmed = FxHashMap::default();
+        self.past.push(PastTargets { targets, version, replaced_at: now, skipped, confirmed });
+    }
+
+    fn is_discharged(&self, now: ClockTime, past: &PastTargets, owner: &NodeName) -> bool {
+        let since = match past.confirmed.get(owner) {
+            Some(confirmed_at) => *confirmed_at,
+            None if self.current.contains(owner) => return false,
+            None => past.replaced_at,
+        };
+        now >= since + self.window
+    }
+
+    fn forget(&mut self, now: ClockTime) {
+        let mut past = std::mem::take(&mut self.past);
+        past.retain(|past| {
+            let others = past.targets.iter().filter(|name| **name != self.node);
+            !others.into_iter().all(|name| self.is_discharged(now, past, name))
+        });
+        self.past = past;
+    }
+}
--- /dev/null
+++ b/core/src/keys.rs
@@ -0,0 +1,499 @@
+//! Idempotency keys at the node of their owner: a request with a key runs at most once in the window.
+//!
+//! The table says "not run" of a key only when it is certain that no request with it was dispatched:
+//! the node has been up for a whole window, and every earlier owner has stated that it has not seen the
+//! key and will not run it (it is fenced there). In every other case the outcome is unknown.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
+
+use crate::clock::{ClockSpan, ClockTime};
+use crate::code::ResultCode;
+use crate::config::NodeName;
+use crate::custody::{CustodyDuty, KeyCustody};
+use crate::fingerprint::RequestFingerprint;
+use crate::snapshot::ServiceView;
+use crate::version::VersionId;
+
+/// Most keys that a node remembers.
+pub const KEY_CAPACITY: usize = 20_000;
+
+/// Longest body of an answer that is recorded, in bytes.
+pub const RECORDED_BODY_BYTES: usize = 16 * 1024;
+
+/// Most bytes of recorded bodies together: 20,000 bodies of 16 KB would not fit a node's memory.
+pub const RECORDED_TOTAL_BYTES: usize = 32 * 1024 * 1024;
+
+/// Longest idempotency key, in bytes.
+pub const KEY_LIMIT_BYTES: usize = 128;
+
+/// Rounds of questions to earlier owners, each naming further ones.
+const ASK_ROUNDS: u32 = 4;
+
+/// Most targets that a key is remembered to have been handed to.
+const HANDED_LIMIT: usize = 8;
+
+/// When a caller may ask again about a key in flight.
+const IN_FLIGHT_RETRY: ClockSpan = ClockSpan::new(200);
+
+/// When a caller may ask again after an earlier owner could not be asked.
+const UNSURE_RETRY: ClockSpan = ClockSpan::new(2_000);
+
+/// A complete answer, kept for resends.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordedAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Header names and values to repeat.
+    pub headers: Vec<(String, String)>,
+    /// The whole body.
+    pub body: Vec<u8>,
+}
+
+/// Question of a key's new owner to an earlier one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyQuestion {
+    /// The key.
+    pub key: Arc<str>,
+    /// The target that wants to run a request with it.
+    pub asker: NodeName,
+}
+
+/// Answer of an earlier owner.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyAnswer {
+    /// The version that the earlier owner has applied.
+    pub version: VersionId,
+    /// What it knows of the key.
+    pub finding: KeyFinding,
+}
+
+/// What an earlier owner knows of a key.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum KeyFinding {
+    /// It has not run the key and will not. These targets may have.
+    Fenced {
+        /// Targets to ask as well.
+        also_ask: Vec<NodeName>,
+    },
+    /// A request with the key is queued or running.
+    InFlight,
+    /// A request with the key ran to its end.
+    Done {
+        /// Fingerprint of the request.
+        fingerprint: u64,
+        /// The answer, unless it was too long to record.
+        answer: Option<Arc<RecordedAnswer>>,
+    },
+    /// A request with the key may have run.
+    Unknown {
+        /// Fingerprint of the request.
+        fingerprint: u64,
+        /// How it ended.
+        code: ResultCode,
+    },
+    /// It cannot tell: it started recently, or cannot record the fence.
+    Unsure,
+}
+
+/// What becomes of a request with a key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum KeyVerdict {
+    /// It may run; the key is in flight until `complete`, `lose` or `release`.
+    Run,
+    /// Ask these targets, then call `resume`. The key is in flight until then.
+    Ask(Vec<NodeName>),
+    /// Answer it now; it was not dispatched.
+    Answer {
+        /// 101, 210, 216, 201 or an unknown outcome.
+        code: ResultCode,
+        /// The recorded answer, with 101.
+        recorded: Option<Arc<RecordedAnswer>>,
+        /// When a new attempt may succeed; zero when that cannot be said.
+        retry_after: ClockSpan,
+    },
+}
+
+#[derive(Debug, Clone)]
+enum KeyState {
+    /// Earlier owners are being asked.
+    Asking {
+        asked: Vec<NodeName>,
+        rounds: u32,
+        handed: Vec<NodeName>,
+    },
+    /// Admitted, and perhaps dispatched.
+    Running {
+        dispatched: bool,
+    },
+    Done {
+        answer: Option<Arc<RecordedAnswer>>,
+    },
+    Unknown {
+        code: ResultCode,
+    },
+    /// Handed to other targets.
+    Fenced {
+        handed: Vec<NodeName>,
+    },
+}
+
+#[derive(Debug, Clone)]
+struct KeyEntry {
+    fingerprint: RequestFingerprint,
+    state: KeyState,
+    expires: ClockTime,
+}
+
+/// The keys that a node has seen within the window.
+#[derive(Debug)]
+pub struct KeyTable {
+    custody: KeyCustody,
+    window: ClockSpan,
+    /// Every key seen since then is in the table, until it expires.
+    known_since: ClockTime,
+    entries: FxHashMap<Arc<str>, KeyEntry>,
+    /// In order of insertion, which is the order of expiry.
+    expiries: VecDeque<(ClockTime, Arc<str>)>,
+    recorded_bytes: usize,
+    capacity: usize,
+}
+
+impl KeyTable {
+    /// Creates the table of a node that started at `started`. Times have to come from a clock that does
+    /// not jump forward, since a jump would shorten the window.
+    pub fn new(node: NodeName, window: ClockSpan, started: ClockTime) -> KeyTable {
+        KeyTable {
+            custody: KeyCustody::new(node, window),
+            window,
+            known_since: started,
+            entries: FxHashMap::default(),
+            expiries: VecDeque::new(),
+            recorded_bytes: 0,
+            capacity: KEY_CAPACITY,
+        }
+    }
+
+    /// The table with another capacity, for tests.
+    pub fn with_capacity(self, capacity: usize) -> KeyTable {
+        KeyTable { capacity, ..self }
+    }
+
+    /// Takes over the targets and the window of a newer version.
+    pub fn update(&mut self, now: ClockTime, version: VersionId, service: &ServiceView) {
+        let window = ClockSpan::new(service.part.key_window_ms);
+        if window > self.window {
+            // Keys older than the shorter window have been forgotten.
+            self.known_since = self.known_since.max(now - self.window);
+        }
+        self.window = window;
+        self.custody.set_window(window);
+        let targets = service.targets.iter().map(|target| target.name.clone()).collect();
+        self.custody.update(now, version, targets);
+    }
+
+    /// Decides on a request with a key.
+    pub fn begin(
+        &mut self,
+        now: ClockTime,
+        key: &str,
+        fingerprint: RequestFingerprint,
+    ) -> KeyVerdict {
+        self.expire(now);
+        let mut handed = Vec::new();
+        if let Some(entry) = self.entries.get(key) {
+            match &entry.state {
+                KeyState::Fenced { handed: known } => handed.clone_from(known),
+                _ => return entry.verdict(fingerprint),
+            }
+        }
+        if !self.custody.is_owner(key) {
+            return answer(ResultCode::NotKeyOwner, ClockSpan::ZERO);
+        }
+        let sure_at = self.known_since + self.window;
+        if now < sure_at {
+            return answer(ResultCode::KeyOwnerYoung, sure_at.since(now));
+        }
+        let mut owners = match self.custody.duty(now, key) {
+            CustodyDuty::Ask(owners) => owners,
+            CustodyDuty::Unsure(until) => {
+                return answer(ResultCode::KeyOwnerYoung, until.since(now));
+            }
+        };
+        owners.extend(
+            handed.iter().filter(|name| !owners.contains(name)).cloned().collect::<Vec<_>>(),
+        );
+        if !self.entries.contains_key(key) && self.entries.len() >= self.capacity {
+            return answer(ResultCode::Overload, self.next_expiry(now));
+        }
+        if owners.is_empty() {
+            self.insert(now, key, fingerprint, KeyState::Running { dispatched: false });
+            return KeyVerdict::Run;
+        }
+        let state = KeyState::Asking { asked: owners.clone(), rounds: 1, handed };
+        self.insert(now, key, fingerprint, state);
+        KeyVerdict::Ask(owners)
+    }
+
+    /// Goes on after earlier owners were asked. `None` stands for one that did not answer.
+    pub fn resume(
+        &mut self,
+        now: ClockTime,
+        key: &str,
+        answers: &[(NodeName, Option<KeyAnswer>)],
+    ) -> KeyVerdict {
+        let Some(entry) = self.entries.get(key) else {
+            return answer(ResultCode::KeyOwnerYoung, UNSURE_RETRY);
+        };
+        let KeyState::Asking { asked, rounds, handed } = entry.state.clone() else {
+            return entry.verdict(entry.fingerprint);
+        };
+        let fingerprint = entry.fingerprint;
+        let mut missing = asked.iter().any(|name| !answers.iter().any(|(from, _)| from == name));
+        let mut further: Vec<NodeName> = Vec::new();
+        for (name, reply) in answers {
+            let Some(reply) = reply else {
+                missing = true;
+                continue;
+            };
+            self.custody.confirm(now, name, reply.version);
+            match &reply.finding {
+                KeyFinding::Fenced { also_ask } => {
+                    further.extend(also_ask.iter().filter(|name| !asked.contains(name)).cloned());
+                }
+                KeyFinding::InFlight => {
+                    self.unask(key, handed);
+                    return answer(ResultCode::KeyInFlight, IN_FLIGHT_RETRY);
+                }
+                KeyFinding::Done { fingerprint: first, answer } => {
+                    let first = RequestFingerprint::from_number(*first);
+                    self.insert(now, key, first, KeyState::Done { answer: None });
+                    self.record(key, answer.clone());
+                    return self.entries[key].verdict(fingerprint);
+                }
+                KeyFinding::Unknown { fingerprint: first, code } => {
+                    let first = RequestFingerprint::from_number(*first);
+                    self.insert(now, key, first, KeyState::Unknown { code: *code });
+                    return self.entries[key].verdict(fingerprint);
+                }
+                KeyFinding::Unsure => missing = true,
+            }
+        }
+        further.retain(|name| *name != *self.custody.node());
+        if missing || (rounds >= ASK_ROUNDS && !further.is_empty()) {
+            self.unask(key, handed);
+            return answer(ResultCode::KeyOwnerYoung, UNSURE_RETRY);
+        }
+        if further.is_empty() {
+            self.insert(now, key, fingerprint, KeyState::Running { dispatched: false });
+            return KeyVerdict::Run;
+        }
+        let state = KeyState::Asking { asked: further.clone(), rounds: rounds + 1, handed };
+        self.insert(now, key, fingerprint, state);
+        KeyVerdict::Ask(further)
+    }
+
+    /// Notes that a request is about to be dispatched. False when the key is not in flight here, in
+    /// which case it must not be dispatched.
+    pub fn dispatch(&mut self, key: &str) -> bool {
+        match self.entries.get_mut(key).map(|entry| &mut entry.state) {
+            Some(KeyState::Running { dispatched }) => !std::mem::replace(dispatched, true),
+            _ => false,
+        }
+    }
+
+    /// Ends a request that ran to its end.
+    pub fn complete(&mut self, now: ClockTime, key: &str, recorded: Option<RecordedAnswer>) {
+        let Some(entry) = self.entries.get(key) else { return };
+        let fingerprint = entry.fingerprint;
+        self.insert(now, key, fingerprint, KeyState::Done { answer: None });
+        self.record(key, recorded.map(Arc::new));
+    }
+
+    /// Ends a request that was dispatched and whose outcome is unknown.
+    pub fn lose(&mut self, now: ClockTime, key: &str, code: ResultCode) {
+        let Some(entry) = self.entries.get(key) else { return };
+        let fingerprint = entry.fingerprint;
+        self.insert(now, key, fingerprint, KeyState::Unknown { code });
+    }
+
+    /// Ends a request that was certainly not dispatched; the key may be used again. After a dispatch
+    /// the outcome is unknown instead.
+    pub fn release(&mut self, now: ClockTime, key: &str) {
+        match self.entries.get(key).map(|entry| &entry.state) {
+            Some(KeyState::Running { dispatched: true }) => {
+                self.lose(now, key, ResultCode::UpstreamLost);
+            }
+            Some(KeyState::Running { .. }) => {
+                self.entries.remove(key);
+            }
+            Some(KeyState::Asking { handed, .. }) => {
+                let handed = handed.clone();
+                self.unask(key, handed);
+            }
+            _ => (),
+        }
+    }
+
+    /// Ends a request that was about to be dispatched but of which no byte was sent.
+    pub fn retract(&mut self, now: ClockTime, key: &str) {
+        if let Some(KeyState::Running { dispatched }) =
+            self.entries.get_mut(key).map(|entry| &mut entry.state)
+        {
+            *dispatched = false;
+        }
+        self.release(now, key);
+    }
+
+    /// Answers a new owner. From then on this node does not run the key unless it becomes the owner
+    /// again and has asked in its turn.
+    pub fn answer(&mut self, now: ClockTime, question: &KeyQuestion) -> KeyAnswer {
+        self.expire(now);
+        let finding = self.find(now, question);
+        KeyAnswer { version: self.custody.version(), finding }
+    }
+
+    /// Keys in the table.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether the table holds no keys.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn find(&mut self, now: ClockTime, question: &KeyQuestion) -> KeyFinding {
+        let mut handed = Vec::new();
+        if let Some(entry) = self.entries.get(&question.key) {
+            let fingerprint = entry.fingerprint.number();
+            match &entry.state {
+                KeyState::Asking { .. } | KeyState::Running { .. } => return KeyFinding::InFlight,
+                KeyState::Done { answer } => {
+                    return KeyFinding::Done { fingerprint, answer: answer.clone() };
+                }
+                KeyState::Unknown { code } => {
+                    return KeyFinding::Unknown { fingerprint, code: *code };
+                }
+                KeyState::Fenced { handed: known } => handed.clone_from(known),
+            }
+        } else if self.entries.len() >= self.capacity {
+            return KeyFinding::Unsure;
+        }
+        if now < self.known_since + self.window {
+            return KeyFinding::Unsure;
+        }
+        let CustodyDuty::Ask(mut also_ask) = self.custody.duty(now, &question.key) else {
+            return KeyFinding::Unsure;
+        };
+        also_ask.extend(handed.iter().cloned());
+        also_ask.retain(|name| *name != question.asker);
+        also_ask.sort_unstable();
+        also_ask.dedup();
+        if !handed.contains(&question.asker) {
+            if handed.len() >= HANDED_LIMIT {
+                return KeyFinding::Unsure;
+            }
+            handed.push(question.asker.clone());
+        }
+        let none = RequestFingerprint::from_number(0);
+        self.insert(now, &question.key, none, KeyState::Fenced { handed });
+        KeyFinding::Fenced { also_ask }
+    }
+
+    /// Gives up asking. What was known of the key before stays known.
+    fn unask(&mut self, key: &str, handed: Vec<NodeName>) {
+        if handed.is_empty() {
+            self.entries.remove(key);
+        } else if let Some(entry) = self.entries.get_mut(key) {
+            entry.state = KeyState::Fenced { handed };
+        }
+    }
+
+    fn insert(
+        &mut self,
+        now: ClockTime,
+        key: &str,
+        fingerprint: RequestFingerprint,
+        state: KeyState,
+    ) {
+        let expires = now + self.window;
+        let name: Arc<str> = match self.entries.get_key_value(key) {
+            Some((name, _)) => name.clone(),
+            None => key.into(),
+        };
+        self.expiries.push_back((expires, name.clone()));
+        self.entries.insert(name, KeyEntry { fingerprint, state, expires });
+    }
+
+    fn record(&mut self, key: &str, recorded: Option<Arc<RecordedAnswer>>) {
+        let Some(recorded) = recorded else { return };
+        let bytes = recorded.bytes();
+        if bytes > RECORDED_BODY_BYTES || self.recorded_bytes + bytes > RECORDED_TOTAL_BYTES {
+            return;
+        }
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        self.recorded_bytes += bytes;
+        entry.state = KeyState::Done { answer: Some(recorded) };
+    }
+
+    /// Forgets keys after their window. A key in flight stays, whatever its age.
+    fn expire(&mut self, now: ClockTime) {
+        while let Some((expires, _)) = self.expiries.front() {
+            if now < *expires {
+                break;
+            }
+            let Some((_, key)) = self.expiries.pop_front() else { break };
+            let Some(entry) = self.entries.get(&key) else { continue };
+            if now < entry.expires {
+                continue;
+            }
+            match &entry.state {
+                KeyState::Asking { .. } | KeyState::Running { .. } => continue,
+                KeyState::Done { answer: Some(answer) } => self.recorded_bytes -= answer.bytes(),
+                _ => (),
+            }
+            self.entries.remove(&key);
+        }
+    }
+
+    fn next_expiry(&self, now: ClockTime) -> ClockSpan {
+        let first = self.expiries.front().map(|(expires, _)| expires.since(now));
+        first.unwrap_or(UNSURE_RETRY).max(IN_FLIGHT_RETRY)
+    }
+}
+
+impl KeyEntry {
+    /// The answer to a request whose key is in the table.
+    fn verdict(&self, fingerprint: RequestFingerprint) -> KeyVerdict {
+        if fingerprint != self.fingerprint {
+            return answer(ResultCode::BadRequest, ClockSpan::ZERO);
+        }
+        match &self.state {
+            KeyState::Done { answer: Some(recorded) } => KeyVerdict::Answer {
+                code: ResultCode::DoneEarlier,
+                recorded: Some(recorded.clone()),
+                retry_after: ClockSpan::ZERO,
+            },
+            // It ran, but its answer was too long to keep.
+            KeyState::Done { answer: None } => answer(ResultCode::AnswerTruncated, ClockSpan::ZERO),
+            KeyState::Unknown { code } => answer(*code, ClockSpan::ZERO),
+            _ => answer(ResultCode::KeyInFlight, IN_FLIGHT_RETRY),
+        }
+    }
+}
+
+impl RecordedAnswer {
+    /// Size that counts towards the limits, in bytes.
+    fn bytes(&self) -> usize {
+        let headers = self.headers.iter().map(|(name, value)| name.len() + value.len());
+        headers.sum::<usize>() + self.body.len()
+    }
+}
+
+fn answer(code: ResultCode, retry_after: ClockSpan) -> KeyVerdict {
+    KeyVerdict::Answer { code, recorded: None, retry_after }
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -3,17 +3,35 @@
 //! Nothing here does I/O, starts threads, reads a clock or draws its own random numbers. An input and
 //! a time go in, actions come out, so that tests, replays and nodes drive the same code.
 
+mod admission;
+mod balancer;
 mod clock;
 mod code;
 mod config;
 mod control;
+mod custody;
+mod deadline;
 mod delta;
+mod drain;
+mod fingerprint;
+mod gate;
+mod keys;
 mod manifest;
 mod message;
+mod owner;
 mod patience;
+mod plan;
+mod quarantine;
+mod retries;
 mod snapshot;
 mod version;
 
+pub use admission::{
+    AdmissionAction, AdmissionAnswer, AdmissionCall, AdmissionQueue, AdmissionSettings, CallTicket,
+};
+pub use balancer::{
+    LoadReport, TargetBalancer, TargetChoice, TargetLiveness, TargetOutcome, scan_load,
+};
 pub use clock::{ClockSpan, ClockTime};
 pub use code::{CallOutcome, ResultCode};
 pub use config::{
@@ -25,12 +43,24 @@
     ControlAction, ControlInput, ControlSettings, PlatformFault, ReadAnswer, ValueRecord, VmEntry,
     VmState,
 };
+pub use deadline::{CallDeadline, LEFT_HEADER, scan_left};
 pub use delta::{
     HEAD_KEY, HeadRecord, ManifestRecord, PartContent, VersionDelta, delta_key, manifest_key,
     page_key, part_key,
 };
+pub use drain::{DrainPhase, DrainState};
+pub use fingerprint::{FINGERPRINT_BODY_BYTES, RequestFingerprint};
+pub use gate::{GateAction, GateCall, GateOutcome, GateReply, GateSettings, GateStep, TargetGate};
+pub use keys::{
+    KEY_CAPACITY, KEY_LIMIT_BYTES, KeyAnswer, KeyFinding, KeyQuestion, KeyTable, KeyVerdict,
+    RECORDED_BODY_BYTES, RECORDED_TOTAL_BYTES, RecordedAnswer,
+};
 pub use manifest::{BUCKET_COUNT, BucketEntries, PartManifest, bucket_index};
 pub use message::{PeerAddress, PeerMessage};
+pub use owner::key_owner;
 pub use patience::{DAY_MINUTES, PatienceZone};
+pub use plan::{AttemptEnd, PlanAnswer, PlanCall, PlanStep, RequestPlan};
+pub use quarantine::{QUARANTINE_LIMIT, QUARANTINE_SPAN, QuarantineList};
+pub use retries::{ATTEMPT_LIMIT, RetryBudget, RetryCase};
 pub use snapshot::{ConfigSnapshot, RejectReason, ServiceView, TenantView};
 pub use version::{HASH_BYTES, PartHash, VersionId};
