Keep class queues in order of deadline and split the key messages from the table

Finding the calls ahead of a new one scanned the whole queue; it is now a binary search for each class. Planned moves are retried even in nested retries, since they never ran. Not measured yet.

--- a/core/src/admission.rs
+++ b/core/src/admission.rs
@@ -1,6 +1,6 @@
 //! Which calls the upstream beside this node runs, and in which order.
 
-use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 use rustc_hash::FxHashMap;
@@ -10,6 +10,7 @@
 use crate::code::ResultCode;
 use crate::config::RouteKind;
 use crate::deadline::CallDeadline;
+use crate::owner::mix;
 
 /// Service time that is assumed before the first call has ended, in µs.
 const FIRST_SERVICE_MICROS: u64 = 1_000;
@@ -17,6 +18,9 @@
 /// Weight of a new service time in the running mean: 1 / 8.
 const MEAN_SHIFT: u64 = 8;
 
+/// Kinds of routes.
+const KIND_COUNT: usize = 4;
+
 /// Shortest retry-after time of a refusal.
 const RETRY_AFTER_MINIMUM: ClockSpan = ClockSpan::new(50);
 
@@ -69,16 +73,14 @@
     Expire(CallTicket),
 }
 
-#[derive(Debug, Clone, Copy)]
-struct WaitingCall {
-    kind: RouteKind,
-    class: usize,
-}
-
-#[derive(Debug, Default)]
-struct TenantQueue {
+/// The calls of a class that wait. All have about the same patience, so a new one goes to the end.
+#[derive(Debug)]
+struct ClassQueue {
+    tenant: usize,
     /// In order of deadline, then of arrival.
-    calls: BTreeMap<(CallDeadline, CallTicket), WaitingCall>,
+    calls: VecDeque<(CallDeadline, CallTicket, RouteKind)>,
+    /// Calls of each kind.
+    kinds: [u64; KIND_COUNT],
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -98,16 +100,17 @@
 pub struct AdmissionQueue {
     settings: AdmissionSettings,
     next_ticket: u64,
-    tenants: Vec<TenantQueue>,
-    tenant_indexes: FxHashMap<Arc<str>, usize>,
-    /// Class, its tenant's index and its queue length.
-    classes: Vec<(Arc<str>, usize, u32)>,
+    classes: Vec<ClassQueue>,
     class_indexes: FxHashMap<Arc<str>, usize>,
+    /// Indexes of each tenant's classes.
+    tenants: Vec<Vec<usize>>,
+    tenant_indexes: FxHashMap<Arc<str>, usize>,
     /// Tenant that is served next.
     turn: usize,
+    /// Class and deadline of each call that waits.
     waiting: FxHashMap<CallTicket, (usize, CallDeadline)>,
     running: FxHashMap<CallTicket, RunningCall>,
-    times: [ServiceTime; 4],
+    times: [ServiceTime; KIND_COUNT],
     /// Mean over all kinds, as it is reported to other nodes.
     mean: u64,
 }
@@ -119,14 +122,14 @@
         AdmissionQueue {
             settings,
             next_ticket: 0,
-            tenants: Vec::new(),
-            tenant_indexes: FxHashMap::default(),
             classes: Vec::new(),
             class_indexes: FxHashMap::default(),
+            tenants: Vec::new(),
+            tenant_indexes: FxHashMap::default(),
             turn: 0,
             waiting: FxHashMap::default(),
             running: FxHashMap::default(),
-            times: [time; 4],
+            times: [time; KIND_COUNT],
             mean: FIRST_SERVICE_MICROS,
         }
     }
@@ -141,32 +144,29 @@
         if let Err(code) = call.deadline.verify(now) {
             return AdmissionAnswer::Refused { code, retry_after: ClockSpan::ZERO };
         }
-        let class = self.class_index(call.class);
-        let tenant = self.classes[class].1;
-        if self.running.len() < self.settings.slots as usize && self.waiting.is_empty() {
-            let left = call.deadline.left(now).millis() * 1000;
+        let left = call.deadline.left(now).millis() * 1000;
+        let needed = self.needed(call.kind);
+        if self.has_slot() && self.waiting.is_empty() {
             // One call may always run: without it, no new service time would ever correct an estimate
             // that has become too long.
-            if self.running.is_empty() || self.needed(call.kind) <= left {
+            if self.running.is_empty() || needed <= left {
                 let ticket = self.ticket();
                 self.running.insert(ticket, RunningCall { kind: call.kind, since: now });
                 return AdmissionAnswer::Run(ticket);
             }
             return self.refusal(ResultCode::Overload, 0);
         }
-        if self.classes[class].2 >= self.settings.queue_limit {
-            let wait = self.expected_wait(now, tenant, call.deadline);
+        let class = self.class_index(call.class);
+        let wait = self.expected_wait(now, self.classes[class].tenant, call.deadline);
+        if self.classes[class].calls.len() >= self.settings.queue_limit as usize {
             return self.refusal(ResultCode::TenantLimit, wait);
         }
-        let wait = self.expected_wait(now, tenant, call.deadline);
-        if wait + self.needed(call.kind) > call.deadline.left(now).millis() * 1000 {
+        if wait + needed > left {
             return self.refusal(ResultCode::Overload, wait);
         }
         let ticket = self.ticket();
-        self.classes[class].2 += 1;
-        let waiting = WaitingCall { kind: call.kind, class };
-        self.tenants[tenant].calls.insert((call.deadline, ticket), waiting);
-        self.waiting.insert(ticket, (tenant, call.deadline));
+        self.classes[class].insert(call.deadline, ticket, call.kind);
+        self.waiting.insert(ticket, (class, call.deadline));
         AdmissionAnswer::Wait(ticket)
     }
 
@@ -174,7 +174,7 @@
     /// `cancel` and `update`, and at least every 100 ms.
     pub fn poll(&mut self, now: ClockTime, actions: &mut Vec<AdmissionAction>) {
         self.expire(now, actions);
-        while self.running.len() < self.settings.slots as usize {
+        while self.has_slot() {
             let Some(ticket) = self.take_next(now, actions) else { break };
             actions.push(AdmissionAction::Run(ticket));
         }
@@ -195,10 +195,8 @@
     /// Removes a call whose caller has gone. True when it was still waiting and so never runs; a
     /// running call is ended with `finish`.
     pub fn cancel(&mut self, ticket: CallTicket) -> bool {
-        let Some((tenant, deadline)) = self.waiting.remove(&ticket) else { return false };
-        if let Some(call) = self.tenants[tenant].calls.remove(&(deadline, ticket)) {
-            self.classes[call.class].2 -= 1;
-        }
+        let Some((class, deadline)) = self.waiting.remove(&ticket) else { return false };
+        self.classes[class].remove(deadline, ticket);
         true
     }
 
@@ -222,23 +220,28 @@
         CallTicket(self.next_ticket)
     }
 
+    fn has_slot(&self) -> bool {
+        self.running.len() < self.settings.slots as usize
+    }
+
     fn class_index(&mut self, label: &str) -> usize {
         if let Some(index) = self.class_indexes.get(label) {
             return *index;
         }
-        let tenant = label.split_once('/').map_or(label, |(tenant, _)| tenant);
-        let tenant = match self.tenant_indexes.get(tenant) {
-            Some(index) => *index,
+        let name = label.split_once('/').map_or(label, |(tenant, _)| tenant);
+        let tenant = match self.tenant_indexes.get(name) {
+            Some(tenant) => *tenant,
             None => {
-                self.tenants.push(TenantQueue::default());
-                self.tenant_indexes.insert(tenant.into(), self.tenants.len() - 1);
+                self.tenants.push(Vec::new());
+                self.tenant_indexes.insert(name.into(), self.tenants.len() - 1);
                 self.tenants.len() - 1
             }
         };
-        let label: Arc<str> = label.into();
-        self.classes.push((label.clone(), tenant, 0));
-        self.class_indexes.insert(label, self.classes.len() - 1);
-        self.classes.len() - 1
+        let index = self.classes.len();
+        self.tenants[tenant].push(index);
+        self.classes.push(ClassQueue { tenant, calls: VecDeque::new(), kinds: [0; KIND_COUNT] });
+        self.class_indexes.insert(label.into(), index);
+        index
     }
 
     /// Time that a call of this kind needs in a slot, in µs.
@@ -249,14 +252,16 @@
 
     /// Time until a new call of this tenant gets a slot, in µs.
     fn expected_wait(&self, now: ClockTime, tenant: usize, deadline: CallDeadline) -> u64 {
-        let own = &self.tenants[tenant].calls;
-        let ahead = own.range(..(deadline, CallTicket(u64::MAX))).count();
+        let own = self.tenants[tenant].iter().map(|class| &self.classes[*class]);
+        let ahead: usize = own.map(|class| class.calls_before(deadline)).sum();
         let mut work = 0;
-        for (index, queue) in self.tenants.iter().enumerate() {
+        for (index, classes) in self.tenants.iter().enumerate() {
             // Tenants take turns, so another tenant gets at most one slot more than this one before
             // the new call has its turn.
             let turns = if index == tenant { ahead } else { ahead + 1 };
-            work += self.work(queue.calls.values().take(turns));
+            let calls: usize = classes.iter().map(|class| self.classes[*class].calls.len()).sum();
+            let total: u64 = classes.iter().map(|class| self.work(&self.classes[*class])).sum();
+            work += total * turns.min(calls) as u64 / calls.max(1) as u64;
         }
         for call in self.running.values() {
             let ran = now.since(call.since).millis() * 1000;
@@ -265,19 +270,22 @@
         work / u64::from(self.settings.slots.max(1))
     }
 
-    fn work<'a>(&self, calls: impl Iterator<Item = &'a WaitingCall>) -> u64 {
-        calls.map(|call| self.times[call.kind as usize].mean).sum()
+    /// Time that the calls of a class need in slots, in µs.
+    fn work(&self, class: &ClassQueue) -> u64 {
+        class.kinds.iter().zip(&self.times).map(|(count, time)| count * time.mean).sum()
     }
 
-    fn refusal(&self, code: ResultCode, wait_micros: u64) -> AdmissionAnswer {
-        let retry_after = ClockSpan::new(wait_micros / 1000).max(RETRY_AFTER_MINIMUM);
-        AdmissionAnswer::Refused { code, retry_after }
+    /// A refusal with a retry-after time of one to two times the wait. It differs from call to call, so
+    /// that refused callers do not all come back at once.
+    fn refusal(&mut self, code: ResultCode, wait_micros: u64) -> AdmissionAnswer {
+        let wait = (wait_micros / 1000).max(RETRY_AFTER_MINIMUM.millis());
+        let spread = mix(self.ticket().0) % wait;
+        AdmissionAnswer::Refused { code, retry_after: ClockSpan::new(wait + spread) }
     }
 
     fn expire(&mut self, now: ClockTime, actions: &mut Vec<AdmissionAction>) {
-        for tenant in 0..self.tenants.len() {
-            while let Some((&(deadline, ticket), _)) = self.tenants[tenant].calls.first_key_value()
-            {
+        for class in 0..self.classes.len() {
+            while let Some(&(deadline, ticket, _)) = self.classes[class].calls.front() {
                 if !deadline.is_over(now) {
                     break;
                 }
@@ -293,25 +301,49 @@
         now: ClockTime,
         actions: &mut Vec<AdmissionAction>,
     ) -> Option<CallTicket> {
-        while !self.waiting.is_empty() {
-            let tenant = self.next_tenant()?;
-            let (&(deadline, ticket), &call) = self.tenants[tenant].calls.first_key_value()?;
+        while let Some(class) = self.next_class() {
+            let &(deadline, ticket, kind) = self.classes[class].calls.front()?;
             self.cancel(ticket);
-            let hopeless = self.needed(call.kind) > deadline.left(now).millis() * 1000;
+            let hopeless = self.needed(kind) > deadline.left(now).millis() * 1000;
             if hopeless && !self.running.is_empty() {
                 actions.push(AdmissionAction::Expire(ticket));
                 continue;
             }
-            self.turn = tenant + 1;
-            self.running.insert(ticket, RunningCall { kind: call.kind, since: now });
+            self.turn = self.classes[class].tenant + 1;
+            self.running.insert(ticket, RunningCall { kind, since: now });
             return Some(ticket);
         }
         None
     }
 
-    fn next_tenant(&self) -> Option<usize> {
+    /// The class with the least time left of the tenant whose turn it is.
+    fn next_class(&self) -> Option<usize> {
         let count = self.tenants.len();
-        let order = (0..count).map(|step| (self.turn + step) % count);
-        order.into_iter().find(|tenant| !self.tenants[*tenant].calls.is_empty())
+        (0..count).find_map(|step| {
+            let classes = self.tenants[(self.turn + step) % count].iter().copied();
+            let busy = classes.filter(|class| !self.classes[*class].calls.is_empty());
+            busy.min_by_key(|class| self.classes[*class].calls[0].0)
+        })
+    }
+}
+
+impl ClassQueue {
+    fn insert(&mut self, deadline: CallDeadline, ticket: CallTicket, kind: RouteKind) {
+        let position = self.calls_before(deadline);
+        self.calls.insert(position, (deadline, ticket, kind));
+        self.kinds[kind as usize] += 1;
+    }
+
+    fn remove(&mut self, deadline: CallDeadline, ticket: CallTicket) {
+        let found = self.calls.binary_search_by_key(&(deadline, ticket), |call| (call.0, call.1));
+        let Some((_, _, kind)) = found.ok().and_then(|index| self.calls.remove(index)) else {
+            return;
+        };
+        self.kinds[kind as usize] -= 1;
+    }
+
+    /// Calls that have no more time left than one with this deadline.
+    fn calls_before(&self, deadline: CallDeadline) -> usize {
+        self.calls.partition_point(|call| call.0 <= deadline)
     }
 }
--- a/core/src/custody.rs
+++ b/core/src/custody.rs
@@ -97,9 +97,14 @@
         }
     }
 
+    /// The owner of `key` by the active version.
+    pub(crate) fn owner(&self, key: &str) -> Option<&NodeName> {
+        owner_name(&self.current, key)
+    }
+
     /// Whether this node owns `key`.
     pub(crate) fn is_owner(&self, key: &str) -> bool {
-        owner_name(&self.current, key) == Some(&self.node)
+        self.owner(key) == Some(&self.node)
     }
 
     /// Whom to ask about a key that this node owns.
--- a/core/src/keys.rs
+++ b/core/src/keys.rs
@@ -8,13 +8,13 @@
 use std::sync::Arc;
 
 use rustc_hash::FxHashMap;
-use serde::{Deserialize, Serialize};
 
 use crate::clock::{ClockSpan, ClockTime};
 use crate::code::ResultCode;
 use crate::config::NodeName;
 use crate::custody::{CustodyDuty, KeyCustody};
 use crate::fingerprint::RequestFingerprint;
+use crate::handover::{KeyAnswer, KeyFinding, KeyQuestion, RecordedAnswer};
 use crate::snapshot::ServiceView;
 use crate::version::VersionId;
 
@@ -36,69 +36,15 @@
 /// Most targets that a key is remembered to have been handed to.
 const HANDED_LIMIT: usize = 8;
 
+/// Fingerprint of a key that was fenced before any request with it came.
+const NO_REQUEST: RequestFingerprint = RequestFingerprint::from_number(0);
+
 /// When a caller may ask again about a key in flight.
 const IN_FLIGHT_RETRY: ClockSpan = ClockSpan::new(200);
 
 /// When a caller may ask again after an earlier owner could not be asked.
 const UNSURE_RETRY: ClockSpan = ClockSpan::new(2_000);
 
-/// A complete answer, kept for resends.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RecordedAnswer {
-    /// HTTP status.
-    pub status: u16,
-    /// Header names and values to repeat.
-    pub headers: Vec<(String, String)>,
-    /// The whole body.
-    pub body: Vec<u8>,
-}
-
-/// Question of a key's new owner to an earlier one.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct KeyQuestion {
-    /// The key.
-    pub key: Arc<str>,
-    /// The target that wants to run a request with it.
-    pub asker: NodeName,
-}
-
-/// Answer of an earlier owner.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct KeyAnswer {
-    /// The version that the earlier owner has applied.
-    pub version: VersionId,
-    /// What it knows of the key.
-    pub finding: KeyFinding,
-}
-
-/// What an earlier owner knows of a key.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum KeyFinding {
-    /// It has not run the key and will not. These targets may have.
-    Fenced {
-        /// Targets to ask as well.
-        also_ask: Vec<NodeName>,
-    },
-    /// A request with the key is queued or running.
-    InFlight,
-    /// A request with the key ran to its end.
-    Done {
-        /// Fingerprint of the request.
-        fingerprint: u64,
-        /// The answer, unless it was too long to record.
-        answer: Option<Arc<RecordedAnswer>>,
-    },
-    /// A request with the key may have run.
-    Unknown {
-        /// Fingerprint of the request.
-        fingerprint: u64,
-        /// How it ended.
-        code: ResultCode,
-    },
-    /// It cannot tell: it started recently, or cannot record the fence.
-    Unsure,
-}
-
 /// What becomes of a request with a key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum KeyVerdict {
@@ -223,9 +169,9 @@
                 return answer(ResultCode::KeyOwnerYoung, until.since(now));
             }
         };
-        owners.extend(
-            handed.iter().filter(|name| !owners.contains(name)).cloned().collect::<Vec<_>>(),
-        );
+        owners.extend(handed.iter().cloned());
+        owners.sort_unstable();
+        owners.dedup();
         if !self.entries.contains_key(key) && self.entries.len() >= self.capacity {
             return answer(ResultCode::Overload, self.next_expiry(now));
         }
@@ -265,7 +211,7 @@
                     further.extend(also_ask.iter().filter(|name| !asked.contains(name)).cloned());
                 }
                 KeyFinding::InFlight => {
-                    self.unask(key, handed);
+                    self.unask(now, key, handed);
                     return answer(ResultCode::KeyInFlight, IN_FLIGHT_RETRY);
                 }
                 KeyFinding::Done { fingerprint: first, answer } => {
@@ -284,7 +230,7 @@
         }
         further.retain(|name| *name != *self.custody.node());
         if missing || (rounds >= ASK_ROUNDS && !further.is_empty()) {
-            self.unask(key, handed);
+            self.unask(now, key, handed);
             return answer(ResultCode::KeyOwnerYoung, UNSURE_RETRY);
         }
         if further.is_empty() {
@@ -329,10 +275,14 @@
             }
             Some(KeyState::Running { .. }) => {
                 self.entries.remove(key);
+                // A refusal follows the entry at once. Without this, refusals would fill the list.
+                if self.expiries.back().is_some_and(|(_, last)| **last == *key) {
+                    self.expiries.pop_back();
+                }
             }
             Some(KeyState::Asking { handed, .. }) => {
                 let handed = handed.clone();
-                self.unask(key, handed);
+                self.unask(now, key, handed);
             }
             _ => (),
         }
@@ -390,7 +340,8 @@
             return KeyFinding::Unsure;
         };
         also_ask.extend(handed.iter().cloned());
-        also_ask.retain(|name| *name != question.asker);
+        also_ask.extend(self.custody.owner(&question.key).cloned());
+        also_ask.retain(|name| *name != question.asker && *name != *self.custody.node());
         also_ask.sort_unstable();
         also_ask.dedup();
         if !handed.contains(&question.asker) {
@@ -399,17 +350,16 @@
             }
             handed.push(question.asker.clone());
         }
-        let none = RequestFingerprint::from_number(0);
-        self.insert(now, &question.key, none, KeyState::Fenced { handed });
+        self.insert(now, &question.key, NO_REQUEST, KeyState::Fenced { handed });
         KeyFinding::Fenced { also_ask }
     }
 
     /// Gives up asking. What was known of the key before stays known.
-    fn unask(&mut self, key: &str, handed: Vec<NodeName>) {
+    fn unask(&mut self, now: ClockTime, key: &str, handed: Vec<NodeName>) {
         if handed.is_empty() {
             self.entries.remove(key);
-        } else if let Some(entry) = self.entries.get_mut(key) {
-            entry.state = KeyState::Fenced { handed };
+        } else {
+            self.insert(now, key, NO_REQUEST, KeyState::Fenced { handed });
         }
     }
 
@@ -486,14 +436,6 @@
     }
 }
 
-impl RecordedAnswer {
-    /// Size that counts towards the limits, in bytes.
-    fn bytes(&self) -> usize {
-        let headers = self.headers.iter().map(|(name, value)| name.len() + value.len());
-        headers.sum::<usize>() + self.body.len()
-    }
-}
-
 fn answer(code: ResultCode, retry_after: ClockSpan) -> KeyVerdict {
     KeyVerdict::Answer { code, recorded: None, retry_after }
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -15,6 +15,7 @@
 mod drain;
 mod fingerprint;
 mod gate;
+mod handover;
 mod keys;
 mod manifest;
 mod message;
@@ -51,9 +52,9 @@
 pub use drain::{DrainPhase, DrainState};
 pub use fingerprint::{FINGERPRINT_BODY_BYTES, RequestFingerprint};
 pub use gate::{GateAction, GateCall, GateOutcome, GateReply, GateSettings, GateStep, TargetGate};
+pub use handover::{KeyAnswer, KeyFinding, KeyQuestion, RecordedAnswer};
 pub use keys::{
-    KEY_CAPACITY, KEY_LIMIT_BYTES, KeyAnswer, KeyFinding, KeyQuestion, KeyTable, KeyVerdict,
-    RECORDED_BODY_BYTES, RECORDED_TOTAL_BYTES, RecordedAnswer,
+    KEY_CAPACITY, KEY_LIMIT_BYTES, KeyTable, KeyVerdict, RECORDED_BODY_BYTES, RECORDED_TOTAL_BYTES,
 };
 pub use manifest::{BUCKET_COUNT, BucketEntries, PartManifest, bucket_index};
 pub use message::{PeerAddress, PeerMessage};
--- a/core/src/owner.rs
+++ b/core/src/owner.rs
@@ -30,7 +30,7 @@
 }
 
 /// The finaliser of SplitMix64. Without it, xor would keep the order of targets for similar keys.
-const fn mix(mut number: u64) -> u64 {
+pub(crate) const fn mix(mut number: u64) -> u64 {
     number = (number ^ (number >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     number = (number ^ (number >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     number ^ (number >> 31)
--- a/core/src/plan.rs
+++ b/core/src/plan.rs
@@ -92,7 +92,8 @@
         RequestPlan { call, attempts: 0, tried: Vec::new(), current: None, doubt: None }
     }
 
-    /// The answer to a call that is refused before `start`, such as for want of a route.
+    /// The answer to a call that is refused before `start`, such as for want of a route. A quarantined
+    /// request with a key is better started: its owner can say "not run", this node cannot.
     pub fn refuse(&self, code: ResultCode, retry_after: Option<ClockSpan>) -> PlanAnswer {
         self.conclude(code, false, retry_after)
     }
@@ -178,7 +179,8 @@
         if let Some(key) = self.key() {
             let owner = key_owner(service, key).map(|owner| &owner.name);
             let is_same = owner.is_some() && owner == self.tried.last();
-            repeatable = is_same;
+            // The owner's node has recorded how the request ended, unless its answer was lost.
+            repeatable = is_same && !end.from_target;
             let moved = matches!(
                 end.code,
                 ResultCode::Leaving | ResultCode::NotReady | ResultCode::NotKeyOwner
--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -101,6 +101,19 @@
         suspects.into_iter().filter(|suspect| self.add(now, *suspect, share)).collect()
     }
 
+    /// Scores a request of this node after another node lost its upstream while running it along with
+    /// others, `running` in all. A crash beside this node is scored by `crash` alone. True when the
+    /// fingerprint is now quarantined.
+    pub fn crash_elsewhere(
+        &mut self,
+        now: ClockTime,
+        fingerprint: RequestFingerprint,
+        running: u32,
+    ) -> bool {
+        self.forget(now);
+        self.add(now, fingerprint, CRASH_POINTS / running.max(1))
+    }
+
     /// Adds a share of a crash. True when that quarantines the fingerprint.
     fn add(&mut self, now: ClockTime, fingerprint: RequestFingerprint, share: u32) -> bool {
         if !self.scores.contains_key(&fingerprint) && self.scores.len() >= QUARANTINE_LIMIT {
--- a/core/src/retries.rs
+++ b/core/src/retries.rs
@@ -66,22 +66,26 @@
 impl RetryCase {
     /// Decides on a retry and takes it from the budget if it has to be paid for.
     pub fn decide(&self, budget: &mut RetryBudget) -> bool {
-        if self.nested || self.attempts >= ATTEMPT_LIMIT || self.left <= self.needed {
+        if self.attempts >= ATTEMPT_LIMIT || self.left <= self.needed {
             return false;
         }
         match self.code {
             // Planned moves: the target said so before any work, and another one takes the call. They
             // are free, since a restart of a quarter of a service would use up any budget.
             ResultCode::Leaving | ResultCode::NotReady | ResultCode::NotKeyOwner => true,
-            ResultCode::ConnectFailed => budget.take(),
+            ResultCode::ConnectFailed => self.pay(budget),
             // An overloaded service gets no second attempt, or its overload would feed itself.
             // Every other refusal would be repeated by any target.
             code if code.outcome() == Some(CallOutcome::Unknown) => {
-                self.repeatable && is_worth_repeating(code) && budget.take()
+                self.repeatable && is_worth_repeating(code) && self.pay(budget)
             }
             _ => false,
         }
     }
+
+    fn pay(&self, budget: &mut RetryBudget) -> bool {
+        !self.nested && budget.take()
+    }
 }
 
 /// Whether another attempt can end better than the one that ended with this unknown outcome.
