Add the control state: source reads, distribution, transfers and membership

The control side of a node had interface types only. ControlState now reads the platform (head, deltas, manifest, pages, parts), applies and pushes versions along rotated trees, answers pulls, keeps the members of its data centre and talks to the gateways of others.

--- a/core/src/control.rs
+++ b/core/src/control.rs
@@ -4,7 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::message::{PeerAddress, PeerMessage};
+use crate::config::NodeName;
+use crate::message::{MemberState, PeerAddress, PeerMessage};
 use crate::snapshot::ConfigSnapshot;
 
 /// What a control state knows from the node's settings.
@@ -107,6 +108,11 @@
         /// Fingerprints of the requests that were running.
         fingerprints: Vec<u64>,
     },
+    /// Requests with these fingerprints, reported by a crash before, completed.
+    RunsCompleted {
+        /// Fingerprints of the requests.
+        fingerprints: Vec<u64>,
+    },
     /// The node begins a graceful shutdown.
     Leave,
 }
@@ -143,4 +149,16 @@
         /// The peer.
         peer: PeerAddress,
     },
+    /// A target became usable or unusable. Targets that were never named here are usable.
+    Liveness {
+        /// Name of the target and of the node beside it.
+        name: NodeName,
+        /// New state; only [`MemberState::Alive`] is usable.
+        state: MemberState,
+    },
+    /// The list of quarantined request fingerprints changed; this is the whole list.
+    Quarantine {
+        /// The fingerprints, in ascending order.
+        fingerprints: Vec<u64>,
+    },
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -3,16 +3,33 @@
 //! Nothing here does I/O, starts threads, reads a clock or draws its own random numbers. An input and
 //! a time go in, actions come out, so that tests, replays and nodes drive the same code.
 
+mod assembly;
 mod clock;
 mod code;
 mod config;
 mod control;
+mod crashes;
 mod delta;
+mod distribution;
+mod events;
+mod gateways;
 mod manifest;
+mod members;
+mod membership;
 mod message;
 mod patience;
+mod probes;
+mod serving;
 mod snapshot;
+mod source;
+mod start;
+mod state;
+mod status;
+mod targets;
+mod transfer;
+mod trees;
 mod version;
+mod versions;
 
 pub use clock::{ClockSpan, ClockTime};
 pub use code::{CallOutcome, ResultCode};
@@ -29,8 +46,14 @@
     HEAD_KEY, HeadRecord, ManifestRecord, PartContent, VersionDelta, delta_key, manifest_key,
     page_key, part_key,
 };
+pub use events::{CrashReport, SpreadEvent};
 pub use manifest::{BUCKET_COUNT, BucketEntries, PartManifest, bucket_index};
-pub use message::{PeerAddress, PeerMessage};
+pub use message::{MemberEvent, MemberState, PartRequest, PeerAddress, PeerMessage, VersionHeads};
 pub use patience::{DAY_MINUTES, PatienceZone};
 pub use snapshot::{ConfigSnapshot, RejectReason, ServiceView, TenantView};
+pub use state::ControlState;
+pub use status::{
+    ArrivalPath, ControlCounters, ControlStatus, MemberStatus, RejectedVersion, SourceState,
+    VersionClash,
+};
 pub use version::{HASH_BYTES, PartHash, VersionId};
