--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -4,28 +4,45 @@
 //! a time go in, actions come out, so that tests, replays and nodes drive the same code.
 
 mod admission;
+mod assembly;
 mod balancer;
 mod clock;
 mod code;
 mod config;
 mod control;
+mod crashes;
 mod custody;
 mod deadline;
 mod delta;
+mod distribution;
 mod drain;
+mod events;
 mod fingerprint;
 mod gate;
+mod gateways;
 mod handover;
 mod keys;
 mod manifest;
+mod members;
+mod membership;
 mod message;
 mod owner;
 mod patience;
 mod plan;
+mod probes;
 mod quarantine;
 mod retries;
+mod serving;
 mod snapshot;
+mod source;
+mod start;
+mod state;
+mod status;
+mod targets;
+mod transfer;
+mod trees;
 mod version;
+mod versions;
 
 pub use admission::{
     AdmissionAction, AdmissionAnswer, AdmissionCall, AdmissionQueue, AdmissionSettings, CallTicket,
@@ -50,6 +67,7 @@
     page_key, part_key,
 };
 pub use drain::{DrainPhase, DrainState};
+pub use events::{CrashReport, SpreadEvent};
 pub use fingerprint::{FINGERPRINT_BODY_BYTES, RequestFingerprint};
 pub use gate::{GateAction, GateCall, GateOutcome, GateReply, GateSettings, GateStep, TargetGate};
 pub use handover::{KeyAnswer, KeyFinding, KeyQuestion, RecordedAnswer};
@@ -57,11 +75,16 @@
     KEY_CAPACITY, KEY_LIMIT_BYTES, KeyTable, KeyVerdict, RECORDED_BODY_BYTES, RECORDED_TOTAL_BYTES,
 };
 pub use manifest::{BUCKET_COUNT, BucketEntries, PartManifest, bucket_index};
-pub use message::{PeerAddress, PeerMessage};
+pub use message::{MemberEvent, MemberState, PartRequest, PeerAddress, PeerMessage, VersionHeads};
 pub use owner::key_owner;
 pub use patience::{DAY_MINUTES, PatienceZone};
 pub use plan::{AttemptEnd, PlanAnswer, PlanCall, PlanStep, RequestPlan};
 pub use quarantine::{QUARANTINE_LIMIT, QUARANTINE_SPAN, QuarantineList};
 pub use retries::{ATTEMPT_LIMIT, RetryBudget, RetryCase};
 pub use snapshot::{ConfigSnapshot, RejectReason, ServiceView, TenantView};
+pub use state::ControlState;
+pub use status::{
+    ArrivalPath, ControlCounters, ControlStatus, MemberStatus, RejectedVersion, SourceState,
+    VersionClash,
+};
 pub use version::{HASH_BYTES, PartHash, VersionId};
