--- a/core/benches/fleet/mod.rs
+++ b/core/benches/fleet/mod.rs
@@ -1,5 +1,7 @@
 //! Generated fleets for benches and examples.
 
+#![allow(dead_code, reason = "each bench and example uses a part")]
+
 use std::sync::Arc;
 
 use fescuestack_core::{ConfigPart, ConfigSnapshot, PartContent, VersionDelta, VersionId};
@@ -7,6 +9,11 @@
     FleetSize, build_manifest, encode_parts, generate, generate_fleet,
 };
 
+pub mod centre;
+
+/// Services and targets of the measured fleets. The largest is the size in the requirements.
+pub const FLEET_SIZES: [(u32, u32); 3] = [(100, 940), (400, 3_750), (1_600, 15_000)];
+
 /// Seed of all generated fleets.
 pub const FLEET_SEED: u64 = 11;
 
--- a/core/benches/snapshot.rs
+++ b/core/benches/snapshot.rs
@@ -8,10 +8,7 @@
 
 mod fleet;
 
-use fleet::FleetSample;
-
-/// Services and targets of the measured fleets. The largest is the size in the requirements.
-const FLEET_SIZES: [(u32, u32); 3] = [(100, 940), (400, 3_750), (1_600, 15_000)];
+use fleet::{FLEET_SIZES, FleetSample};
 
 fn bench_snapshot(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("snapshot");
