--- a/core/examples/resident_memory.rs
+++ b/core/examples/resident_memory.rs
@@ -13,6 +13,7 @@
 mod fleet;
 
 use fleet::FleetSample;
+use fleet::centre::FleetNode;
 
 /// Versions applied after the first one, as many as a node keeps deltas for.
 const DELTA_COUNT: usize = 256;
@@ -49,7 +50,8 @@
     Ok(())
 }
 
-/// Reads a configuration, compiles it and applies a chain of deltas that it keeps, as a node does.
+/// Reads a configuration and gives it to a control state, which then takes a chain of pushes and
+/// keeps their deltas, as a node does.
 fn hold() -> io::Result<()> {
     let empty = resident_kib()?;
     let mut lines = io::stdin().lock().lines();
@@ -60,24 +62,27 @@
     }
     let content: usize = parts.iter().map(|part| part.content.len()).sum();
     let sample = FleetSample { version, parts };
-    let mut snapshot = sample.snapshot();
-    let compiled = resident_kib()?;
-    let mut deltas = Vec::new();
+    let compiled = sample.snapshot();
+    let snapshot_only = resident_kib()?;
+    drop(compiled);
+    let mut node = FleetNode::new(&sample);
+    let settled = resident_kib()?;
+    let mut snapshot: ConfigSnapshot = sample.snapshot();
     for _ in 0..DELTA_COUNT {
         let delta = sample.delta(&snapshot);
-        let next: ConfigSnapshot = snapshot.with_delta(&delta).map_err(io::Error::other)?;
-        snapshot = next;
-        deltas.push(delta);
+        snapshot = snapshot.with_delta(&delta).map_err(io::Error::other)?;
+        node.push(delta);
+        node.tick();
     }
-    let chained = resident_kib()?;
+    let pushed = resident_kib()?;
     let services = snapshot.services().count();
     let targets: usize = snapshot.services().map(|view| view.targets.len()).sum();
+    // The second snapshot that the pushes are derived from stands for the one that calls may hold.
     println!(
         "{{\"services\":{services},\"targets\":{targets},\"content_kib\":{},\"empty_kib\":{empty},\
-         \"compiled_kib\":{compiled},\"with_deltas_kib\":{chained}}}",
+         \"snapshot_kib\":{snapshot_only},\"control_kib\":{settled},\"pushed_kib\":{pushed}}}",
         content / 1024
     );
-    drop(deltas);
     Ok(())
 }
 
