--- a/fescuestack/src/controller.rs
+++ b/fescuestack/src/controller.rs
@@ -7,12 +7,14 @@
 use async_channel::{Receiver, Sender};
 use async_std::task;
 use fescuestack_core::{
-    ClockTime, ConfigSnapshot, ControlAction, ControlInput, ControlState, HEAD_KEY, PeerAddress,
+    ClockTime, ConfigSnapshot, ControlAction, ControlInput, HEAD_KEY, PeerAddress,
 };
 use fescuestack_operators::NodeMetrics;
 use fescuestack_peers::{LinkEvent, LinkHub, LinkUsage};
 use fescuestack_platform::PlatformSource;
 
+use crate::baseline::ControlPolicy;
+
 /// How often the control state sees the time pass.
 const TICK_PERIOD: Duration = Duration::from_millis(100);
 
@@ -61,7 +63,7 @@
 
 /// Drives a control state.
 pub(crate) struct ControlDriver<S: PlatformSource> {
-    state: ControlState,
+    state: ControlPolicy,
     links: LinkHub,
     source: S,
     requests: Receiver<ControlRequest>,
@@ -79,7 +81,7 @@
 impl<S: PlatformSource> ControlDriver<S> {
     /// Creates a driver that takes requests from `channel`.
     pub(crate) fn new(
-        state: ControlState,
+        state: ControlPolicy,
         node: &PeerAddress,
         links: LinkHub,
         source: S,
@@ -122,7 +124,7 @@
     }
 
     fn status(&self) -> String {
-        serde_json::to_string(&self.state.status()).unwrap_or_default()
+        self.state.status()
     }
 
     fn recording(&self) -> String {
--- a/fescuestack/src/main.rs
+++ b/fescuestack/src/main.rs
@@ -1,5 +1,6 @@
 //! The `fescuestack` command.
 
+mod baseline;
 mod cli;
 mod controller;
 mod logging;
--- a/fescuestack/src/node.rs
+++ b/fescuestack/src/node.rs
@@ -13,6 +13,7 @@
 use fescuestack_platform::HttpSource;
 use snafu::{ResultExt, Snafu};
 
+use crate::baseline::ControlPolicy;
 use crate::controller::{
     ControlDriver, ControlRequest, ControlShared, InstallRecord, control_channel,
 };
@@ -45,6 +46,8 @@
     pub(crate) link_delay: Option<Box<dyn Fn(&PeerAddress) -> Duration + Send>>,
     /// Told of each version that becomes active.
     pub(crate) installs: Option<Sender<InstallRecord>>,
+    /// Replaces the product's distribution by a baseline.
+    pub(crate) baseline: Option<ControlPolicy>,
 }
 
 /// A running node.
@@ -97,9 +100,12 @@
             installs: options.installs,
         };
         let node = control.node.clone();
-        let state = ControlState::new(control, control_seed(&node));
+        let policy = options.baseline.unwrap_or_else(|| {
+            let seed = control_seed(&node);
+            ControlPolicy::Trees(Box::new(ControlState::new(control, seed)))
+        });
         let source = HttpSource::new(settings.platform);
-        let driver = ControlDriver::new(state, &node, links, source, channel, shared);
+        let driver = ControlDriver::new(policy, &node, links, source, channel, shared);
         let thread = std::thread::Builder::new()
             .name("control".to_owned())
             .spawn(move || driver.run(events))
--- a/operators/src/port.rs
+++ b/operators/src/port.rs
@@ -31,7 +31,10 @@
 impl OperatorPort {
     /// Binds the port and serves until the process ends. Fails when the address is in use. Returns
     /// the bound address.
-    pub async fn listen(address: SocketAddr, view: Arc<impl OperatorView>) -> io::Result<SocketAddr> {
+    pub async fn listen(
+        address: SocketAddr,
+        view: Arc<impl OperatorView>,
+    ) -> io::Result<SocketAddr> {
         let listener = TcpListener::bind(address).await?;
         let bound = listener.local_addr()?;
         task::spawn(async move {
--- a/peers/src/link.rs
+++ b/peers/src/link.rs
@@ -95,7 +95,10 @@
         let Some(link) = self.links.get(to) else { return };
         let queued = QueuedEnvelope { envelope, due: Instant::now() + link.delay };
         match link.queue.try_send(queued) {
-            Ok(()) => self.usage.count_sent(payload),
+            Ok(()) => {
+                let crosses = to.data_centre != self.node.data_centre;
+                self.usage.count_sent(payload, crosses);
+            }
             Err(TrySendError::Full(_)) => log::warn!("queue to {} is full", to.name),
             Err(TrySendError::Closed(_)) => log::debug!("link to {} closed", to.name),
         }
@@ -147,10 +150,8 @@
             .map_err(|err| tonic::Status::invalid_argument(err.to_string()))?
             .connect_timeout(OPEN_TIMEOUT)
             .tcp_nodelay(true);
-        let channel = endpoint
-            .connect()
-            .await
-            .map_err(|err| tonic::Status::unavailable(err.to_string()))?;
+        let channel =
+            endpoint.connect().await.map_err(|err| tonic::Status::unavailable(err.to_string()))?;
         let mut request = Request::new(outgoing(self.envelopes));
         write_address(&self.node, request.metadata_mut())
             .ok_or_else(|| tonic::Status::invalid_argument("node name is not visible ASCII"))?;
--- a/peers/src/usage.rs
+++ b/peers/src/usage.rs
@@ -10,6 +10,7 @@
 pub struct LinkUsage {
     sent_messages: AtomicU64,
     sent_bytes: AtomicU64,
+    cross_bytes: AtomicU64,
     received_messages: AtomicU64,
     received_bytes: AtomicU64,
 }
@@ -25,6 +26,11 @@
         self.sent_bytes.load(Ordering::Relaxed)
     }
 
+    /// Bytes sent so far to nodes of other data centres.
+    pub fn cross_bytes(&self) -> u64 {
+        self.cross_bytes.load(Ordering::Relaxed)
+    }
+
     /// Messages received so far.
     pub fn received_messages(&self) -> u64 {
         self.received_messages.load(Ordering::Relaxed)
@@ -35,9 +41,13 @@
         self.received_bytes.load(Ordering::Relaxed)
     }
 
-    pub(crate) fn count_sent(&self, payload: usize) {
+    pub(crate) fn count_sent(&self, payload: usize, crosses: bool) {
+        let bytes = payload as u64 + FRAMING_BYTES;
         self.sent_messages.fetch_add(1, Ordering::Relaxed);
-        self.sent_bytes.fetch_add(payload as u64 + FRAMING_BYTES, Ordering::Relaxed);
+        self.sent_bytes.fetch_add(bytes, Ordering::Relaxed);
+        if crosses {
+            self.cross_bytes.fetch_add(bytes, Ordering::Relaxed);
+        }
     }
 
     pub(crate) fn count_received(&self, payload: usize) {
