Add connection pools with results as codes

A pool limits concurrent exchanges and open connections to what the upstream accepts. A connection unused for over 1 s serves idempotent requests only. A fault before the first byte maps to 213 or 202 (not run), a broken connection to 302, or 301 towards a node, a deadline to 303 and a cut answer to 304. A silent exchange closes the unused connections too, since the whole path may be half-open. Dropping an exchange or its body closes the connection.

The library's decoders are polled outside the futures around them: the future of an exchange was 16 KB, and nested copies overflowed a test thread's stack.

--- a/http/src/body.rs
+++ b/http/src/body.rs
@@ -2,9 +2,9 @@
 
 use std::fmt;
 use std::io;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
 
 use futures_lite::{AsyncBufRead, AsyncRead};
 
@@ -68,3 +68,12 @@
 pub(crate) fn lock<S>(source: &Mutex<S>) -> MutexGuard<'_, S> {
     source.lock().unwrap_or_else(PoisonError::into_inner)
 }
+
+/// The result of a future that waits for nothing. The library's decoders take 4 KB each, which
+/// stay out of the futures around them this way.
+pub(crate) fn poll_ready<F: Future>(future: F) -> Option<F::Output> {
+    match pin!(future).poll(&mut Context::from_waker(Waker::noop())) {
+        Poll::Ready(output) => Some(output),
+        Poll::Pending => None,
+    }
+}
--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -14,7 +14,7 @@
 use http_types::headers::DATE;
 use http_types::{Body, Method, Request, Response};
 
-use crate::body::{BodySource, SharedBody, lock};
+use crate::body::{BodySource, SharedBody, lock, poll_ready};
 use crate::hops::remove_hop_headers;
 use crate::reader::MessageReader;
 use crate::writer::{MessageWriter, WriteFault};
@@ -131,7 +131,7 @@
         let mut sending = RequestSending::default();
         for _ in 0..INTERIM_LIMIT {
             let head = poll_fn(|cx| sending.poll(&mut lock(&self.exchange), cx)).await?;
-            let answer = self.parse_answer(head, method).await.map_err(lost_answer)?;
+            let answer = self.parse_answer(head, method).map_err(lost_answer)?;
             if let Some(answer) = answer {
                 return Ok(answer);
             }
@@ -140,7 +140,7 @@
     }
 
     /// Parses the head of an answer. `None` stands for an interim one.
-    async fn parse_answer(
+    fn parse_answer(
         &mut self,
         head: Vec<u8>,
         method: Method,
@@ -160,8 +160,8 @@
         }
         let (close, dated, typed) = (view.close, view.dated, view.typed);
         // The library sees the head only: it would end a cut body without an error.
-        let decoded = async_h1::client::decode(Cursor::new(head)).await;
-        let mut answer = decoded.map_err(|_| HttpFault::BadHead)?;
+        let decoded = poll_ready(async_h1::client::decode(Cursor::new(head)));
+        let Some(Ok(mut answer)) = decoded else { return Err(HttpFault::BadHead) };
         self.set_body(&mut answer, framing, empty)?;
         if !typed {
             answer.remove_header("content-type");
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -7,6 +7,7 @@
 mod chunk;
 mod client;
 mod fault;
+mod gather;
 mod hops;
 mod progress;
 mod reader;
@@ -17,6 +18,7 @@
 pub use chunk::ChunkScanner;
 pub use client::{ClientConnection, LossCause, SendError};
 pub use fault::HttpFault;
+pub use gather::{GatheredBody, gather_body};
 pub use scan::{
     BodyFraming, HEADER_LIMIT, HeadView, scan_decimal, scan_head, scan_head_end, scan_header,
     scan_host, scan_request_line, scan_status_line,
--- a/http/src/server.rs
+++ b/http/src/server.rs
@@ -16,7 +16,7 @@
 use http_types::headers::CONNECTION;
 use http_types::{Body, Method, Request, Response};
 
-use crate::body::{BodySource, SharedBody, lock};
+use crate::body::{BodySource, SharedBody, lock, poll_ready};
 use crate::hops::remove_hop_headers;
 use crate::reader::MessageReader;
 use crate::writer::MessageWriter;
@@ -147,12 +147,12 @@
         let head =
             timeout(self.settings.head, head).await.map_err(|_| HttpFault::HeadTimeout)??;
         match head {
-            Some(head) => self.parse_request(head).await.map(Some),
+            Some(head) => self.parse_request(head).map(Some),
             None => Ok(None),
         }
     }
 
-    async fn parse_request(&mut self, head: Vec<u8>) -> Result<Request, HttpFault> {
+    fn parse_request(&mut self, head: Vec<u8>) -> Result<Request, HttpFault> {
         let view = scan_head(&head)?;
         scan_request_line(view.first_line).ok_or(HttpFault::BadHead)?;
         if view.hosts != 1 {
@@ -163,8 +163,8 @@
         lock(&self.reader).limit_waits(Some(self.settings.progress));
         lock(&self.reader).start_body(framing, view.expects_continue);
         // The library sees the head only: it would end a cut body without an error.
-        let decoded = async_h1::server::decode(HeadStream::new(head)).await;
-        let Ok(Some((mut request, _))) = decoded else { return Err(HttpFault::BadHead) };
+        let decoded = poll_ready(async_h1::server::decode(HeadStream::new(head)));
+        let Some(Ok(Some((mut request, _)))) = decoded else { return Err(HttpFault::BadHead) };
         let body = || SharedBody::new(self.reader.clone());
         match framing {
             BodyFraming::Absent | BodyFraming::Length(0) => drop(request.take_body()),
--- /dev/null
+++ b/upstreams/src/fault.rs
@@ -0,0 +1,46 @@
+//! Why an exchange failed, as a numbered result.
+
+use std::io;
+
+use fescuestack_core::ResultCode;
+use fescuestack_http::{LossCause, SendError};
+use snafu::Snafu;
+
+use crate::PeerKind;
+
+/// A failed exchange.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("{code}: {reason}"))]
+pub struct ExchangeFault {
+    /// The result. A code of 2xx means that no byte of the request was sent.
+    pub code: ResultCode,
+    /// What was seen on the connection.
+    pub reason: String,
+}
+
+impl ExchangeFault {
+    pub(crate) fn new(code: ResultCode, reason: impl ToString) -> ExchangeFault {
+        ExchangeFault { code, reason: reason.to_string() }
+    }
+
+    pub(crate) fn from_send(error: SendError, peer: PeerKind) -> ExchangeFault {
+        let code = match error {
+            SendError::NotSent { .. } => ResultCode::ConnectFailed,
+            SendError::Lost { cause } => match (cause, peer) {
+                (LossCause::Answer(_), _) => ResultCode::AnswerTruncated,
+                (LossCause::Cut, PeerKind::Upstream) => ResultCode::AnswerTruncated,
+                (_, peer) => peer.lost_code(),
+            },
+        };
+        ExchangeFault::new(code, error)
+    }
+
+    /// The fault of an answer whose body failed with `error`.
+    pub fn from_body(error: &io::Error) -> ExchangeFault {
+        let code = match error.kind() {
+            io::ErrorKind::TimedOut => ResultCode::PatienceOver,
+            _ => ResultCode::AnswerTruncated,
+        };
+        ExchangeFault::new(code, format_args!("the body of the answer failed: {error}"))
+    }
+}
--- /dev/null
+++ b/upstreams/src/lease.rs
@@ -0,0 +1,103 @@
+//! A streamed answer that gives its connection back at its end.
+
+use std::fmt;
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::Instant;
+
+use async_std::task;
+use futures_lite::{AsyncBufRead, AsyncRead};
+use http_types::Body;
+
+use crate::pool::ConnectionLease;
+
+/// The body of an answer, read until the deadline of its exchange.
+pub(crate) struct LeasedBody {
+    body: Body,
+    lease: Option<ConnectionLease>,
+    deadline: Instant,
+    sleep: Option<Pin<Box<dyn Future<Output = ()> + Send + Sync>>>,
+}
+
+impl LeasedBody {
+    pub(crate) fn new(body: Body, lease: ConnectionLease, deadline: Instant) -> LeasedBody {
+        LeasedBody { body, lease: Some(lease), deadline, sleep: None }
+    }
+
+    pub(crate) fn into_body(self) -> Body {
+        let length = self.body.len();
+        Body::from_reader(self, length)
+    }
+
+    /// Completes when the deadline has passed.
+    fn poll_deadline(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let deadline = self.deadline;
+        let sleep = self.sleep.get_or_insert_with(|| {
+            Box::pin(task::sleep(deadline.saturating_duration_since(Instant::now())))
+        });
+        sleep.as_mut().poll(cx)
+    }
+
+    /// Closes the connection with an error that says why.
+    fn fail<T>(&mut self, kind: io::ErrorKind) -> Poll<io::Result<T>> {
+        self.lease = None;
+        Poll::Ready(Err(kind.into()))
+    }
+
+    /// Gives the connection back after the last byte.
+    fn release(&mut self) {
+        if let Some(lease) = self.lease.take() {
+            lease.release();
+        }
+    }
+}
+
+impl AsyncRead for LeasedBody {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        out: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let body = &mut *self;
+        if body.lease.is_none() {
+            return Poll::Ready(Ok(0));
+        }
+        match Pin::new(&mut body.body).poll_read(cx, out) {
+            Poll::Ready(Ok(0)) if !out.is_empty() => {
+                body.release();
+                Poll::Ready(Ok(0))
+            }
+            Poll::Ready(Ok(count)) => Poll::Ready(Ok(count)),
+            Poll::Ready(Err(error)) => body.fail(error.kind()),
+            Poll::Pending => {
+                ready!(body.poll_deadline(cx));
+                body.fail(io::ErrorKind::TimedOut)
+            }
+        }
+    }
+}
+
+impl AsyncBufRead for LeasedBody {
+    fn poll_fill_buf(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        Pin::new(&mut self.get_mut().body).poll_fill_buf(cx)
+    }
+
+    fn consume(mut self: Pin<&mut Self>, count: usize) {
+        Pin::new(&mut self.body).consume(count);
+    }
+}
+
+impl Drop for LeasedBody {
+    fn drop(&mut self) {
+        // A reader that knows the length does not read past the last byte. The lease closes the
+        // connection when the body was not read to its end.
+        self.release();
+    }
+}
+
+impl fmt::Debug for LeasedBody {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("LeasedBody").field("lease", &self.lease).finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/upstreams/src/pool.rs
@@ -0,0 +1,276 @@
+//! Connections to one address, and the rules on using them again.
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use async_std::future::timeout;
+use fescuestack_core::ResultCode;
+use fescuestack_http::ClientConnection;
+use http_types::{Request, Response};
+
+use crate::ExchangeFault;
+use crate::lease::LeasedBody;
+
+/// What the address belongs to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerKind {
+    /// The upstream beside this node.
+    Upstream,
+    /// Another node's relay port.
+    Node,
+}
+
+impl PeerKind {
+    /// The code for a connection that broke after dispatch.
+    pub const fn lost_code(self) -> ResultCode {
+        match self {
+            PeerKind::Upstream => ResultCode::UpstreamLost,
+            PeerKind::Node => ResultCode::LinkLost,
+        }
+    }
+}
+
+/// Limits of a pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PoolSettings {
+    /// How long a new connection may take.
+    pub connect: Duration,
+    /// How long an unused connection serves non-idempotent requests. The peer may have closed an
+    /// older one at the moment at which the request arrives, which leaves the outcome unknown.
+    pub fresh: Duration,
+    /// How long an unused connection is kept.
+    pub keep: Duration,
+}
+
+impl Default for PoolSettings {
+    fn default() -> PoolSettings {
+        PoolSettings {
+            connect: Duration::from_millis(500),
+            fresh: Duration::from_secs(1),
+            keep: Duration::from_secs(30),
+        }
+    }
+}
+
+/// Limits of an exchange.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ExchangeLimits {
+    /// When the exchange has to be over, the body of the answer included.
+    pub deadline: Instant,
+    /// Whether the request may run twice.
+    pub idempotent: bool,
+}
+
+/// Connections to one address, up to a limit.
+#[derive(Debug)]
+pub struct UpstreamPool {
+    address: SocketAddr,
+    peer: PeerKind,
+    settings: PoolSettings,
+    limit: usize,
+    idle: Mutex<Vec<IdleConnection>>,
+    /// Holds a unit for each exchange that may still start.
+    permits: (Sender<()>, Receiver<()>),
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    connection: ClientConnection,
+    since: Instant,
+}
+
+impl UpstreamPool {
+    /// Creates a pool of at most `limit` connections, at least one.
+    pub fn new(
+        address: SocketAddr,
+        peer: PeerKind,
+        limit: usize,
+        settings: PoolSettings,
+    ) -> Arc<UpstreamPool> {
+        let limit = limit.max(1);
+        let permits = async_channel::bounded(limit);
+        for _ in 0..limit {
+            // The channel has room for all of them.
+            let _ = permits.0.try_send(());
+        }
+        let idle = Mutex::new(Vec::new());
+        Arc::new(UpstreamPool { address, peer, settings, limit, idle, permits })
+    }
+
+    /// The address that the connections lead to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The most connections at the same time.
+    pub fn limit(&self) -> usize {
+        self.limit
+    }
+
+    /// How many connections are unused at present.
+    pub fn idle_count(&self) -> usize {
+        self.lock_idle().len()
+    }
+
+    /// Sends a request and returns the answer, whose body may still stream.
+    ///
+    /// Dropping the future or the body before its end closes the connection, which cancels the
+    /// request at the peer. A fault with a code of 2xx means that no byte was sent.
+    pub async fn exchange(
+        self: &Arc<Self>,
+        request: Request,
+        limits: ExchangeLimits,
+    ) -> Result<Response, ExchangeFault> {
+        let spent =
+            || ExchangeFault::new(ResultCode::PatienceSpent, "no connection in the time left");
+        let leasing = self.lease(limits.idempotent);
+        let mut lease = before(limits.deadline, leasing).await.ok_or_else(spent)??;
+        let sending = lease.connection.send(request);
+        let Some(sent) = before(limits.deadline, sending).await else {
+            // The whole path may have gone silent, so the unused connections are given up too.
+            self.lock_idle().clear();
+            return Err(ExchangeFault::new(ResultCode::PatienceOver, "no answer in the time left"));
+        };
+        let mut answer = sent.map_err(|error| ExchangeFault::from_send(error, self.peer))?;
+        if lease.connection.is_reusable() {
+            lease.release();
+        } else {
+            let body = answer.take_body();
+            let typed = answer.content_type().is_some();
+            answer.set_body(LeasedBody::new(body, lease, limits.deadline).into_body());
+            // The body type of the library is a guess.
+            if !typed {
+                answer.remove_header("content-type");
+            }
+        }
+        Ok(answer)
+    }
+
+    /// Closes the connections that were unused for too long.
+    pub fn sweep(&self) {
+        self.lock_idle().retain(|entry| entry.since.elapsed() < self.settings.keep);
+    }
+
+    async fn lease(self: &Arc<Self>, idempotent: bool) -> Result<ConnectionLease, ExchangeFault> {
+        // Fails only when the channel is closed, which it never is.
+        let _ = self.permits.1.recv().await;
+        let permit = PoolPermit(self.clone());
+        if let Some(connection) = self.take_idle(idempotent) {
+            return Ok(ConnectionLease { connection, permit });
+        }
+        self.make_room();
+        let opened = ClientConnection::open(self.address, self.settings.connect).await;
+        let connection =
+            opened.map_err(|error| ExchangeFault::new(ResultCode::ConnectFailed, error))?;
+        Ok(ConnectionLease { connection, permit })
+    }
+
+    /// Takes the connection used last, which is the least likely to have been closed.
+    fn take_idle(&self, idempotent: bool) -> Option<ClientConnection> {
+        let mut idle = self.lock_idle();
+        while let Some(entry) = idle.last() {
+            // The rest is older still. It stays for idempotent requests.
+            if !idempotent && entry.since.elapsed() > self.settings.fresh {
+                return None;
+            }
+            let entry = idle.pop()?;
+            if entry.connection.is_reusable() {
+                return Some(entry.connection);
+            }
+        }
+        None
+    }
+
+    /// Closes the oldest unused connections, so that one more stays within the limit.
+    fn make_room(&self) {
+        let in_use = self.limit - self.permits.1.len();
+        let mut idle = self.lock_idle();
+        let excess = (idle.len() + in_use).saturating_sub(self.limit).min(idle.len());
+        idle.drain(..excess);
+    }
+
+    fn lock_idle(&self) -> MutexGuard<'_, Vec<IdleConnection>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The right to use one connection of a pool.
+#[derive(Debug)]
+struct PoolPermit(Arc<UpstreamPool>);
+
+impl Drop for PoolPermit {
+    fn drop(&mut self) {
+        // The channel has room for all permits.
+        let _ = self.0.permits.0.try_send(());
+    }
+}
+
+/// A connection in use. Dropping it closes the connection.
+#[derive(Debug)]
+pub(crate) struct ConnectionLease {
+    connection: ClientConnection,
+    permit: PoolPermit,
+}
+
+impl ConnectionLease {
+    /// Gives the connection back, or closes it when it must not be used again.
+    pub(crate) fn release(self) {
+        if self.connection.is_reusable() {
+            let entry = IdleConnection { connection: self.connection, since: Instant::now() };
+            self.permit.0.lock_idle().push(entry);
+        }
+    }
+}
+
+/// Runs `work` until `deadline`. `None` means that the time was over first.
+async fn before<T>(deadline: Instant, work: impl Future<Output = T>) -> Option<T> {
+    let left = deadline.saturating_duration_since(Instant::now());
+    if left.is_zero() {
+        return None;
+    }
+    timeout(left, work).await.ok()
+}
+
+/// Pools by address.
+#[derive(Debug)]
+pub struct PoolTable {
+    peer: PeerKind,
+    settings: PoolSettings,
+    pools: Mutex<HashMap<SocketAddr, Arc<UpstreamPool>>>,
+}
+
+impl PoolTable {
+    /// Creates an empty table.
+    pub fn new(peer: PeerKind, settings: PoolSettings) -> PoolTable {
+        PoolTable { peer, settings, pools: Mutex::new(HashMap::new()) }
+    }
+
+    /// The pool for `address`. A changed `limit` starts a new pool; exchanges in flight end on the
+    /// old one.
+    pub fn pool(&self, address: SocketAddr, limit: usize) -> Arc<UpstreamPool> {
+        let mut pools = self.lock_pools();
+        match pools.get(&address) {
+            Some(pool) if pool.limit == limit.max(1) => pool.clone(),
+            _ => {
+                let pool = UpstreamPool::new(address, self.peer, limit, self.settings);
+                pools.insert(address, pool.clone());
+                pool
+            }
+        }
+    }
+
+    /// Closes what was unused for too long and forgets pools without connections.
+    pub fn sweep(&self) {
+        let mut pools = self.lock_pools();
+        pools.values().for_each(|pool| pool.sweep());
+        pools.retain(|_, pool| Arc::strong_count(pool) > 1 || pool.idle_count() > 0);
+    }
+
+    fn lock_pools(&self) -> MutexGuard<'_, HashMap<SocketAddr, Arc<UpstreamPool>>> {
+        self.pools.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/upstreams/tests/pool.rs
@@ -0,0 +1,238 @@
+//! Reuse, limits and results of exchanges over loopback sockets.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use async_std::io::{ReadExt, WriteExt};
+use async_std::net::{SocketAddr, TcpListener, TcpStream};
+use async_std::task;
+use fescuestack_core::ResultCode;
+use fescuestack_upstreams::{
+    ExchangeFault, ExchangeLimits, PeerKind, PoolSettings, PoolTable, RelayHead, UpstreamPool,
+};
+use http_types::{Method, Request, Response, Url};
+
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+/// A server that answers each request of a connection by `answer` and counts connections.
+struct CountingServer {
+    address: SocketAddr,
+    opened: Arc<AtomicUsize>,
+    ended: Arc<AtomicUsize>,
+}
+
+impl CountingServer {
+    async fn start(answer: &'static [u8], delay: Duration, close: bool) -> CountingServer {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let opened = Arc::new(AtomicUsize::new(0));
+        let ended = Arc::new(AtomicUsize::new(0));
+        let counts = (opened.clone(), ended.clone());
+        task::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                counts.0.fetch_add(1, Ordering::SeqCst);
+                let ended = counts.1.clone();
+                task::spawn(async move {
+                    let _ = answer_requests(stream, answer, delay, close).await;
+                    ended.fetch_add(1, Ordering::SeqCst);
+                });
+            }
+        });
+        CountingServer { address, opened, ended }
+    }
+
+    fn opened(&self) -> usize {
+        self.opened.load(Ordering::SeqCst)
+    }
+
+    fn pool(&self, limit: usize) -> Arc<UpstreamPool> {
+        UpstreamPool::new(self.address, PeerKind::Upstream, limit, quick_settings())
+    }
+}
+
+async fn answer_requests(
+    mut stream: TcpStream,
+    answer: &[u8],
+    delay: Duration,
+    close: bool,
+) -> std::io::Result<()> {
+    let mut buffer = [0; 4096];
+    while stream.read(&mut buffer).await? > 0 {
+        task::sleep(delay).await;
+        stream.write_all(answer).await?;
+        if close {
+            break;
+        }
+    }
+    Ok(())
+}
+
+fn quick_settings() -> PoolSettings {
+    PoolSettings { fresh: Duration::from_millis(100), ..PoolSettings::default() }
+}
+
+fn limits(millis: u64, idempotent: bool) -> ExchangeLimits {
+    ExchangeLimits { deadline: Instant::now() + Duration::from_millis(millis), idempotent }
+}
+
+fn request() -> Request {
+    Request::new(Method::Get, Url::parse("http://service/path").unwrap())
+}
+
+async fn call(pool: &Arc<UpstreamPool>, limits: ExchangeLimits) -> Result<String, ExchangeFault> {
+    let mut answer = pool.exchange(request(), limits).await?;
+    let mut bytes = Vec::new();
+    let mut body = answer.take_body();
+    futures_lite::AsyncReadExt::read_to_end(&mut body, &mut bytes)
+        .await
+        .map_err(|error| ExchangeFault::from_body(&error))?;
+    Ok(String::from_utf8(bytes).unwrap())
+}
+
+/// Guards against a new connection for each call, and against sending a non-idempotent request on
+/// one that the server may be about to close.
+#[test]
+fn reuses_fresh_connections() {
+    task::block_on(async {
+        let server = CountingServer::start(ANSWER, Duration::ZERO, false).await;
+        let pool = server.pool(4);
+        for _ in 0..5 {
+            assert_eq!(call(&pool, limits(5000, false)).await.unwrap(), "ok");
+        }
+        assert_eq!(server.opened(), 1);
+        task::sleep(Duration::from_millis(150)).await;
+        call(&pool, limits(5000, true)).await.unwrap();
+        assert_eq!(server.opened(), 1, "an idempotent request may use an older connection");
+        task::sleep(Duration::from_millis(150)).await;
+        call(&pool, limits(5000, false)).await.unwrap();
+        assert_eq!(server.opened(), 2);
+    });
+}
+
+/// Guards against sending on a connection that the server closed.
+#[test]
+fn drops_closed_connections() {
+    task::block_on(async {
+        let server = CountingServer::start(ANSWER, Duration::ZERO, true).await;
+        let pool = server.pool(4);
+        for _ in 0..3 {
+            call(&pool, limits(5000, true)).await.unwrap();
+            task::sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(server.opened(), 3);
+    });
+}
+
+/// Guards against more connections than the upstream accepts.
+#[test]
+fn keeps_connection_limit() {
+    task::block_on(async {
+        let server = CountingServer::start(ANSWER, Duration::from_millis(20), false).await;
+        let pool = server.pool(2);
+        let calls: Vec<_> = (0..8)
+            .map(|_| {
+                let pool = pool.clone();
+                task::spawn(async move { call(&pool, limits(5000, true)).await })
+            })
+            .collect();
+        for call in calls {
+            assert_eq!(call.await.unwrap(), "ok");
+        }
+        assert!(server.opened() <= 2, "{} connections", server.opened());
+        let only = server.pool(1);
+        let held = only.exchange(request(), limits(5000, true));
+        let waiting = call(&only, limits(5, true));
+        let (held, waited) = futures_lite::future::zip(held, waiting).await;
+        assert_eq!(held.unwrap().status(), 200);
+        let fault = waited.unwrap_err();
+        assert_eq!(fault.code, ResultCode::PatienceSpent);
+    });
+}
+
+/// Guards against a wrong claim on whether the request ran.
+#[test]
+fn maps_failures_to_codes() {
+    task::block_on(async {
+        let unused = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+        let pool = UpstreamPool::new(unused, PeerKind::Upstream, 1, quick_settings());
+        let code = |result: Result<String, ExchangeFault>| result.unwrap_err().code;
+        assert_eq!(code(call(&pool, limits(5000, true)).await), ResultCode::ConnectFailed);
+
+        let lost = CountingServer::start(b"", Duration::ZERO, true).await;
+        assert_eq!(code(call(&lost.pool(1), limits(5000, true)).await), ResultCode::UpstreamLost);
+        let link = UpstreamPool::new(lost.address, PeerKind::Node, 1, quick_settings());
+        assert_eq!(code(call(&link, limits(5000, true)).await), ResultCode::LinkLost);
+
+        let silent = CountingServer::start(ANSWER, Duration::from_secs(60), false).await;
+        let pool = silent.pool(1);
+        assert_eq!(code(call(&pool, limits(100, true)).await), ResultCode::PatienceOver);
+        assert_eq!(pool.idle_count(), 0);
+
+        for (answer, close) in [
+            (&b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nok"[..], true),
+            (b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n", true),
+            (b"HTTP/1.1 200 OK\r\ncontent-le", true),
+        ] {
+            let server = CountingServer::start(answer, Duration::ZERO, close).await;
+            let pool = server.pool(1);
+            assert_eq!(code(call(&pool, limits(5000, true)).await), ResultCode::AnswerTruncated);
+            assert_eq!(pool.idle_count(), 0);
+        }
+        let stalled = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nok";
+        let server = CountingServer::start(stalled, Duration::ZERO, false).await;
+        assert_eq!(code(call(&server.pool(1), limits(100, true)).await), ResultCode::PatienceOver);
+    });
+}
+
+/// Guards against an upstream that works on for a caller that has left, and against a permit that
+/// is lost with the cancelled exchange.
+#[test]
+fn cancels_by_closing() {
+    task::block_on(async {
+        let server = CountingServer::start(ANSWER, Duration::from_millis(100), false).await;
+        let pool = server.pool(1);
+        let exchange = pool.exchange(request(), limits(5000, true));
+        let cancelled = async_std::future::timeout(Duration::from_millis(50), exchange).await;
+        assert!(cancelled.is_err());
+        for _ in 0..100 {
+            if server.ended.load(Ordering::SeqCst) == 1 {
+                break;
+            }
+            task::sleep(Duration::from_millis(20)).await;
+        }
+        assert_eq!(server.ended.load(Ordering::SeqCst), 1);
+        call(&pool, limits(5000, true)).await.unwrap();
+        assert_eq!(server.opened(), 2);
+    });
+}
+
+/// Guards against pools that outlive the targets they led to.
+#[test]
+fn forgets_unused_pools() {
+    task::block_on(async {
+        let server = CountingServer::start(ANSWER, Duration::ZERO, false).await;
+        let settings = PoolSettings { keep: Duration::ZERO, ..quick_settings() };
+        let table = PoolTable::new(PeerKind::Node, settings);
+        call(&table.pool(server.address, 3), limits(5000, true)).await.unwrap();
+        let weak = Arc::downgrade(&table.pool(server.address, 3));
+        assert_eq!(weak.upgrade().unwrap().idle_count(), 1);
+        table.sweep();
+        assert!(weak.upgrade().is_none());
+    });
+}
+
+/// Guards against taking the answer to another request, or one that no node has written.
+#[test]
+fn scans_relay_heads() {
+    let mut answer = Response::new(200);
+    assert_eq!(RelayHead::scan(&answer, "7"), None);
+    answer.insert_header("fescuestack-request", "7");
+    answer.insert_header("fescuestack-code", "100");
+    answer.insert_header("fescuestack-load", "1,2,3");
+    let head = RelayHead::scan(&answer, "7").unwrap();
+    assert_eq!((head.code, head.load), (ResultCode::Done, Some("1,2,3")));
+    assert_eq!(RelayHead::scan(&answer, "8"), None);
+    answer.insert_header("fescuestack-code", "401");
+    assert_eq!(RelayHead::scan(&answer, "7"), None);
+}
