--- a/questionnaire/src/accept.rs
+++ b/questionnaire/src/accept.rs
@@ -38,7 +38,7 @@
     let contents = encode_parts(&generate(answers)?);
     verify_sizes(contents.iter().map(|part| (&*part.name, &*part.content)))?;
     let manifest = build_manifest(&contents);
-    let version = VersionId::new(base.number + 1, manifest.digest());
+    let version = VersionId::new(next_number(base)?, manifest.digest());
     ConfigSnapshot::new(version, contents.iter().cloned()).map_err(refuse)?;
     let mut values = publish_values(&contents, &manifest);
     let delta = match before {
@@ -53,6 +53,13 @@
     Ok(Artefact { values })
 }
 
+fn next_number(base: VersionId) -> Result<u64, AnswerFault> {
+    base.number.checked_add(1).ok_or_else(|| {
+        let message = format!("no number is left after the base {base}");
+        AnswerFault::without_place(AnswerCode::Refused, message)
+    })
+}
+
 fn base_snapshot(artefact: &Artefact, base: VersionId) -> Result<ConfigSnapshot, AnswerFault> {
     let before = artefact.snapshot()?;
     if before.version() == base {
--- a/questionnaire/src/check.rs
+++ b/questionnaire/src/check.rs
@@ -31,7 +31,8 @@
 struct AnswerCheck<'a> {
     data_centres: HashSet<&'a str>,
     tenants: HashSet<&'a str>,
-    classes: HashMap<String, CallerOrigin>,
+    /// `None` for a class whose origin could not be read.
+    classes: HashMap<String, Option<CallerOrigin>>,
     targets: HashSet<String>,
     addresses: HashMap<SocketAddr, String>,
     faults: Vec<AnswerFault>,
@@ -49,6 +50,10 @@
     };
     check.name(&answers.deployment, "deployment");
     check.regions(answers);
+    if answers.tenants.value.is_empty() {
+        let message = "`tenants` is empty; write at least one tenant with a caller class";
+        check.fail(AnswerCode::MissingAnswer, answers.tenants.referenced, message);
+    }
     answers.tenants.value.iter().for_each(|tenant| check.tenant(tenant));
     let mut services = HashSet::new();
     for service in &answers.services.value {
@@ -122,7 +127,9 @@
         for class in &tenant.classes.value {
             self.name(&class.name, "caller class");
             let label = format!("{}/{}", tenant.name.value, class.name.value);
-            if self.classes.insert(label, class.callers.value).is_some() {
+            let unread = is_unread(&class.callers, &class.name);
+            let origin = (!unread).then_some(class.callers.value);
+            if self.classes.insert(label, origin).is_some() {
                 self.duplicate(&class.name, "caller class");
             }
             self.patience(class);
@@ -131,17 +138,17 @@
 
     fn patience(&mut self, class: &ClassAnswer) {
         let mut holders: Vec<Option<usize>> = vec![None; usize::from(DAY_MINUTES)];
-        let mut malformed =
-            class.patience.referenced == Location::UNKNOWN && class.patience.value.is_empty();
+        // What a period without a readable start or end covers is unknown, and so are its gaps.
+        let in_file = !is_hole(&class.patience);
+        let is_unread = |period: &PeriodAnswer| is_hole(&period.from) || is_hole(&period.to);
+        let unread = in_file && class.patience.value.iter().any(is_unread);
         for (index, period) in class.patience.value.iter().enumerate() {
             self.limit(period.patience_ms.value, period.patience_ms.referenced, "patience-ms");
-            malformed |= is_hole(&period.from) != is_hole(&period.to);
-            self.period(period, index, &mut holders, &class.patience.value);
-        }
-        if malformed {
-            return;
+            if !unread {
+                self.period(period, index, &mut holders, &class.patience.value);
+            }
         }
-        let gaps = scan_gaps(&holders);
+        let gaps = if unread { Vec::new() } else { scan_gaps(&holders) };
         for (start, end) in gaps {
             let message = format!(
                 "class `{}` has no patience from {} to {}; extend a period or add one",
@@ -236,7 +243,9 @@
             let message = format!("prefix `{}`; write a path such as /orders", route.prefix.value);
             self.fail(AnswerCode::BadPrefix, route.prefix.referenced, message);
         }
-        if !is_hole(&route.kind) && route.may_repeat.value != kind.is_idempotent() {
+        if !is_unread(&route.kind, &route.may_repeat)
+            && route.may_repeat.value != kind.is_idempotent()
+        {
             let message = format!(
                 "a route of kind {} has `may-repeat: {}`; write {}, or change the kind",
                 kind.label(),
@@ -258,7 +267,7 @@
             RouteKind::Upload => UPLOAD_LIMIT_BYTES,
             RouteKind::Lookup | RouteKind::Search | RouteKind::Submit => BODY_LIMIT_BYTES,
         };
-        if !is_hole(&route.kind) && limit.value > bound {
+        if !is_unread(&route.kind, limit) && limit.value > bound {
             let message = format!(
                 "{} bytes for a route of kind {}; write at most {bound}",
                 limit.value,
@@ -277,7 +286,7 @@
             && !self.classes.keys().any(|label| label.starts_with('/') || label.ends_with('/'));
         for label in &route.classes.value {
             match self.classes.get(&label.value) {
-                Some(CallerOrigin::Outside) if route.internal_only.value => {
+                Some(Some(CallerOrigin::Outside)) if route.internal_only.value => {
                     let message = format!(
                         "the route is internal only, but class `{}` is outside; remove one of them",
                         label.value
@@ -378,6 +387,12 @@
     }
 }
 
+/// Whether `value` stands in for a faulty answer, given that `neighbour` was read. Generated answers
+/// have no places at all.
+fn is_unread<T, U>(value: &Spanned<T>, neighbour: &Spanned<U>) -> bool {
+    is_hole(value) && !is_hole(neighbour)
+}
+
 fn is_hole<T>(value: &Spanned<T>) -> bool {
     value.referenced == Location::UNKNOWN
 }
--- a/questionnaire/src/difference.rs
+++ b/questionnaire/src/difference.rs
@@ -132,7 +132,8 @@
         let label = format!("{tenant}/{}", class.name);
         match old.classes.iter().find(|it| it.name == class.name) {
             Some(before) => compare_class(&label, before, class, index, lines),
-            None => lines.push(format!("Callers {label} are added: {}.", patience_text(class))),
+            None => lines
+                .push(format!("Callers {label} are added; they wait {}.", patience_text(class))),
         }
     }
     let is_gone = |class: &&CallerClass| !new.classes.iter().any(|it| it.name == class.name);
@@ -156,7 +157,7 @@
         let routes = index.routes_of(label);
         let routes: Vec<&str> = routes.iter().map(String::as_str).collect();
         lines.push(format!(
-            "Callers {label} {} instead of {}; routes affected: {}.",
+            "Callers {label} wait {} instead of {}; routes affected: {}.",
             patience_text(new),
             patience_text(old),
             join_or_none(&routes)
@@ -174,7 +175,7 @@
         )
     };
     let periods: Vec<String> = class.patience.iter().map(period).collect();
-    format!("wait {}", periods.join(", "))
+    periods.join(", ")
 }
 
 fn minute_text(minute: u16) -> String {
--- a/questionnaire/src/error.rs
+++ b/questionnaire/src/error.rs
@@ -153,7 +153,7 @@
             fault.file = file.clone();
         }
         faults.sort_by_key(|fault| (fault.line, fault.column, fault.code));
-        AnswerFaults { faults }
+        AnswerFaults { faults: merge_places(faults) }
     }
 }
 
@@ -162,3 +162,23 @@
         AnswerFaults { faults: vec![fault] }
     }
 }
+
+/// Merges the faults of one code and place. One wrong step of a series makes a fault for each of its
+/// targets.
+fn merge_places(faults: Vec<AnswerFault>) -> Vec<AnswerFault> {
+    let mut merged: Vec<(AnswerFault, usize)> = Vec::new();
+    for fault in faults {
+        let key = |fault: &AnswerFault| (fault.line, fault.column, fault.code);
+        match merged.last_mut() {
+            Some((last, more)) if fault.line > 0 && key(last) == key(&fault) => *more += 1,
+            _ => merged.push((fault, 0)),
+        }
+    }
+    let merge = |(mut fault, more): (AnswerFault, usize)| {
+        if more > 0 {
+            fault.message.push_str(&format!(" ({more} more of this kind here)"));
+        }
+        fault
+    };
+    merged.into_iter().map(merge).collect()
+}
--- a/questionnaire/src/fleet.rs
+++ b/questionnaire/src/fleet.rs
@@ -32,9 +32,9 @@
     pub services: u32,
     /// Number of targets; raised to the number of services when it is lower.
     pub targets: u32,
-    /// Number of regions.
+    /// Number of regions, at least 1.
     pub regions: u32,
-    /// Number of data centres, distributed over the regions.
+    /// Number of data centres, at least 1, distributed over the regions.
     pub data_centres: u32,
 }
 
@@ -48,6 +48,8 @@
 /// Answers for a fleet of `size`. The same seed gives the same answers.
 pub fn generate_fleet(size: FleetSize, seed: u64) -> Answers {
     let mut random = Pcg64::seed_from_u64(seed);
+    let size =
+        FleetSize { regions: size.regions.max(1), data_centres: size.data_centres.max(1), ..size };
     let places: Vec<String> = (0..size.data_centres).map(|index| format!("dc-{index}")).collect();
     let counts = target_counts(size, &mut random);
     let mut services = Vec::new();
--- a/questionnaire/src/tree.rs
+++ b/questionnaire/src/tree.rs
@@ -114,10 +114,18 @@
             max_events: 2 * NODE_LIMIT,
         },
     };
-    serde_saphyr::from_str_with_options(text, options).map_err(|err| {
-        let place = err.location().unwrap_or(Location::UNKNOWN);
-        AnswerFault::new(AnswerCode::BrokenYaml, place, err.without_snippet().to_string())
-    })
+    serde_saphyr::from_str_with_options(text, options).map_err(|err| broken_yaml(&err))
+}
+
+fn broken_yaml(err: &serde_saphyr::Error) -> AnswerFault {
+    let place = err.location().unwrap_or(Location::UNKNOWN);
+    let message = match err.without_snippet() {
+        serde_saphyr::Error::DuplicateMappingKey { key: Some(key), .. } => {
+            format!("key `{key}` occurs twice; delete one of them")
+        }
+        other => format!("{other}; correct the line"),
+    };
+    AnswerFault::new(AnswerCode::BrokenYaml, place, message)
 }
 
 /// Reads the answers of one mapping and collects the faults. A faulty answer is replaced by a
--- /dev/null
+++ b/questionnaire/tests/command.rs
@@ -0,0 +1,127 @@
+//! The subcommands, on files.
+
+use std::fs;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Parser;
+use fescuestack_core::{PartHash, VersionId};
+use fescuestack_questionnaire::{
+    AnswerCode, Answers, Artefact, QuestionnaireCommand, accept_after,
+};
+
+const COUNCIL: &str = include_str!("../../deployments/council.yaml");
+
+/// A file in a folder that belongs to the test called `test`.
+fn write_file(test: &str, name: &str, content: &str) -> String {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(test);
+    fs::create_dir_all(&folder).unwrap();
+    let file = folder.join(name);
+    fs::write(&file, content).unwrap();
+    file.display().to_string()
+}
+
+/// Runs a command line and returns whether it succeeded, its output and its errors.
+fn run(words: &[&str]) -> (bool, String, String) {
+    let command = QuestionnaireCommand::try_parse_from([&["questionnaire"], words].concat());
+    let (mut output, mut errors) = (Vec::new(), Vec::new());
+    let code = command.unwrap().run_with(&mut output, &mut errors);
+    let text = |bytes| String::from_utf8(bytes).unwrap();
+    (code == ExitCode::SUCCESS, text(output), text(errors))
+}
+
+/// Guards against a check whose exit code does not tell faults from none.
+#[test]
+fn check_prints_places() {
+    let good = write_file("check", "good.yaml", COUNCIL);
+    let (passed, output, errors) = run(&["check", &good]);
+    assert!(passed && errors.is_empty() && output.contains("no faults"), "{errors}");
+    let bad = write_file("check", "bad.yaml", &COUNCIL.replace("convergence", "speed"));
+    let (passed, output, errors) = run(&["check", &bad]);
+    assert!(!passed && output.is_empty());
+    assert_eq!(
+        errors,
+        format!(
+            "{bad}:4:13: 506 unknown word: `preference` is `speed`; write convergence or bytes\n"
+        )
+    );
+    let (passed, _, errors) = run(&["check", "absent.yaml"]);
+    assert!(!passed && errors.starts_with("501 "), "{errors}");
+}
+
+/// Guards against an acceptance that skips the review against the version in force.
+#[test]
+fn accept_numbers_versions() {
+    let file = write_file("accept", "council.yaml", COUNCIL);
+    let first = write_file("accept", "first.json", "");
+    let second = write_file("accept", "second.json", "");
+    let (passed, _, errors) = run(&["accept", &file]);
+    assert!(!passed && errors.starts_with("526 "), "{errors}");
+    assert!(run(&["accept", &file, "--base", "none", "--output", &first]).0);
+    assert!(run(&["accept", &file, "--previous", &first, "--output", &second]).0);
+    let base = Artefact::scan(&fs::read_to_string(&first).unwrap()).unwrap().version().unwrap();
+    let (passed, output, _) = run(&["accept", &file, "--previous", &second]);
+    assert!(passed);
+    assert_eq!(Artefact::scan(&output).unwrap().version().unwrap().number, 3);
+    let words = ["accept", &file, "--previous", &second, "--base", &base.to_string()];
+    let (passed, _, errors) = run(&words);
+    assert!(!passed && errors.starts_with("527 "), "{errors}");
+    let broken = write_file("accept", "broken.json", "{}");
+    let (passed, _, errors) = run(&["accept", &file, "--previous", &broken]);
+    assert!(!passed && errors.contains("529 "), "{errors}");
+}
+
+/// Guards against a version number that wraps around and so is older than its base.
+#[test]
+fn last_number_is_refused() {
+    let answers = Answers::scan("council.yaml", COUNCIL).unwrap();
+    let base = VersionId::new(u64::MAX, PartHash::default());
+    let faults = accept_after(&answers, base, None).unwrap_err().faults;
+    assert_eq!(faults[0].code, AnswerCode::Refused);
+}
+
+/// Guards against a difference that does not say whom a change reaches.
+#[test]
+fn diff_names_those_concerned() {
+    let edits = [
+        ("patience-ms: 800", "patience-ms: 700"),
+        ("count: 6", "count: 8"),
+        ("queue-limit: 32", "queue-limit: 40"),
+        ("        prefix: /pigments", "        prefix: /paints"),
+        ("body-limit-bytes: 16384", "body-limit-bytes: 8192"),
+        ("link-delay-ms: 3", "link-delay-ms: 4"),
+    ];
+    let changed = edits.iter().fold(COUNCIL.to_owned(), |text, (from, to)| text.replace(from, to));
+    let old = write_file("diff", "old.yaml", COUNCIL);
+    let new = write_file("diff", "new.yaml", &changed);
+    let artefact = write_file("diff", "old.json", "");
+    assert!(run(&["accept", &old, "--base", "none", "--output", &artefact]).0);
+    let expected = "\
+Fleet: the delay between data centres in ms changes from 3 to 4.
+Callers licensing/counter wait 5000 ms from 00:00 to 08:30, 700 ms from 08:30 to 17:00, 5000 ms from 17:00 to 24:00 \
+instead of 5000 ms from 00:00 to 08:30, 800 ms from 08:30 to 17:00, 5000 ms from 17:00 to 24:00; \
+routes affected: register GET /licences, register GET /licences/search, register POST /payments.
+Service gallery: the queue limit changes from 32 to 40.
+Service gallery: route GET /paints of kind lookup is added for heritage/services, licensing/services.
+Service gallery: route GET /pigments is removed for heritage/services, licensing/services.
+Service register: route POST /payments takes bodies up to 8192 bytes instead of 16384.
+Service register: 2 targets added (register-7, register-8).
+";
+    assert_eq!(run(&["diff", &old, &new]).1, expected);
+    assert_eq!(run(&["diff", &artefact, &new]).1, expected);
+    assert_eq!(run(&["diff", &artefact, &old]).1, "Nothing changes.\n");
+}
+
+/// Guards against a generated questionnaire that the check refuses.
+#[test]
+fn fleet_can_be_checked_and_generated() {
+    let (passed, yaml, _) = run(&["fleet", "--services", "30", "--targets", "100", "--seed", "5"]);
+    assert!(passed);
+    let file = write_file("fleet", "fleet.yaml", &yaml);
+    assert!(run(&["check", &file]).0);
+    let (passed, output, errors) = run(&["generate", &file]);
+    assert!(passed, "{errors}");
+    let keys = Artefact::scan(&output).unwrap().values;
+    let count = |start: &str| keys.keys().filter(|key| key.starts_with(start)).count();
+    assert_eq!((count("manifest/"), count("head"), count("parts/")), (1, 0, 1 + 2 + 60));
+}
--- /dev/null
+++ b/questionnaire/tests/errors.rs
@@ -0,0 +1,43 @@
+//! Compares `docs/errors.md` with the result codes.
+
+use std::collections::BTreeMap;
+
+use fescuestack_core::ResultCode;
+use fescuestack_questionnaire::AnswerCode;
+
+const PAGE: &str = include_str!("../../docs/errors.md");
+
+/// Rows of the page's tables by number: section, label, meaning, what to do.
+fn scan_rows() -> BTreeMap<u16, (u16, &'static str, &'static str, &'static str)> {
+    let mut rows = BTreeMap::new();
+    let mut section = 0;
+    for line in PAGE.lines() {
+        if let Some(title) = line.strip_prefix("## ") {
+            section = title[..1].parse().unwrap();
+        }
+        let cells: Vec<&str> = line.split('|').map(str::trim).collect();
+        let Some(Ok(number)) = cells.get(1).map(|cell| cell.parse()) else { continue };
+        let &[_, _, label, meaning, remedy, _] = &cells[..] else { panic!("cells of {line}") };
+        let former = rows.insert(number, (section, label, meaning, remedy));
+        assert!(former.is_none(), "{number} occurs twice");
+    }
+    rows
+}
+
+/// Guards against a page that lacks a code, has one too many, or words it differently.
+#[test]
+fn page_lists_every_code() {
+    let mut rows = scan_rows();
+    for code in ResultCode::ALL {
+        let row = rows.remove(&code.number()).unwrap_or_else(|| panic!("{code} is absent"));
+        assert_eq!((row.0, row.1, row.2), (code.number() / 100, code.label(), code.meaning()));
+        assert!(!row.3.is_empty(), "{code} lacks what to do");
+    }
+    for code in AnswerCode::ALL {
+        let row = rows.remove(&code.number()).unwrap_or_else(|| panic!("{code} is absent"));
+        assert_eq!(row, (5, code.label(), code.meaning(), code.remedy()));
+    }
+    // Settings, platform and peers have their own enums, compared in their packages.
+    rows.retain(|number, _| *number < 600);
+    assert!(rows.is_empty(), "no code for {rows:?}");
+}
