Join the node to the control state and measure distribution

Cause: the decisions had no process around them and no figures. Change: settings check, status, record and measure distribution; a local fleet with a platform stand-in and the two baselines in the same harness.

--- a/fescuestack/src/cli.rs
+++ b/fescuestack/src/cli.rs
@@ -9,6 +9,7 @@
 use fescuestack_questionnaire::QuestionnaireCommand;
 
 use crate::logging::start_logging;
+use crate::measure::MeasureCommand;
 use crate::node::{NodeOptions, NodeProcess};
 use crate::settings::NodeSettings;
 use crate::signals::wait_for_stop;
@@ -24,7 +25,6 @@
 #[derive(Debug, Subcommand)]
 enum MainCommand {
     /// Check, generate, compare and accept the operators' answers.
-    #[command(subcommand)]
     Questionnaire(QuestionnaireCommand),
     /// Run the process beside one upstream.
     Node {
@@ -49,6 +49,9 @@
         /// Request id, from the header `fescuestack-request`.
         request: String,
     },
+    /// Measure the product on loopback.
+    #[command(subcommand)]
+    Measure(MeasureCommand),
     /// Save a node's recorded control inputs to standard output.
     Record {
         /// Operator port of the node.
@@ -77,6 +80,7 @@
             MainCommand::Explain { node, request } => {
                 print_answer(node, &format!("/explain/{request}"))
             }
+            MainCommand::Measure(command) => command.run(),
             MainCommand::Record { node } => print_answer(node, "/recording"),
         }
     }
--- a/fescuestack/src/controller.rs
+++ b/fescuestack/src/controller.rs
@@ -144,6 +144,12 @@
             ControlAction::Send { to, message } => self.links.send(&to, &message),
             ControlAction::ResetLink { peer } => self.links.reset(&peer),
             ControlAction::Install(snapshot) => self.install(snapshot),
+            ControlAction::Liveness { name, state } => {
+                log::info!(member = &*name, state:? = state; "member changed");
+            }
+            ControlAction::Quarantine { fingerprints } => {
+                log::info!(fingerprints = fingerprints.len(); "quarantine list changed");
+            }
             ControlAction::WatchHead { after } => {
                 let source = self.source.clone();
                 self.spawn_read(async move {
@@ -174,6 +180,7 @@
         self.shared.metrics.record_version();
         if let Some(installs) = &self.shared.installs {
             let record = InstallRecord { number: version.number, at: Instant::now() };
+            // The receiver is gone when a measurement is over.
             let _ = installs.try_send(record);
         }
     }
--- a/fescuestack/src/main.rs
+++ b/fescuestack/src/main.rs
@@ -3,10 +3,13 @@
 mod baseline;
 mod cli;
 mod controller;
+mod fleet;
 mod logging;
+mod measure;
 mod node;
 mod settings;
 mod signals;
+mod usage;
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/fescuestack/src/measure.rs
@@ -0,0 +1,296 @@
+//! Measurements on loopback.
+
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use clap::Subcommand;
+use fescuestack_core::SpreadPreference;
+use fescuestack_questionnaire::{Answers, Artefact, FleetSize, accept, generate_fleet};
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::cli::fail;
+use crate::fleet::{ConvergenceTimes, DistributionKind, FleetError, LocalFleet};
+use crate::usage::ProcessUsage;
+
+/// Seed of the generated fleet.
+const FLEET_SEED: u64 = 7;
+
+/// Longest wait for a version to be active everywhere.
+const CONVERGENCE_LIMIT: Duration = Duration::from_secs(60);
+
+/// How long the fleet is left alone before the idle traffic is measured, so that links are open.
+const SETTLE_TIME: Duration = Duration::from_secs(5);
+
+/// What to measure.
+#[derive(Debug, Subcommand)]
+pub(crate) enum MeasureCommand {
+    /// Convergence time and control bytes of configuration changes. The last line is one JSON object.
+    Distribution(DistributionSettings),
+}
+
+/// Settings of a distribution measurement.
+#[derive(Debug, Clone, clap::Args)]
+pub(crate) struct DistributionSettings {
+    /// Number of nodes, at most 250.
+    #[arg(long, default_value_t = 30, value_parser = clap::value_parser!(u32).range(2..=250))]
+    nodes: u32,
+    /// What distribution optimises for.
+    #[arg(long, value_enum, default_value = "convergence")]
+    weigh: WeighOption,
+    /// Number of data centres.
+    #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u32).range(1..=13))]
+    data_centres: u32,
+    /// Number of configuration changes.
+    #[arg(long, default_value_t = 10, value_parser = clap::value_parser!(u32).range(1..=1_000))]
+    changes: u32,
+    /// Time between changes, in milliseconds.
+    #[arg(long, default_value_t = 1_160)]
+    interval_ms: u64,
+    /// Length of the idle phase, in seconds.
+    #[arg(long, default_value_t = 10)]
+    idle_s: u64,
+    /// One-way delay between data centres, in milliseconds.
+    #[arg(long, default_value_t = 5)]
+    link_ms: u64,
+    /// The product or a baseline.
+    #[arg(long, value_enum, default_value = "trees")]
+    kind: DistributionKind,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
+enum WeighOption {
+    Convergence,
+    Bytes,
+}
+
+#[derive(Debug, Serialize)]
+struct DistributionReport {
+    nodes: u32,
+    weigh: &'static str,
+    kind: String,
+    data_centres: u32,
+    changes: u32,
+    first_version_ms: u64,
+    convergence_ms: QuantileReport,
+    node_delay_ms: QuantileReport,
+    control_bytes_per_node_per_s: f64,
+    idle_bytes_per_node_per_s: f64,
+    bytes_per_change_per_link: f64,
+    change_bytes: u64,
+    copies_per_change_per_node: f64,
+    platform_calls_per_s: f64,
+    platform_bytes_per_s: f64,
+    idle_platform_calls_per_s: f64,
+    memory_kb_per_node: u64,
+    processor_share_per_node: f64,
+    idle_processor_share_per_node: f64,
+    open_links_per_node: f64,
+}
+
+#[derive(Debug, Default, Serialize)]
+struct QuantileReport {
+    p50: f64,
+    p99: f64,
+    max: f64,
+}
+
+impl QuantileReport {
+    fn new(mut times: Vec<Duration>) -> QuantileReport {
+        times.sort_unstable();
+        let at = |share: f64| {
+            let index = (share * times.len() as f64).ceil() as usize;
+            let time = times.get(index.saturating_sub(1)).copied().unwrap_or_default();
+            (time.as_secs_f64() * 10_000.0).round() / 10.0
+        };
+        QuantileReport { p50: at(0.5), p99: at(0.99), max: at(1.0) }
+    }
+}
+
+impl MeasureCommand {
+    /// Runs the measurement.
+    pub(crate) fn run(self) -> ExitCode {
+        let _logger = match crate::logging::start_logging("error") {
+            Ok(handle) => handle,
+            Err(err) => return fail(&err),
+        };
+        match self {
+            MeasureCommand::Distribution(settings) => match task::block_on(settings.measure()) {
+                Ok(report) => {
+                    println!("{}", serde_json::to_string(&report).unwrap_or_default());
+                    ExitCode::SUCCESS
+                }
+                Err(err) => fail(&err),
+            },
+        }
+    }
+}
+
+/// Counters of the whole fleet at one moment.
+#[derive(Debug, Clone, Copy)]
+struct FleetCounters {
+    at: Instant,
+    sent: u64,
+    cross: u64,
+    calls: u64,
+    platform_bytes: u64,
+    usage: ProcessUsage,
+}
+
+impl FleetCounters {
+    fn read(fleet: &LocalFleet) -> FleetCounters {
+        let sent = fleet.nodes.iter().map(|node| node.usage().sent_bytes()).sum();
+        let cross = fleet.nodes.iter().map(|node| node.usage().cross_bytes()).sum();
+        let platform = fleet.platform.usage();
+        FleetCounters {
+            at: Instant::now(),
+            sent,
+            cross,
+            calls: platform.calls,
+            platform_bytes: platform.bytes,
+            usage: ProcessUsage::read(),
+        }
+    }
+
+    fn seconds_since(&self, earlier: &FleetCounters) -> f64 {
+        self.at.duration_since(earlier.at).as_secs_f64()
+    }
+
+    fn processor_since(&self, earlier: &FleetCounters) -> f64 {
+        let used = self.usage.processor.saturating_sub(earlier.usage.processor);
+        used.as_secs_f64() / self.seconds_since(earlier)
+    }
+}
+
+impl DistributionSettings {
+    async fn measure(&self) -> Result<DistributionReport, FleetError> {
+        let mut answers = self.answers();
+        let mut artefact = accept_next(&answers, None);
+        let before = ProcessUsage::read();
+        let link_delay = Duration::from_millis(self.link_ms);
+        let mut fleet = LocalFleet::new(&artefact, self.kind, link_delay).await?;
+        let published = fleet.publish(&artefact);
+        fleet.start().await?;
+        let count = fleet.nodes.len();
+        let mut first = ConvergenceTimes::default();
+        if self.kind == DistributionKind::Trees {
+            first = fleet.wait_for(1, published, count, CONVERGENCE_LIMIT).await?;
+        }
+        task::sleep(SETTLE_TIME).await;
+
+        let idle_start = FleetCounters::read(&fleet);
+        task::sleep(Duration::from_secs(self.idle_s)).await;
+        let idle_end = FleetCounters::read(&fleet);
+
+        let copies_before = self.copies(&fleet).await;
+        let busy_start = FleetCounters::read(&fleet);
+        let mut convergence = Vec::new();
+        let mut delays = Vec::new();
+        let mut change_bytes = 0;
+        for change in 0..self.changes {
+            change_service(&mut answers, change);
+            artefact = accept_next(&answers, Some(&artefact));
+            change_bytes += delta_bytes(&artefact);
+            let published = fleet.publish(&artefact);
+            let number = u64::from(change) + 2;
+            let times = fleet.wait_for(number, published, count, CONVERGENCE_LIMIT).await?;
+            convergence.extend(times.nodes.iter().max());
+            delays.extend(times.nodes);
+            let pause = Duration::from_millis(self.interval_ms);
+            task::sleep(pause.saturating_sub(published.elapsed())).await;
+        }
+        let busy_end = FleetCounters::read(&fleet);
+        let copies = self.copies(&fleet).await - copies_before;
+        let open_links: usize = fleet.nodes.iter().map(|node| node.open_links()).sum();
+        fleet.stop().await;
+
+        let per_node = |value: f64| value / count as f64;
+        let idle_seconds = idle_end.seconds_since(&idle_start);
+        let busy_seconds = busy_end.seconds_since(&busy_start);
+        let idle_rate = (idle_end.sent - idle_start.sent) as f64 / idle_seconds;
+        let busy_rate = (busy_end.sent - busy_start.sent) as f64 / busy_seconds;
+        let idle_cross = (idle_end.cross - idle_start.cross) as f64 / idle_seconds;
+        let cross = (busy_end.cross - busy_start.cross) as f64 - idle_cross * busy_seconds;
+        // Each data centre but the one that reads first receives a change over one link.
+        let links = f64::from((self.data_centres - 1).max(1));
+        let calls = (busy_end.calls - busy_start.calls) as f64 / busy_seconds;
+        let platform_bytes =
+            (busy_end.platform_bytes - busy_start.platform_bytes) as f64 / busy_seconds;
+        let idle_calls = (idle_end.calls - idle_start.calls) as f64 / idle_seconds;
+        let memory = busy_end.usage.peak_kb.saturating_sub(before.resident_kb) / count as u64;
+        Ok(DistributionReport {
+            nodes: self.nodes,
+            weigh: match self.weigh {
+                WeighOption::Convergence => "convergence",
+                WeighOption::Bytes => "bytes",
+            },
+            kind: format!("{:?}", self.kind).to_lowercase(),
+            data_centres: self.data_centres,
+            changes: self.changes,
+            first_version_ms: first.nodes.iter().max().map_or(0, |time| time.as_millis() as u64),
+            convergence_ms: QuantileReport::new(convergence),
+            node_delay_ms: QuantileReport::new(delays),
+            control_bytes_per_node_per_s: round(per_node(busy_rate)),
+            idle_bytes_per_node_per_s: round(per_node(idle_rate)),
+            bytes_per_change_per_link: round(cross / f64::from(self.changes) / links),
+            change_bytes: change_bytes / u64::from(self.changes),
+            copies_per_change_per_node: round(per_node(copies / f64::from(self.changes))),
+            platform_calls_per_s: round(calls),
+            platform_bytes_per_s: round(platform_bytes),
+            idle_platform_calls_per_s: round(idle_calls),
+            memory_kb_per_node: memory,
+            processor_share_per_node: per_node(busy_end.processor_since(&busy_start)),
+            idle_processor_share_per_node: per_node(idle_end.processor_since(&idle_start)),
+            open_links_per_node: round(per_node(open_links as f64)),
+        })
+    }
+
+    fn answers(&self) -> Answers {
+        // As at the full size, about ten targets a service.
+        let size = FleetSize {
+            services: self.nodes.div_ceil(10),
+            targets: self.nodes,
+            regions: self.data_centres.min(6),
+            data_centres: self.data_centres,
+        };
+        let mut answers = generate_fleet(size, FLEET_SEED);
+        answers.preference.value = match self.weigh {
+            WeighOption::Convergence => SpreadPreference::Convergence,
+            WeighOption::Bytes => SpreadPreference::Bytes,
+        };
+        answers
+    }
+
+    /// Copies of changes that all nodes have received from other nodes.
+    async fn copies(&self, fleet: &LocalFleet) -> f64 {
+        let mut copies = 0;
+        for node in &fleet.nodes {
+            let status: Value = serde_json::from_str(&node.status().await).unwrap_or_default();
+            let counters = status.get("counters").unwrap_or(&status);
+            copies += counters["pushes_received"].as_u64().unwrap_or(0);
+        }
+        copies as f64
+    }
+}
+
+fn round(value: f64) -> f64 {
+    (value * 100.0).round() / 100.0
+}
+
+fn accept_next(answers: &Answers, previous: Option<&Artefact>) -> Artefact {
+    accept(answers, previous).expect("generated answers are valid")
+}
+
+/// Changes one service, as an operator who tunes a limit does.
+fn change_service(answers: &mut Answers, change: u32) {
+    let count = answers.services.value.len();
+    let service = &mut answers.services.value[change as usize % count];
+    service.queue_limit.value = 16 + change % 64;
+}
+
+/// Size of the published delta, in bytes.
+fn delta_bytes(artefact: &Artefact) -> u64 {
+    let deltas = artefact.values.iter().filter(|(key, _)| key.starts_with("delta/"));
+    deltas.map(|(_, content)| content.len() as u64).sum()
+}
--- a/fescuestack/src/node.rs
+++ b/fescuestack/src/node.rs
@@ -7,7 +7,7 @@
 
 use arc_swap::ArcSwapOption;
 use async_channel::Sender;
-use fescuestack_core::{ConfigSnapshot, ControlInput, ControlState, PeerAddress};
+use fescuestack_core::{ControlInput, ControlState, PeerAddress};
 use fescuestack_operators::{ExplainRing, MetricsError, NodeMetrics, OperatorPort, OperatorView};
 use fescuestack_peers::{LinkHub, LinkListener, LinkUsage};
 use fescuestack_platform::HttpSource;
@@ -39,11 +39,14 @@
     Thread { source: std::io::Error },
 }
 
+/// Delay of control messages to a peer.
+pub(crate) type LinkDelay = Box<dyn Fn(&PeerAddress) -> Duration + Send>;
+
 /// What a host may add to a node, for demonstrations and measurements.
 #[derive(Default)]
 pub(crate) struct NodeOptions {
     /// Delay of control messages to a peer.
-    pub(crate) link_delay: Option<Box<dyn Fn(&PeerAddress) -> Duration + Send>>,
+    pub(crate) link_delay: Option<LinkDelay>,
     /// Told of each version that becomes active.
     pub(crate) installs: Option<Sender<InstallRecord>>,
     /// Replaces the product's distribution by a baseline.
@@ -53,7 +56,6 @@
 /// A running node.
 pub(crate) struct NodeProcess {
     requests: Sender<ControlRequest>,
-    snapshot: Arc<ArcSwapOption<ConfigSnapshot>>,
     usage: Arc<LinkUsage>,
     thread: Option<JoinHandle<()>>,
 }
@@ -93,12 +95,8 @@
         LinkListener::listen(address, event_sender, usage.clone())
             .context(ListenSnafu { port: "control", address })?;
 
-        let shared = ControlShared {
-            snapshot: snapshot.clone(),
-            usage: usage.clone(),
-            metrics,
-            installs: options.installs,
-        };
+        let shared =
+            ControlShared { snapshot, usage: usage.clone(), metrics, installs: options.installs };
         let node = control.node.clone();
         let policy = options.baseline.unwrap_or_else(|| {
             let seed = control_seed(&node);
@@ -111,12 +109,7 @@
             .spawn(move || driver.run(events))
             .context(ThreadSnafu)?;
         log::info!(node = &*node.name, data_centre = &*node.data_centre; "node started");
-        Ok(NodeProcess { requests, snapshot, usage, thread: Some(thread) })
-    }
-
-    /// Number of the active version, or zero when there is none.
-    pub(crate) fn version_number(&self) -> u64 {
-        self.snapshot.load().as_ref().map_or(0, |snapshot| snapshot.version().number)
+        Ok(NodeProcess { requests, usage, thread: Some(thread) })
     }
 
     /// Traffic on the control links.
@@ -124,6 +117,20 @@
         &self.usage
     }
 
+    /// The status, as JSON; empty when the node has stopped.
+    pub(crate) async fn status(&self) -> String {
+        let (sender, answer) = async_channel::bounded(1);
+        if self.requests.send(ControlRequest::Status(sender)).await.is_err() {
+            return String::new();
+        }
+        answer.recv().await.unwrap_or_default()
+    }
+
+    /// Number of open links to other nodes.
+    pub(crate) fn open_links(&self) -> usize {
+        self.usage.open_links()
+    }
+
     /// Stops gracefully: announces leaving, lets calls finish, then ends the control thread.
     pub(crate) async fn stop(mut self) {
         let _ = self.requests.send(ControlRequest::Input(ControlInput::Leave)).await;
--- a/fescuestack/src/settings.rs
+++ b/fescuestack/src/settings.rs
@@ -75,9 +75,6 @@
     /// Values contradict each other or are out of range.
     #[snafu(display("603 {}: {}", path.display(), faults.join("; ")))]
     Invalid { path: PathBuf, faults: Vec<String> },
-    /// An address cannot be listened on.
-    #[snafu(display("604 {path}: cannot listen on {address}: {source}"))]
-    Listen { path: String, address: SocketAddr, source: std::io::Error },
 }
 
 impl NodeSettings {
--- a/peers/src/link.rs
+++ b/peers/src/link.rs
@@ -109,11 +109,6 @@
         self.links.remove(peer);
     }
 
-    /// Number of links that are open or being opened.
-    pub fn open_links(&self) -> usize {
-        self.links.values().filter(|link| !link.queue.is_closed()).count()
-    }
-
     fn open(&self, peer: &PeerAddress) -> OpenLink {
         let (queue, envelopes) = async_channel::bounded(QUEUE_LIMIT);
         let (running, stopped) = async_channel::bounded::<()>(1);
@@ -121,13 +116,17 @@
         let events = self.events.clone();
         let peer = peer.clone();
         let delay = (self.delay)(&peer);
+        let usage = self.usage.clone();
+        usage.count_opened();
         task::spawn(async move {
             let reset = async {
                 let _ = stopped.recv().await;
                 None
             };
             // A link closed by `reset` is not a loss that control has to hear of.
-            if let Some(result) = future::or(reset, async { Some(stream.run().await) }).await {
+            let ended = future::or(reset, async { Some(stream.run().await) }).await;
+            usage.count_closed();
+            if let Some(result) = ended {
                 if let Err(err) = result {
                     log::debug!("link to {} lost: {err}", peer.name);
                 }
--- a/peers/src/usage.rs
+++ b/peers/src/usage.rs
@@ -1,6 +1,6 @@
 //! Counters of the traffic on links.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 
 /// Framing of a message on a stream: 9 bytes of HTTP/2 frame header and 5 bytes of gRPC prefix.
 pub(crate) const FRAMING_BYTES: u64 = 14;
@@ -8,6 +8,7 @@
 /// Messages and bytes on all links of a node, framing included, TCP/IP headers not.
 #[derive(Debug, Default)]
 pub struct LinkUsage {
+    open_links: AtomicUsize,
     sent_messages: AtomicU64,
     sent_bytes: AtomicU64,
     cross_bytes: AtomicU64,
@@ -16,6 +17,11 @@
 }
 
 impl LinkUsage {
+    /// Outgoing links that are open or being opened.
+    pub fn open_links(&self) -> usize {
+        self.open_links.load(Ordering::Relaxed)
+    }
+
     /// Messages sent so far.
     pub fn sent_messages(&self) -> u64 {
         self.sent_messages.load(Ordering::Relaxed)
@@ -50,6 +56,14 @@
         }
     }
 
+    pub(crate) fn count_opened(&self) {
+        self.open_links.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn count_closed(&self) {
+        self.open_links.fetch_sub(1, Ordering::Relaxed);
+    }
+
     pub(crate) fn count_received(&self, payload: usize) {
         self.received_messages.fetch_add(1, Ordering::Relaxed);
         self.received_bytes.fetch_add(payload as u64 + FRAMING_BYTES, Ordering::Relaxed);
