--- a/fescuestack/src/main.rs
+++ b/fescuestack/src/main.rs
@@ -1,11 +1,15 @@
 //! The `fescuestack` command.
 
+mod baseline;
 mod cli;
 mod controller;
+mod fleet;
 mod logging;
+mod measure;
 mod node;
 mod settings;
 mod signals;
+mod usage;
 
 use std::process::ExitCode;
 
--- a/peers/src/usage.rs
+++ b/peers/src/usage.rs
@@ -1,6 +1,6 @@
 //! Counters of the traffic on links.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 
 /// Framing of a message on a stream: 9 bytes of HTTP/2 frame header and 5 bytes of gRPC prefix.
 pub(crate) const FRAMING_BYTES: u64 = 14;
@@ -8,13 +8,20 @@
 /// Messages and bytes on all links of a node, framing included, TCP/IP headers not.
 #[derive(Debug, Default)]
 pub struct LinkUsage {
+    open_links: AtomicUsize,
     sent_messages: AtomicU64,
     sent_bytes: AtomicU64,
+    cross_bytes: AtomicU64,
     received_messages: AtomicU64,
     received_bytes: AtomicU64,
 }
 
 impl LinkUsage {
+    /// Outgoing links that are open or being opened.
+    pub fn open_links(&self) -> usize {
+        self.open_links.load(Ordering::Relaxed)
+    }
+
     /// Messages sent so far.
     pub fn sent_messages(&self) -> u64 {
         self.sent_messages.load(Ordering::Relaxed)
@@ -25,6 +32,11 @@
         self.sent_bytes.load(Ordering::Relaxed)
     }
 
+    /// Bytes sent so far to nodes of other data centres.
+    pub fn cross_bytes(&self) -> u64 {
+        self.cross_bytes.load(Ordering::Relaxed)
+    }
+
     /// Messages received so far.
     pub fn received_messages(&self) -> u64 {
         self.received_messages.load(Ordering::Relaxed)
@@ -35,9 +47,21 @@
         self.received_bytes.load(Ordering::Relaxed)
     }
 
-    pub(crate) fn count_sent(&self, payload: usize) {
+    pub(crate) fn count_sent(&self, payload: usize, crosses: bool) {
+        let bytes = payload as u64 + FRAMING_BYTES;
         self.sent_messages.fetch_add(1, Ordering::Relaxed);
-        self.sent_bytes.fetch_add(payload as u64 + FRAMING_BYTES, Ordering::Relaxed);
+        self.sent_bytes.fetch_add(bytes, Ordering::Relaxed);
+        if crosses {
+            self.cross_bytes.fetch_add(bytes, Ordering::Relaxed);
+        }
+    }
+
+    pub(crate) fn count_opened(&self) {
+        self.open_links.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn count_closed(&self) {
+        self.open_links.fetch_sub(1, Ordering::Relaxed);
     }
 
     pub(crate) fn count_received(&self, payload: usize) {
