--- a/core/examples/resident_memory.rs
+++ b/core/examples/resident_memory.rs
@@ -79,8 +79,9 @@
     let targets: usize = snapshot.services().map(|view| view.targets.len()).sum();
     // The second snapshot that the pushes are derived from stands for the one that calls may hold.
     println!(
-        "{{\"services\":{services},\"targets\":{targets},\"content_kib\":{},\"empty_kib\":{empty},\
+        "{{\"services\":{services},\"targets\":{targets},\"members\":{},\"content_kib\":{},\"empty_kib\":{empty},\
          \"snapshot_kib\":{snapshot_only},\"control_kib\":{settled},\"pushed_kib\":{pushed}}}",
+        node.peers.len() + 1,
         content / 1024
     );
     Ok(())
--- /dev/null
+++ b/standins/examples/message_sizes.rs
@@ -0,0 +1,96 @@
+//! Prints the size of control messages on a link, in bytes, for a fleet of the given size.
+//!
+//!     message_sizes SERVICES TARGETS
+
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use fescuestack_core::{
+    MemberEvent, MemberState, PartContent, PeerAddress, PeerMessage, SpreadEvent, VersionDelta,
+    VersionHeads, VersionId,
+};
+use fescuestack_peers::encode_message;
+use fescuestack_questionnaire::{
+    FleetSize, build_manifest, encode_parts, generate, generate_fleet,
+};
+
+/// Seed of the generated fleet, the same as in the benches.
+const FLEET_SEED: u64 = 11;
+
+/// Size of a piece of a transfer, in bytes.
+const CHUNK_BYTES: usize = 64 * 1024;
+
+fn main() -> ExitCode {
+    let sizes: Vec<u32> = std::env::args().skip(1).filter_map(|text| text.parse().ok()).collect();
+    let [services, targets] = sizes[..] else {
+        eprintln!("usage: message_sizes SERVICES TARGETS");
+        return ExitCode::FAILURE;
+    };
+    let answers = generate_fleet(FleetSize::new(services, targets), FLEET_SEED);
+    let parts = encode_parts(&generate(&answers).expect("generated fleets have no faults"));
+    let version = VersionId::new(70_000, build_manifest(&parts).digest());
+    let heads = VersionHeads::new(version, version);
+    let events = |count: usize| (0..count).map(member_event).collect::<Vec<_>>();
+    let probe = |count| PeerMessage::Probe {
+        sequence: 100_000,
+        incarnation: 1_700_000_000_000,
+        heads: Some(heads),
+        events: events(count),
+    };
+    print_size("probe", &probe(0));
+    print_size("probe with 10 events", &probe(10));
+    print_size("gossip", &PeerMessage::Gossip { heads, view: u32::MAX });
+    let (exceptions, answer) = (u32::MAX, true);
+    print_size("gateway-head", &PeerMessage::GatewayHead { heads, exceptions, answer });
+    print_pushes("targets/", &parts, version);
+    print_pushes("service/", &parts, version);
+    print_transfer(&parts);
+    ExitCode::SUCCESS
+}
+
+fn print_size(label: &str, message: &PeerMessage) {
+    let envelope = encode_message(message).expect("messages can be encoded");
+    println!("{label}: {}", envelope.payload.len());
+}
+
+fn member_event(index: usize) -> SpreadEvent {
+    let control = std::net::SocketAddr::from(([10, 20, 30, index as u8], 21_002));
+    let name = format!("service-{}-{}", index * 97, index + 1).into();
+    let peer = PeerAddress { name, data_centre: "dc-3".into(), control };
+    let (incarnation, state) = (1_700_000_000_000 + index as u64, MemberState::Alive);
+    SpreadEvent::Member(MemberEvent { peer, incarnation, state })
+}
+
+/// Pushes that change one part of a kind: the median part and the largest.
+fn print_pushes(kind: &str, parts: &[PartContent], version: VersionId) {
+    let mut of_kind: Vec<&PartContent> =
+        parts.iter().filter(|part| part.name.starts_with(kind)).collect();
+    of_kind.sort_by_key(|part| part.content.len());
+    for (label, part) in
+        [("median", of_kind[of_kind.len() / 2]), ("largest", of_kind[of_kind.len() - 1])]
+    {
+        let changed = vec![part.clone()];
+        let delta = VersionDelta { from: version, to: version, changed, removed: Vec::new() };
+        print_size(
+            &format!("push of the {label} {kind} part of {} bytes", part.content.len()),
+            &PeerMessage::Push { delta },
+        );
+    }
+}
+
+/// All parts as the pieces of a transfer. Each piece is compressed on its own.
+fn print_transfer(parts: &[PartContent]) {
+    let (mut plain, mut encoded, mut pieces) = (0, 0, 0);
+    for part in parts {
+        let (hash, total) = (part.hash(), part.content.len() as u32);
+        for (index, bytes) in part.content.as_bytes().chunks(CHUNK_BYTES).enumerate() {
+            let content: Arc<str> = String::from_utf8_lossy(bytes).into();
+            let offset = (index * CHUNK_BYTES) as u32;
+            let chunk = PeerMessage::Chunk { hash, offset, total, content };
+            encoded += encode_message(&chunk).expect("chunks can be encoded").payload.len();
+            plain += bytes.len();
+            pieces += 1;
+        }
+    }
+    println!("transfer of {} parts: {plain} bytes, {encoded} in {pieces} chunks", parts.len());
+}
