--- a/core/examples/distribution_slopes.rs
+++ b/core/examples/distribution_slopes.rs
@@ -3,9 +3,9 @@
 //! Control states exchange messages over the fake network of the tests, so that the counts are exact
 //! and the same on every run. Times are simulated. Messages count uncompressed.
 //!
-//!     distribution_slopes steady|centre|events|restart SIZE...
+//!     distribution_slopes steady|centre|events|fleet-events|restart SIZE...
 //!
-//! `steady` gives every data centre the size, `centre` only the first one.
+//! `steady` and `fleet-events` give every data centre the size, the others only the first one.
 
 use std::collections::BTreeMap;
 use std::process::ExitCode;
@@ -34,10 +34,13 @@
     let measure: fn(usize) = match arguments.next().as_deref() {
         Some("steady") => |size| steady(size, size),
         Some("centre") => |size| steady(size, 3),
-        Some("events") => events,
+        Some("events") => |size| events(size, 3),
+        Some("fleet-events") => |size| events(size, size),
         Some("restart") => restart,
         _ => {
-            eprintln!("usage: distribution_slopes steady|centre|events|restart SIZE...");
+            eprintln!(
+                "usage: distribution_slopes steady|centre|events|fleet-events|restart SIZE..."
+            );
             return ExitCode::FAILURE;
         }
     };
@@ -141,9 +144,9 @@
 }
 
 /// Bytes over the whole fleet for each restart and each death of a VM in the first data centre.
-fn events(first: usize) {
+fn events(first: usize, others: usize) {
     const EVENTS: usize = 10;
-    let mut network = settled(first, 3, SpreadPreference::Convergence);
+    let mut network = settled(first, others, SpreadPreference::Convergence);
     let begin = total_bytes(&network);
     network.run(100_000);
     let idle = total_bytes(&network) - begin;
@@ -164,7 +167,9 @@
         network.run(60_000);
     }
     let (restart, death) = (extra["restart_bytes"], extra["death_bytes"]);
-    println!("{{\"centre\":{first},\"restart_bytes\":{restart},\"death_bytes\":{death}}}");
+    println!(
+        "{{\"centre\":{first},\"others\":{others},\"restart_bytes\":{restart},\"death_bytes\":{death}}}"
+    );
 }
 
 /// Parts that bring a configuration to the number and size of parts of 1,600 services.
@@ -185,7 +190,7 @@
 
 /// All nodes of the first data centre start again together, with a configuration of full size.
 fn restart(first: usize) {
-    let mut network = settled(first, 10, SpreadPreference::Convergence);
+    let mut network = settled(first, 3, SpreadPreference::Convergence);
     let padded = network.platform.publish(&padding());
     network.run_until_installed(padded, 60_000);
     let begin = network.now;
