Test versions under failures; record and replay control inputs

A delta that does not start at the active version is now never grounds for a rejection, and the target is read from its parts.

record.rs keeps a bounded ring of inputs with digests of the actions, written as JSON lines; replay names the first input whose outcome differs and checks stated outcomes.

--- a/core/src/distribution.rs
+++ b/core/src/distribution.rs
@@ -81,6 +81,9 @@
         arrival: ArrivalPath,
         rule: PassRule,
     ) -> bool {
+        if delta.from != self.versions.active() || self.versions.is_rejected(delta.to) {
+            return false;
+        }
         // The order decides which of several faults is reported; it has to be that of a full compile.
         delta.changed.sort_by(|left, right| left.name.cmp(&right.name));
         let base = self.versions.snapshot.as_deref();
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -19,6 +19,7 @@
 mod message;
 mod patience;
 mod probes;
+mod record;
 mod serving;
 mod snapshot;
 mod source;
@@ -50,6 +51,10 @@
 pub use manifest::{BUCKET_COUNT, BucketEntries, PartManifest, bucket_index};
 pub use message::{MemberEvent, MemberState, PartRequest, PeerAddress, PeerMessage, VersionHeads};
 pub use patience::{DAY_MINUTES, PatienceZone};
+pub use record::{
+    ControlRecorder, RecordHeader, RecordedInput, ReplayMismatch, ReplayReport, StatedOutcome,
+    outcome_line, replay,
+};
 pub use snapshot::{ConfigSnapshot, RejectReason, ServiceView, TenantView};
 pub use state::ControlState;
 pub use status::{
--- a/core/src/source.rs
+++ b/core/src/source.rs
@@ -324,10 +324,10 @@
             chain = merge_deltas(chain).into_iter().collect();
         }
         for delta in chain {
-            let version = delta.to;
             let applied = self.apply_delta(turn, delta, ArrivalPath::SourceDelta, PassRule::Origin);
-            if !applied && !self.versions.is_rejected(version) {
-                // The published delta is damaged; the parts may still be right.
+            if !applied && !self.versions.is_rejected(target) {
+                // A version on the way is bad or a published delta is damaged. The parts of the
+                // target may still be right.
                 self.fetch_manifest(target);
                 return;
             }
--- a/core/tests/network/mod.rs
+++ b/core/tests/network/mod.rs
@@ -3,78 +3,58 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod node;
 pub mod publisher;
+pub mod scenario;
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet};
 
 use fescuestack_core::{
-    ClockTime, ControlAction, ControlInput, ControlSettings, ControlState, ControlStatus,
-    MemberState, PeerAddress, PeerMessage, VersionId,
+    ClockTime, ControlAction, ControlInput, ControlRecorder, ControlSettings, ControlState,
+    ControlStatus, PeerAddress, PeerMessage, VersionId,
 };
+use node::FakeNode;
+use publisher::FakePlatform;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 
-pub use publisher::FakePlatform;
-
 /// Start of the simulated time, well after the epoch so that incarnations are realistic.
 pub const START_MS: u64 = 1_700_000_000_000;
 
 /// Framing of a message on a link, in bytes.
 const FRAMING_BYTES: usize = 14;
 
-#[derive(Debug, Clone, PartialEq, Eq)]
-enum NetworkEvent {
-    Tick(usize, u32),
-    Input(usize, u32, ControlInput),
-    Message { from: usize, to: usize, message: PeerMessage },
-}
-
-pub struct FakeNode {
-    pub address: PeerAddress,
-    pub state: Option<ControlState>,
-    pub seeds: Vec<PeerAddress>,
-    /// Number of the process; inputs for an earlier one are dropped.
-    pub life: u32,
-    pub installed: VersionId,
-    pub paused: bool,
-    /// Whether the whole VM is gone, so that nothing refuses connections.
-    pub vm_gone: bool,
-    pub bytes: u64,
-    pub pushes: u64,
-    pub liveness: BTreeMap<String, MemberState>,
-    pub quarantined: Vec<u64>,
-    backlog: Vec<NetworkEvent>,
-}
+/// Inputs kept in a recording; more than any trace has, so that it can be replayed.
+const RECORD_LIMIT: usize = 100_000;
 
 pub struct FakeNetwork {
     pub now: u64,
     pub nodes: Vec<FakeNode>,
     pub platform: FakePlatform,
     /// Lost messages in 1,000.
-    pub loss: u32,
-    pub duplicates: u32,
+    pub loss: u64,
+    /// Messages that arrive twice in 1,000.
+    pub twice: u64,
     /// Directed links that carry nothing until the sender resets them.
     pub silent: BTreeSet<(usize, usize)>,
-    /// Data centres that reach each other only if they have the same number.
+    /// Data centres reach each other only if they are on the same side.
     pub side: BTreeMap<String, u8>,
+    /// One-way delay between data centres; up to as much is added at random.
     pub link_delay: u64,
-    pub counted_resets: u64,
     rng: Pcg32,
-    queue: BinaryHeap<Reverse<(u64, u64)>>,
-    events: BTreeMap<(u64, u64), NetworkEvent>,
+    queue: BTreeMap<(u64, u64), (usize, u32, ControlInput)>,
     order: u64,
     index: BTreeMap<String, usize>,
 }
 
-pub fn address(data_centre: &str, number: usize) -> PeerAddress {
+fn address(data_centre: &str, number: usize) -> PeerAddress {
     let control = format!("127.0.0.1:{}", 10_000 + number).parse().unwrap();
     let name = format!("{data_centre}-{number}").into();
     PeerAddress { name, data_centre: data_centre.into(), control }
 }
 
 impl FakeNetwork {
-    /// `sizes` gives the nodes of each data centre. Each node knows three seeds.
+    /// `sizes` gives the nodes of each data centre. All start at once and know three seeds each.
     pub fn new(sizes: &[(&str, usize)], seed: u64) -> FakeNetwork {
         let mut addresses = Vec::new();
         for (data_centre, size) in sizes {
@@ -84,63 +64,47 @@
         let mut network = FakeNetwork {
             now: START_MS,
             platform: FakePlatform::new(&addresses),
-            nodes: Vec::new(),
+            nodes: addresses.iter().map(|address| FakeNode::new(address, &addresses)).collect(),
             loss: 0,
-            duplicates: 0,
+            twice: 0,
             silent: BTreeSet::new(),
             side: BTreeMap::new(),
             link_delay: 5,
-            counted_resets: 0,
             rng: Pcg32::seed_from_u64(seed),
-            queue: BinaryHeap::new(),
-            events: BTreeMap::new(),
+            queue: BTreeMap::new(),
             order: 0,
             index: addresses.iter().enumerate().map(|(i, a)| (a.name.to_string(), i)).collect(),
         };
-        for (index, address) in addresses.iter().enumerate() {
-            // The next nodes of the own data centre and the first of another one, so that the
-            // graph of seeds is connected but sparse.
-            let own: Vec<&PeerAddress> =
-                addresses.iter().filter(|a| a.data_centre == address.data_centre).collect();
-            let place = own.iter().position(|a| a.name == address.name).unwrap();
-            let near = [1, 7].map(|step| own[(place + step) % own.len()].clone());
-            let other = addresses.iter().find(|a| a.data_centre != address.data_centre);
-            let seeds = near.into_iter().chain(other.cloned()).collect();
-            network.nodes.push(FakeNode {
-                address: address.clone(),
-                state: None,
-                seeds,
-                life: 0,
-                installed: VersionId::NONE,
-                paused: false,
-                vm_gone: false,
-                bytes: 0,
-                pushes: 0,
-                liveness: BTreeMap::new(),
-                quarantined: Vec::new(),
-                backlog: Vec::new(),
-            });
-            network.start(index);
-        }
+        (0..addresses.len()).for_each(|index| network.start(index));
         network
     }
 
     pub fn random(&mut self, bound: u64) -> u64 {
-        self.rng.next_u64() % bound.max(1)
+        self.rng.next_u64() % bound
     }
 
     /// Starts a process on a node, with nothing kept from an earlier one.
     pub fn start(&mut self, index: usize) {
-        let seed = self.rng.next_u64();
+        let (seed, phase) = (self.rng.next_u64(), self.random(100));
         let node = &mut self.nodes[index];
         let settings = ControlSettings { node: node.address.clone(), seeds: node.seeds.clone() };
+        if let Some(recorder) = &mut node.recorder {
+            *recorder = ControlRecorder::new(settings.clone(), seed, RECORD_LIMIT);
+        }
         node.state = Some(ControlState::new(settings, seed));
         node.life += 1;
         node.installed = VersionId::NONE;
         node.liveness.clear();
         node.vm_gone = false;
-        let (life, phase) = (node.life, self.random(100));
-        self.push(phase, NetworkEvent::Tick(index, life));
+        self.push(phase, index, ControlInput::Tick);
+    }
+
+    /// Starts a node anew and records its inputs.
+    pub fn record(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        let settings = ControlSettings { node: node.address.clone(), seeds: Vec::new() };
+        node.recorder = Some(ControlRecorder::new(settings, 0, RECORD_LIMIT));
+        self.start(index);
     }
 
     /// Ends the process. Without the VM, nothing refuses connections any more.
@@ -148,26 +112,26 @@
         self.nodes[index].state = None;
         self.nodes[index].vm_gone = vm_gone;
         self.platform.forget(index);
-        let address = self.nodes[index].address.clone();
         if !vm_gone {
+            let peer = self.nodes[index].address.clone();
             for other in 0..self.nodes.len() {
-                let input = ControlInput::LinkLost { peer: address.clone() };
-                self.push_input(1, other, input);
+                self.push(1, other, ControlInput::LinkLost { peer: peer.clone() });
             }
         }
     }
 
     pub fn resume(&mut self, index: usize) {
         self.nodes[index].paused = false;
-        let life = self.nodes[index].life;
-        for event in std::mem::take(&mut self.nodes[index].backlog) {
-            self.push(0, event);
+        // A woken process may see its timers before or after what waited in its sockets.
+        self.push(0, index, ControlInput::Tick);
+        for input in std::mem::take(&mut self.nodes[index].backlog) {
+            self.push(0, index, input);
         }
-        self.push(0, NetworkEvent::Tick(index, life));
     }
 
+    /// Delivers an input at once.
     pub fn input(&mut self, index: usize, input: ControlInput) {
-        self.push_input(0, index, input);
+        self.push(0, index, input);
         self.run(0);
     }
 
@@ -175,28 +139,23 @@
         self.nodes[index].state.as_ref().expect("the node runs").status()
     }
 
+    /// Indexes of the nodes that run.
     pub fn live(&self) -> Vec<usize> {
-        let runs = |index: &usize| self.nodes[*index].state.is_some();
-        (0..self.nodes.len()).filter(runs).collect()
+        let runs = |node: &FakeNode| node.state.is_some() && !node.paused && !node.isolated;
+        (0..self.nodes.len()).filter(|&index| runs(&self.nodes[index])).collect()
     }
 
-    /// Runs until all live nodes have installed `version`; the time taken, in ms.
+    /// Runs until all running nodes have installed `version`; gives the time taken, in ms.
     pub fn run_until_installed(&mut self, version: VersionId, limit_ms: u64) -> u64 {
         let begin = self.now;
         loop {
-            let behind = |index: &usize| self.nodes[*index].installed < version;
-            let late: Vec<usize> = self.live().into_iter().filter(behind).collect();
-            if late.is_empty() {
+            let mut live = self.live().into_iter();
+            let Some(late) = live.find(|&index| self.nodes[index].installed < version) else {
                 return self.now - begin;
-            }
+            };
             let waited = self.now - begin;
-            assert!(
-                waited <= limit_ms,
-                "I9: {} nodes lack {version} after {waited} ms, {} has {:?}",
-                late.len(),
-                self.nodes[late[0]].address.name,
-                self.status(late[0]),
-            );
+            let status = self.status(late);
+            assert!(waited <= limit_ms, "I9: no {version} after {waited} ms at {status:?}");
             self.run(50);
         }
     }
@@ -204,93 +163,65 @@
     /// Runs for `span_ms`.
     pub fn run(&mut self, span_ms: u64) {
         let end = self.now + span_ms;
-        while let Some(&Reverse(key)) = self.queue.peek() {
-            if key.0 > end {
-                break;
+        while let Some(entry) = self.queue.first_entry().filter(|entry| entry.key().0 <= end) {
+            self.now = entry.key().0;
+            let (index, life, input) = entry.remove();
+            if self.nodes[index].state.is_some() && self.nodes[index].life == life {
+                self.deliver(index, input);
             }
-            self.queue.pop();
-            self.now = key.0;
-            let event = self.events.remove(&key).expect("queued events are stored");
-            self.deliver(event);
         }
         self.now = end;
     }
 
-    fn push(&mut self, delay: u64, event: NetworkEvent) {
+    fn push(&mut self, delay: u64, index: usize, input: ControlInput) {
         self.order += 1;
-        let key = (self.now + delay, self.order);
-        self.queue.push(Reverse(key));
-        self.events.insert(key, event);
-    }
-
-    fn push_input(&mut self, delay: u64, index: usize, input: ControlInput) {
         let life = self.nodes[index].life;
-        self.push(delay, NetworkEvent::Input(index, life, input));
+        self.queue.insert((self.now + delay, self.order), (index, life, input));
     }
 
-    fn deliver(&mut self, event: NetworkEvent) {
-        let (index, life, input) = match &event {
-            NetworkEvent::Tick(index, life) => (*index, *life, ControlInput::Tick),
-            NetworkEvent::Input(index, life, input) => (*index, *life, input.clone()),
-            NetworkEvent::Message { from, to, message } => {
-                let from = self.nodes[*from].address.clone();
-                let input = ControlInput::Peer { from, message: message.clone() };
-                (*to, self.nodes[*to].life, input)
-            }
-        };
-        if self.nodes[index].state.is_none() || self.nodes[index].life != life {
-            return;
-        }
+    fn deliver(&mut self, index: usize, input: ControlInput) {
+        let tick = input == ControlInput::Tick;
         if self.nodes[index].paused {
-            if !matches!(event, NetworkEvent::Tick(..)) {
-                self.nodes[index].backlog.push(event);
+            if !tick {
+                self.nodes[index].backlog.push(input);
             }
             return;
         }
-        let tick = matches!(input, ControlInput::Tick);
-        self.handle(index, input);
         if tick {
-            self.push(100, NetworkEvent::Tick(index, life));
+            self.push(100, index, ControlInput::Tick);
         }
-    }
-
-    fn handle(&mut self, index: usize, input: ControlInput) {
-        let mut actions = Vec::new();
         let now = ClockTime::new(self.now);
-        self.nodes[index].state.as_mut().unwrap().handle(now, input, &mut actions);
-        for action in actions {
-            self.act(index, action);
+        let mut actions = Vec::new();
+        let node = &mut self.nodes[index];
+        let state = node.state.as_mut().expect("only running nodes get inputs");
+        state.handle(now, input.clone(), &mut actions);
+        if let Some(recorder) = &mut node.recorder {
+            recorder.record(now, input, &actions);
         }
-        for (node, delay, input) in self.platform.take_answers(self.now) {
-            self.push_input(delay, node, input);
+        actions.into_iter().for_each(|action| self.act(index, action));
+        for (node, delay, input) in self.platform.take_answers() {
+            self.push(delay, node, input);
         }
     }
 
     fn act(&mut self, index: usize, action: ControlAction) {
+        let node = &mut self.nodes[index];
         match action {
             ControlAction::Send { to, message } => self.send(index, &to, message),
             ControlAction::ResetLink { peer } => {
-                self.counted_resets += 1;
-                if let Some(&to) = self.index.get(&*peer.name) {
-                    self.silent.remove(&(index, to));
-                }
+                self.silent.remove(&(index, self.index[&*peer.name]));
             }
             ControlAction::Install(snapshot) => {
-                let node = &mut self.nodes[index];
                 let version = snapshot.version();
                 assert!(version > node.installed, "I1: {} reverts", node.address.name);
                 publisher::check_snapshot(&snapshot);
                 self.platform.check_applied(version);
                 node.installed = version;
             }
-            ControlAction::Liveness { name, state } => {
-                self.nodes[index].liveness.insert(name.to_string(), state);
-            }
-            ControlAction::Quarantine { fingerprints } => {
-                self.nodes[index].quarantined = fingerprints;
-            }
+            ControlAction::Liveness { name, state } => node.take_liveness(&name, state),
+            ControlAction::Quarantine { fingerprints } => node.quarantined = fingerprints,
             ControlAction::WatchHead { after } => self.platform.watch_head(self.now, index, after),
-            ControlAction::WatchVms { after } => self.platform.watch_vms(self.now, index, after),
+            ControlAction::WatchVms { .. } => self.platform.watch_vms(self.now, index),
             ControlAction::ReadValue { key } => self.platform.read(self.now, index, key),
         }
     }
@@ -299,28 +230,27 @@
         let length = postcard::to_stdvec(&message).expect("messages can be encoded").len();
         self.nodes[from].bytes += (length + FRAMING_BYTES) as u64;
         self.nodes[from].pushes += u64::from(matches!(message, PeerMessage::Push { .. }));
-        let Some(&to) = self.index.get(&*to.name) else { return };
-        if self.nodes[to].state.is_none() {
-            if !self.nodes[to].vm_gone {
-                let peer = self.nodes[to].address.clone();
-                self.push_input(1, from, ControlInput::LinkLost { peer });
-            }
+        let (to, peer) = (self.index[&*to.name], to);
+        let (sender, receiver) = (&self.nodes[from], &self.nodes[to]);
+        if receiver.state.is_none() && !receiver.vm_gone {
+            self.push(1, from, ControlInput::LinkLost { peer: peer.clone() });
             return;
         }
-        let centre = |index: usize| self.nodes[index].address.data_centre.to_string();
-        let side = |index: usize| self.side.get(&centre(index)).copied().unwrap_or(0);
-        let foreign = centre(from) != centre(to);
-        if side(from) != side(to) || self.silent.contains(&(from, to)) {
+        let side = |node: &FakeNode| self.side.get(&*node.address.data_centre).copied();
+        let apart = side(sender) != side(receiver) || sender.isolated || receiver.isolated;
+        if receiver.state.is_none() || apart || self.silent.contains(&(from, to)) {
             return;
         }
-        let copies = 1 + u64::from(self.random(1_000) < u64::from(self.duplicates));
+        let foreign = sender.address.data_centre != receiver.address.data_centre;
+        let delay = if foreign { self.link_delay } else { 1 };
+        let from = sender.address.clone();
+        let copies = 1 + u64::from(self.random(1_000) < self.twice);
         for _ in 0..copies {
-            if self.random(1_000) < u64::from(self.loss) {
-                continue;
+            if self.random(1_000) >= self.loss {
+                let delay = delay + self.random(delay + 1);
+                let input = ControlInput::Peer { from: from.clone(), message: message.clone() };
+                self.push(delay, to, input);
             }
-            let base = if foreign { self.link_delay } else { 1 };
-            let delay = base + self.random(base + 1);
-            self.push(delay, NetworkEvent::Message { from, to, message: message.clone() });
         }
     }
 }
--- a/core/tests/network/publisher.rs
+++ b/core/tests/network/publisher.rs
@@ -18,6 +18,10 @@
     pub revision: u64,
     /// Every call fails like this.
     pub fault: Option<PlatformFault>,
+    /// Heads that some nodes see in place of the published one.
+    pub head_of: BTreeMap<usize, Arc<str>>,
+    /// Content of the VM list, if it is published.
+    pub vms: Option<Arc<str>>,
     pub delay_ms: u64,
     /// Calls in each second.
     pub calls: BTreeMap<u64, u64>,
@@ -78,6 +82,21 @@
     })
 }
 
+/// A service whose route names a caller class that does not exist.
+pub fn service_without_class(service: &str) -> ConfigPart {
+    let ConfigPart::Service(mut part) = service_part(service, 1) else { unreachable!() };
+    part.routes[0].classes = vec!["tenant/none".to_owned()];
+    ConfigPart::Service(part)
+}
+
+/// A service with 2,500 routes, which take about 400 KB.
+pub fn large_part(service: &str) -> ConfigPart {
+    let ConfigPart::Service(mut part) = service_part(service, 1) else { unreachable!() };
+    let first = part.routes[0].clone();
+    part.routes.extend((0..2_500).map(|i| RouteRule { prefix: format!("/{i}"), ..first.clone() }));
+    ConfigPart::Service(part)
+}
+
 pub fn fleet_part(addresses: &[PeerAddress], preference: SpreadPreference) -> ConfigPart {
     let names: BTreeSet<String> = addresses.iter().map(|a| a.data_centre.to_string()).collect();
     let region = RegionEntry { name: "all".to_owned(), data_centres: names.into_iter().collect() };
@@ -104,6 +123,8 @@
             values: BTreeMap::new(),
             revision: 0,
             fault: None,
+            head_of: BTreeMap::new(),
+            vms: None,
             delay_ms: 3,
             calls: BTreeMap::new(),
             bad: BTreeSet::new(),
@@ -195,58 +216,69 @@
         self.watches.retain(|(watcher, _)| *watcher != node);
     }
 
+    /// Calls from `from_ms` on.
+    pub fn calls_since(&self, from_ms: u64) -> u64 {
+        self.calls.range(from_ms / 1_000..).map(|(_, count)| *count).sum()
+    }
+
     /// Highest number of calls in a second from `from_ms` on.
     pub fn peak_calls(&self, from_ms: u64) -> u64 {
         self.calls.range(from_ms / 1_000..).map(|(_, count)| *count).max().unwrap_or(0)
     }
 
-    pub fn watch_head(&mut self, now: u64, node: usize, after: Option<u64>) {
+    fn count(&mut self, now: u64) {
         *self.calls.entry(now / 1_000).or_default() += 1;
-        if let Some(fault) = self.fault {
-            self.answer(node, ControlInput::HeadRead { result: Err(fault) });
-        } else {
-            self.watches.push((node, after));
-        }
     }
 
-    pub fn watch_vms(&mut self, now: u64, node: usize, _after: Option<u64>) {
-        *self.calls.entry(now / 1_000).or_default() += 1;
-        if let Some(fault) = self.fault {
-            self.answer(node, ControlInput::VmsRead { result: Err(fault) });
-        }
+    pub fn watch_head(&mut self, now: u64, node: usize, after: Option<u64>) {
+        self.count(now);
+        self.watches.push((node, after));
+    }
+
+    /// The VM list does not change in a test, so a watch ends only with a fault.
+    pub fn watch_vms(&mut self, now: u64, node: usize) {
+        self.count(now);
+        let result = match (&self.fault, &self.vms) {
+            (Some(fault), _) => Err(*fault),
+            (None, Some(content)) => {
+                let record = ValueRecord { revision: 1, content: content.clone() };
+                self.answers.push((
+                    node,
+                    5_000,
+                    ControlInput::VmsRead { result: Ok(ReadAnswer::Found(record)) },
+                ));
+                return;
+            }
+            (None, None) => return,
+        };
+        self.answers.push((node, self.delay_ms, ControlInput::VmsRead { result }));
     }
 
     pub fn read(&mut self, now: u64, node: usize, key: String) {
-        *self.calls.entry(now / 1_000).or_default() += 1;
-        let result = self.lookup(&key);
-        self.answer(node, ControlInput::ValueRead { key, result });
+        self.count(now);
+        let result = self.lookup(node, &key);
+        self.answers.push((node, self.delay_ms, ControlInput::ValueRead { key, result }));
     }
 
-    fn lookup(&self, key: &str) -> Answer {
+    fn lookup(&self, node: usize, key: &str) -> Answer {
         if let Some(fault) = self.fault {
             return Err(fault);
         }
-        let record =
-            |content: &Arc<str>| ValueRecord { revision: self.revision, content: content.clone() };
-        Ok(self.values.get(key).map_or(ReadAnswer::Absent, |c| ReadAnswer::Found(record(c))))
-    }
-
-    fn answer(&mut self, node: usize, input: ControlInput) {
-        self.answers.push((node, self.delay_ms, input));
+        let own = self.head_of.get(&node).filter(|_| key == HEAD_KEY);
+        let Some(content) = own.or(self.values.get(key)) else { return Ok(ReadAnswer::Absent) };
+        let (revision, content) = (self.revision, content.clone());
+        Ok(ReadAnswer::Found(ValueRecord { revision, content }))
     }
 
-    /// Ends the watches that are due and hands out all answers.
-    pub fn take_answers(&mut self, _now: u64) -> Vec<(usize, u64, ControlInput)> {
-        let revision = self.revision;
-        let due = |after: &Option<u64>| *after != Some(revision);
-        let (ended, open) = std::mem::take(&mut self.watches)
-            .into_iter()
-            .partition(|(_, after)| self.fault.is_some() || due(after));
+    /// Ends the watches that are due and hands out all answers with their delays.
+    pub fn take_answers(&mut self) -> Vec<(usize, u64, ControlInput)> {
+        let due = |after: Option<u64>| self.fault.is_some() || after != Some(self.revision);
+        let (ended, open): (Vec<_>, Vec<_>) =
+            self.watches.iter().partition(|(_, after)| due(*after));
         self.watches = open;
-        let ended: Vec<(usize, Option<u64>)> = ended;
         for (node, _) in ended {
-            let result = self.lookup(HEAD_KEY);
-            self.answer(node, ControlInput::HeadRead { result });
+            let result = self.lookup(node, HEAD_KEY);
+            self.answers.push((node, self.delay_ms, ControlInput::HeadRead { result }));
         }
         std::mem::take(&mut self.answers)
     }
