--- a/core/tests/network/mod.rs
+++ b/core/tests/network/mod.rs
@@ -37,6 +37,8 @@
     pub twice: u64,
     /// Directed links that carry nothing until the sender resets them.
     pub silent: BTreeSet<(usize, usize)>,
+    /// Directed links that carry nothing whatever is done.
+    pub cut: BTreeSet<(usize, usize)>,
     /// Data centres reach each other only if they are on the same side.
     pub side: BTreeMap<String, u8>,
     /// One-way delay between data centres; up to as much is added at random.
@@ -68,6 +70,7 @@
             loss: 0,
             twice: 0,
             silent: BTreeSet::new(),
+            cut: BTreeSet::new(),
             side: BTreeMap::new(),
             link_delay: 5,
             rng: Pcg32::seed_from_u64(seed),
@@ -238,7 +241,8 @@
         }
         let side = |node: &FakeNode| self.side.get(&*node.address.data_centre).copied();
         let apart = side(sender) != side(receiver) || sender.isolated || receiver.isolated;
-        if receiver.state.is_none() || apart || self.silent.contains(&(from, to)) {
+        let lost = self.cut.contains(&(from, to)) || self.silent.contains(&(from, to));
+        if receiver.state.is_none() || apart || lost {
             return;
         }
         let foreign = sender.address.data_centre != receiver.address.data_centre;
