Check the call path in random interleavings

A model fleet drives the real entry plan, gates and key tables through crashes, pauses, partitions, late messages, resends and changes of targets, and checks every answer against what ran.

--- /dev/null
+++ b/core/tests/calls/interleavings.rs
@@ -0,0 +1,55 @@
+//! Random interleavings of entry nodes, targets, upstreams, crashes, pauses, partitions, resends and
+//! changes of configuration.
+
+use fescuestack_core::ResultCode;
+use quickcheck::{Gen, QuickCheck};
+
+use crate::fleet::{Fleet, Tally};
+
+const STEPS: usize = 3_000;
+
+/// Guards against a second run of a request that must not run twice, against "not run" for a request
+/// that ran or runs later, and against an answer that belongs to another request.
+#[test]
+fn guarantees_hold_in_every_interleaving() {
+    fn holds(seed: u64) -> Result<(), String> {
+        Fleet::new(seed).run(STEPS).map_err(|fault| format!("seed {seed}: {fault}"))
+    }
+    let generator = Gen::from_size_and_seed(100, 20_261_204);
+    let check = QuickCheck::new().rng(generator).tests(400);
+    check.max_tests(400).quickcheck(holds as fn(u64) -> Result<(), String>);
+}
+
+/// Guards against a model that never reaches the cases that the check above is about.
+#[test]
+fn interleavings_reach_the_hard_cases() {
+    let mut tally = Tally::new();
+    for seed in 0..40 {
+        let mut fleet = Fleet::new(seed);
+        fleet.run(STEPS).unwrap();
+        for (what, count) in fleet.tally {
+            *tally.entry(what).or_default() += count;
+        }
+    }
+    println!("{tally:#?}");
+    let codes = [
+        ResultCode::Done,
+        ResultCode::DoneEarlier,
+        ResultCode::Overload,
+        ResultCode::Leaving,
+        ResultCode::LinkLost,
+        ResultCode::UpstreamLost,
+        ResultCode::PatienceOver,
+        ResultCode::AnswerTruncated,
+        ResultCode::KeyOwnerUnreachable,
+        ResultCode::KeyOwnerYoung,
+        ResultCode::KeyInFlight,
+    ];
+    let wanted = codes.iter().map(ToString::to_string);
+    for what in wanted.chain(["asked".to_owned(), "configured".to_owned(), "crash".to_owned()]) {
+        assert!(
+            tally.get(&what).is_some_and(|count| *count >= 20),
+            "{what} is too rare: {tally:?}"
+        );
+    }
+}
--- /dev/null
+++ b/core/tests/calls/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the call path: entry nodes, nodes beside targets, upstreams.
+
+mod fleet;
+mod interleavings;
+mod service;
