--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -162,7 +162,7 @@
         // The library sees the head only: it would end a cut body without an error.
         let decoded = poll_ready(async_h1::client::decode(Cursor::new(head)));
         let Some(Ok(mut answer)) = decoded else { return Err(HttpFault::BadHead) };
-        self.set_body(&mut answer, framing, empty)?;
+        self.set_body(&mut answer, framing, method)?;
         if !typed {
             answer.remove_header("content-type");
         }
@@ -179,8 +179,10 @@
         &mut self,
         answer: &mut Response,
         framing: BodyFraming,
-        empty: bool,
+        method: Method,
     ) -> Result<(), HttpFault> {
+        let head = method == Method::Head;
+        let empty = head || matches!(answer.status() as u16, 204 | 304);
         let mut exchange = lock(&self.exchange);
         let started = if empty { BodyFraming::Absent } else { framing };
         exchange.reader.start_body(started, false);
@@ -192,7 +194,8 @@
         };
         let body = if empty {
             // Keeps the length that an answer to HEAD declares.
-            Body::from_reader(futures_lite::io::empty(), length.or(Some(0)))
+            let declared = length.filter(|_| head).unwrap_or(0);
+            Body::from_reader(futures_lite::io::empty(), Some(declared))
         } else if let Some(bytes) = exchange.reader.take_buffered_body() {
             Body::from_bytes(bytes)
         } else if exchange.reader.is_body_done() {
--- a/http/src/server.rs
+++ b/http/src/server.rs
@@ -217,8 +217,7 @@
         }
         if self.close {
             let _ = self.stream.shutdown(Shutdown::Write);
-            let mut rest = self.stream.clone().take(SKIP_LIMIT_BYTES);
-            let _ = timeout(LINGER, skip(&mut rest)).await;
+            let _ = timeout(LINGER, skip(&mut self.stream)).await;
         }
     }
 }
