Route calls through the node and add the demo

Cause: configuration and calls were not joined in one process. Change: the node runs the call path, feeds its records to metrics, explain and control, and drains on a stop; the demo runs a deployment with changes under load and a graceful replacement of one target.

--- a/fescuestack/src/cli.rs
+++ b/fescuestack/src/cli.rs
@@ -8,6 +8,7 @@
 use clap::{Parser, Subcommand};
 use fescuestack_questionnaire::QuestionnaireCommand;
 
+use crate::demo::DemoSettings;
 use crate::logging::start_logging;
 use crate::measure::MeasureCommand;
 use crate::node::{NodeOptions, NodeProcess};
@@ -49,6 +50,8 @@
         /// Request id, from the header `fescuestack-request`.
         request: String,
     },
+    /// Run a whole deployment on loopback. The last line is one JSON object.
+    Demo(DemoSettings),
     /// Measure the product on loopback.
     #[command(subcommand)]
     Measure(MeasureCommand),
@@ -80,6 +83,7 @@
             MainCommand::Explain { node, request } => {
                 print_answer(node, &format!("/explain/{request}"))
             }
+            MainCommand::Demo(settings) => settings.run(),
             MainCommand::Measure(command) => command.run(),
             MainCommand::Record { node } => print_answer(node, "/recording"),
         }
--- a/fescuestack/src/controller.rs
+++ b/fescuestack/src/controller.rs
@@ -6,8 +6,10 @@
 use arc_swap::ArcSwapOption;
 use async_channel::{Receiver, Sender};
 use async_std::task;
+use fescuestack_callers::CallService;
 use fescuestack_core::{
-    ClockTime, ConfigSnapshot, ControlAction, ControlInput, HEAD_KEY, PeerAddress,
+    ClockTime, ConfigSnapshot, ControlAction, ControlInput, HEAD_KEY, MemberState, NodeName,
+    PeerAddress, TargetLiveness,
 };
 use fescuestack_operators::NodeMetrics;
 use fescuestack_peers::{LinkEvent, LinkHub, LinkUsage};
@@ -42,6 +44,8 @@
     pub(crate) usage: Arc<LinkUsage>,
     /// Metrics of the node.
     pub(crate) metrics: Arc<NodeMetrics>,
+    /// The call path, which hears of members and quarantined requests.
+    pub(crate) service: Arc<CallService>,
     /// Installed versions, for measurements.
     pub(crate) installs: Option<Sender<InstallRecord>>,
 }
@@ -49,6 +53,10 @@
 /// A version that became active on a node.
 #[derive(Debug, Clone)]
 pub(crate) struct InstallRecord {
+    /// The node.
+    pub(crate) node: NodeName,
+    /// Start time of the node's process, which tells a restart from a going back.
+    pub(crate) run: u64,
     /// The version's number.
     pub(crate) number: u64,
     /// When it became active.
@@ -70,6 +78,8 @@
     sender: Sender<ControlRequest>,
     shared: ControlShared,
     vms_key: String,
+    node: NodeName,
+    run: u64,
     counted: (u64, u64),
 }
 
@@ -90,7 +100,20 @@
     ) -> ControlDriver<S> {
         let vms_key = format!("vms/{}", node.data_centre);
         let (sender, requests) = channel;
-        ControlDriver { state, links, source, requests, sender, shared, vms_key, counted: (0, 0) }
+        let run = wall_clock().millis();
+        let node = node.name.clone();
+        ControlDriver {
+            state,
+            links,
+            source,
+            requests,
+            sender,
+            shared,
+            vms_key,
+            node,
+            run,
+            counted: (0, 0),
+        }
     }
 
     /// Runs until a stop is requested. Blocks the calling thread.
@@ -146,9 +169,11 @@
             ControlAction::Install(snapshot) => self.install(snapshot),
             ControlAction::Liveness { name, state } => {
                 log::info!(member = &*name, state:? = state; "member changed");
+                self.shared.service.set_liveness(&name, liveness_of(state));
             }
             ControlAction::Quarantine { fingerprints } => {
                 log::info!(fingerprints = fingerprints.len(); "quarantine list changed");
+                self.shared.service.install_quarantine(&fingerprints);
             }
             ControlAction::WatchHead { after } => {
                 let source = self.source.clone();
@@ -179,7 +204,12 @@
         self.shared.snapshot.store(Some(snapshot));
         self.shared.metrics.record_version();
         if let Some(installs) = &self.shared.installs {
-            let record = InstallRecord { number: version.number, at: Instant::now() };
+            let record = InstallRecord {
+                node: self.node.clone(),
+                run: self.run,
+                number: version.number,
+                at: Instant::now(),
+            };
             // The receiver is gone when a measurement is over.
             let _ = installs.try_send(record);
         }
@@ -201,6 +231,15 @@
     }
 }
 
+fn liveness_of(state: MemberState) -> TargetLiveness {
+    match state {
+        MemberState::Alive => TargetLiveness::Alive,
+        MemberState::Suspect => TargetLiveness::Suspect,
+        MemberState::Dead => TargetLiveness::Dead,
+        MemberState::Left => TargetLiveness::Leaving,
+    }
+}
+
 async fn forward_events(events: Receiver<LinkEvent>, sender: Sender<ControlRequest>) {
     while let Ok(event) = events.recv().await {
         let input = match event {
--- /dev/null
+++ b/fescuestack/src/demo.rs
@@ -0,0 +1,278 @@
+//! A deployment on loopback that is configured, called, changed and partly restarted.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use fescuestack_questionnaire::{AnswerFaults, Answers, Artefact, accept};
+use fescuestack_standins::{
+    LoadClass, LoadEntry, LoadPath, LoadReport, LoadSettings, RequestLedger, UpstreamSettings,
+    UpstreamStandin, run_load,
+};
+use serde::Serialize;
+use snafu::{ResultExt, Snafu};
+
+use crate::cli::fail;
+use crate::controller::wall_clock;
+use crate::fleet::{DistributionKind, FleetError, LocalFleet};
+use crate::measure::QuantileReport;
+
+/// The deployment that runs when none is named.
+const DEFAULT_DEPLOYMENT: &str = include_str!("../../deployments/council.yaml");
+
+/// Longest wait for a version to be active everywhere: the stated limit.
+const CONVERGENCE_LIMIT: Duration = Duration::from_secs(7);
+
+/// Configuration changes under load.
+const CHANGES: u32 = 5;
+
+/// How long the replacement of a VM takes.
+const REPLACEMENT_TIME: Duration = Duration::from_millis(500);
+
+/// Settings of a demonstration.
+#[derive(Debug, Clone, clap::Args)]
+pub(crate) struct DemoSettings {
+    /// Questionnaire of the deployment; the council's when left out.
+    #[arg(long)]
+    deployment: Option<PathBuf>,
+    /// Calls a second over all nodes.
+    #[arg(long, default_value_t = 150.0)]
+    rate: f64,
+    /// Length of the load, in seconds.
+    #[arg(long, default_value_t = 12, value_parser = clap::value_parser!(u64).range(8..=300))]
+    seconds: u64,
+    /// Seed of the load and of the upstreams.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
+#[derive(Debug, Snafu)]
+enum DemoError {
+    #[snafu(display("cannot read {}: {source}", path.display()))]
+    Read { path: PathBuf, source: std::io::Error },
+    #[snafu(display("{source}"))]
+    Answers { source: AnswerFaults },
+    #[snafu(context(false), display("{source}"))]
+    Fleet { source: FleetError },
+    #[snafu(display("cannot start upstream {name}: {source}"))]
+    Upstream { name: String, source: std::io::Error },
+}
+
+#[derive(Debug, Serialize)]
+struct DemoReport {
+    deployment: String,
+    nodes: usize,
+    versions: u64,
+    convergence_ms: QuantileReport,
+    control_bytes_per_node_per_s: f64,
+    calls: u64,
+    answered: u64,
+    not_run: u64,
+    unknown: u64,
+    gave_up: u64,
+    broken: u64,
+    duplicates: u64,
+    lost: u64,
+    cut_off: u64,
+    violations: u64,
+}
+
+impl DemoSettings {
+    /// Runs the demonstration. The exit code is 1 when a guarantee was broken.
+    pub(crate) fn run(self) -> ExitCode {
+        let _logger = match crate::logging::start_logging("error") {
+            Ok(handle) => handle,
+            Err(err) => return fail(&err),
+        };
+        match task::block_on(self.demonstrate()) {
+            Ok(report) => {
+                println!("{}", serde_json::to_string(&report).unwrap_or_default());
+                match report.duplicates + report.lost + report.cut_off + report.violations {
+                    0 => ExitCode::SUCCESS,
+                    _ => ExitCode::FAILURE,
+                }
+            }
+            Err(err) => fail(&err),
+        }
+    }
+
+    fn answers(&self) -> Result<Answers, DemoError> {
+        let Some(path) = &self.deployment else {
+            return Answers::scan("council.yaml", DEFAULT_DEPLOYMENT).context(AnswersSnafu);
+        };
+        let text = std::fs::read_to_string(path).context(ReadSnafu { path })?;
+        Answers::scan(&path.display().to_string(), &text).context(AnswersSnafu)
+    }
+
+    async fn demonstrate(&self) -> Result<DemoReport, DemoError> {
+        let mut answers = self.answers()?;
+        let artefact = accept(&answers, None).context(AnswersSnafu)?;
+        let deployment = answers.deployment.value.clone();
+        println!("{deployment}: accepted {}", version_label(&artefact));
+
+        let link_delay = Duration::from_millis(answers.link_delay_ms.value);
+        let mut fleet = LocalFleet::new(&artefact, DistributionKind::Trees, link_delay).await?;
+        let ledger = Arc::new(RequestLedger::new());
+        let mut upstreams = Vec::new();
+        for index in 0..fleet.targets.len() {
+            upstreams.push(self.start_upstream(&fleet, index, &ledger).await?);
+        }
+        let published = fleet.publish(&artefact);
+        fleet.start().await?;
+        let count = fleet.nodes.len();
+        let times = fleet.wait_for(1, published, count, CONVERGENCE_LIMIT).await?;
+        println!("{count} nodes started, version 1 active on all after {} ms", times.slowest_ms());
+
+        let load = self.load_settings(&fleet);
+        println!(
+            "{} classes of calls, {} calls/s for {} s",
+            load.classes.len(),
+            self.rate,
+            self.seconds
+        );
+        let sent_before: u64 = fleet.nodes.iter().map(|node| node.usage().sent_bytes()).sum();
+        let load_start = Instant::now();
+        let load_ledger = ledger.clone();
+        let running = task::spawn(async move { run_load(load, Some(&*load_ledger)).await });
+
+        let mut convergence = Vec::new();
+        let mut artefact = artefact;
+        let pause = Duration::from_secs(self.seconds) / (CHANGES + 3);
+        for change in 0..CHANGES {
+            task::sleep(pause).await;
+            change_answers(&mut answers, change);
+            artefact = accept(&answers, Some(&artefact)).context(AnswersSnafu)?;
+            let published = fleet.publish(&artefact);
+            let number = u64::from(change) + 2;
+            let times = fleet.wait_for(number, published, count, CONVERGENCE_LIMIT).await?;
+            println!("version {number} active on all nodes after {} ms", times.slowest_ms());
+            convergence.extend(times.nodes);
+        }
+        let seconds = load_start.elapsed().as_secs_f64();
+        let sent: u64 = fleet.nodes.iter().map(|node| node.usage().sent_bytes()).sum();
+        let cut_off = self.replace_target(&mut fleet, &upstreams).await?;
+
+        let report = running.await;
+        let regressions = fleet.regressions();
+        fleet.stop().await;
+        print_table(&report);
+        let totals = DemoReport {
+            deployment,
+            nodes: count,
+            versions: u64::from(CHANGES) + 1,
+            convergence_ms: QuantileReport::new(convergence),
+            control_bytes_per_node_per_s: ((sent - sent_before) as f64 / seconds / count as f64)
+                .round(),
+            calls: sum(&report, |class| class.offered),
+            answered: sum(&report, |class| class.answered + class.answered_resent),
+            not_run: sum(&report, |class| class.not_run),
+            unknown: sum(&report, |class| class.unknown),
+            gave_up: sum(&report, |class| class.gave_up),
+            broken: sum(&report, |class| class.broken),
+            duplicates: sum(&report, |class| class.ledger.unwrap_or_default().duplicates),
+            lost: sum(&report, |class| class.ledger.unwrap_or_default().lost),
+            cut_off: sum(&report, |class| class.ledger.unwrap_or_default().cut_off)
+                + cut_off as u64,
+            violations: report.violations + regressions,
+        };
+        Ok(totals)
+    }
+
+    async fn start_upstream(
+        &self,
+        fleet: &LocalFleet,
+        index: usize,
+        ledger: &Arc<RequestLedger>,
+    ) -> Result<UpstreamStandin, DemoError> {
+        let target = &fleet.targets[index];
+        let name = target.name.to_string();
+        let mut settings = UpstreamSettings::new(&name, self.seed + index as u64);
+        settings.address = target.upstream;
+        if let Some(service) = fleet.service_of(&name) {
+            settings = settings.with_service(&service.part);
+        }
+        UpstreamStandin::start(settings, ledger.clone()).await.context(UpstreamSnafu { name })
+    }
+
+    fn load_settings(&self, fleet: &LocalFleet) -> LoadSettings {
+        let mut load = LoadSettings::new(self.seed, self.rate, self.seconds * 1_000);
+        let entry = |index: usize| LoadEntry {
+            service: None,
+            address: fleet.settings(index).listen.caller,
+        };
+        let entries = (0..fleet.targets.len()).map(entry).collect();
+        load.paths = vec![LoadPath { label: "node".to_owned(), weight: 1.0, entries }];
+        load.classes = LoadClass::from_snapshot(fleet.first(), wall_clock(), false);
+        load
+    }
+
+    /// Stops the node and the upstream of the last target gracefully and starts both anew, as when a
+    /// VM is replaced. Returns the number of calls that the node cut off.
+    async fn replace_target(
+        &self,
+        fleet: &mut LocalFleet,
+        upstreams: &[UpstreamStandin],
+    ) -> Result<usize, DemoError> {
+        let index = fleet.targets.len() - 1;
+        let name = fleet.targets[index].name.clone();
+        let Some(node) = fleet.nodes.pop() else { return Ok(0) };
+        let upstream = &upstreams[index];
+        let started = Instant::now();
+        let cut_off = node.stop().await;
+        upstream.drain().await;
+        println!("{name} stopped gracefully in {} ms", started.elapsed().as_millis());
+        task::sleep(REPLACEMENT_TIME).await;
+        upstream.restart().await.context(UpstreamSnafu { name: &*name })?;
+        let replacement = fleet.start_node(index).await?;
+        fleet.nodes.push(replacement);
+        println!("{name} started again");
+        Ok(cut_off)
+    }
+}
+
+fn version_label(artefact: &Artefact) -> String {
+    match artefact.version() {
+        Ok(version) => format!("version {version}"),
+        Err(fault) => fault.to_string(),
+    }
+}
+
+/// Changes a limit of one service, and in the third change the slots of its targets as well.
+fn change_answers(answers: &mut Answers, change: u32) {
+    let services = &mut answers.services.value;
+    let index = change as usize % services.len();
+    let service = &mut services[index];
+    service.queue_limit.value += 1;
+    if change == 2 {
+        for series in &mut service.target_series.value {
+            series.slots.value -= 1;
+        }
+    }
+}
+
+fn sum(report: &LoadReport, count: impl Fn(&fescuestack_standins::ClassReport) -> u64) -> u64 {
+    report.classes.iter().map(count).sum()
+}
+
+fn print_table(report: &LoadReport) {
+    println!(
+        "{:<52} {:>7} {:>8} {:>7} {:>7} {:>6} {:>8} {:>8}",
+        "class", "offered", "answered", "not run", "unknown", "other", "p50 ms", "p99 ms"
+    );
+    for class in &report.classes {
+        let answered = class.answered + class.answered_resent;
+        println!(
+            "{:<52} {:>7} {:>8} {:>7} {:>7} {:>6} {:>8.1} {:>8.1}",
+            class.class,
+            class.offered,
+            answered,
+            class.not_run,
+            class.unknown,
+            class.offered - answered - class.not_run - class.unknown,
+            class.latency.p50_us as f64 / 1_000.0,
+            class.latency.p99_us as f64 / 1_000.0,
+        );
+    }
+}
--- a/fescuestack/src/fleet.rs
+++ b/fescuestack/src/fleet.rs
@@ -1,13 +1,16 @@
 //! A whole deployment on loopback in one process, for demonstrations and measurements.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
 use async_std::task;
 use fescuestack_core::{
-    ClockTime, ConfigSnapshot, HEAD_KEY, PeerAddress, TargetEntry, VmEntry, VmState,
+    ClockTime, ConfigSnapshot, HEAD_KEY, NodeName, PeerAddress, ServiceView, TargetEntry, VmEntry,
+    VmState,
 };
 use fescuestack_questionnaire::{AnswerFault, Artefact};
 use fescuestack_standins::PlatformStandin;
@@ -60,6 +63,8 @@
     link_delay: Duration,
     kind: DistributionKind,
     first: Arc<ConfigSnapshot>,
+    last: Mutex<HashMap<(NodeName, u64), u64>>,
+    regressions: AtomicU64,
 }
 
 /// When a version became active on each node, counted from its publication.
@@ -92,6 +97,8 @@
             link_delay,
             kind,
             first: Arc::new(snapshot),
+            last: Mutex::default(),
+            regressions: AtomicU64::new(0),
         };
         fleet.publish_vms(&[]);
         Ok(fleet)
@@ -208,11 +215,12 @@
         while times.nodes.len() < expected {
             let left = limit.saturating_sub(published.elapsed());
             match async_std::future::timeout(left, self.installs.recv()).await {
-                Ok(Ok(record)) if record.number == number => {
-                    times.nodes.push(record.at.saturating_duration_since(published));
+                Ok(Ok(record)) => {
+                    self.check_order(&record);
+                    if record.number == number {
+                        times.nodes.push(record.at.saturating_duration_since(published));
+                    }
                 }
-                // Records of other versions.
-                Ok(Ok(_)) => (),
                 Ok(Err(_)) | Err(_) => {
                     return ConvergenceSnafu {
                         number,
@@ -227,6 +235,33 @@
         Ok(times)
     }
 
+    fn check_order(&self, record: &InstallRecord) {
+        let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
+        let key = (record.node.clone(), record.run);
+        let before = last.insert(key, record.number).unwrap_or(0);
+        if record.number <= before {
+            self.regressions.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// The version that the fleet started with.
+    pub(crate) fn first(&self) -> &ConfigSnapshot {
+        &self.first
+    }
+
+    /// The service that the target called `name` belongs to.
+    pub(crate) fn service_of(&self, name: &str) -> Option<&Arc<ServiceView>> {
+        let owns =
+            |view: &&Arc<ServiceView>| view.targets.iter().any(|target| *target.name == *name);
+        self.first.services().find(owns)
+    }
+
+    /// How often a node made a version active that was not newer than the one it had, counted over the
+    /// records that [`LocalFleet::wait_for`] has seen.
+    pub(crate) fn regressions(&self) -> u64 {
+        self.regressions.load(Ordering::Relaxed)
+    }
+
     /// Stops all nodes at once.
     pub(crate) async fn stop(self) {
         let stops: Vec<_> = self.nodes.into_iter().map(|node| task::spawn(node.stop())).collect();
@@ -236,6 +271,13 @@
     }
 }
 
+impl ConvergenceTimes {
+    /// Time until the last node had the version, in milliseconds.
+    pub(crate) fn slowest_ms(&self) -> u128 {
+        self.nodes.iter().max().map_or(0, Duration::as_millis)
+    }
+}
+
 /// The node beside a target.
 pub(crate) fn peer_of(target: &TargetEntry) -> PeerAddress {
     PeerAddress {
--- a/fescuestack/src/main.rs
+++ b/fescuestack/src/main.rs
@@ -3,10 +3,12 @@
 mod baseline;
 mod cli;
 mod controller;
+mod demo;
 mod fleet;
 mod logging;
 mod measure;
 mod node;
+mod observer;
 mod settings;
 mod signals;
 mod usage;
--- a/fescuestack/src/measure.rs
+++ b/fescuestack/src/measure.rs
@@ -89,15 +89,16 @@
     open_links_per_node: f64,
 }
 
+/// Quantiles of a set of times, in milliseconds.
 #[derive(Debug, Default, Serialize)]
-struct QuantileReport {
+pub(crate) struct QuantileReport {
     p50: f64,
     p99: f64,
     max: f64,
 }
 
 impl QuantileReport {
-    fn new(mut times: Vec<Duration>) -> QuantileReport {
+    pub(crate) fn new(mut times: Vec<Duration>) -> QuantileReport {
         times.sort_unstable();
         let at = |share: f64| {
             let index = (share * times.len() as f64).ceil() as usize;
--- a/fescuestack/src/node.rs
+++ b/fescuestack/src/node.rs
@@ -7,7 +7,10 @@
 
 use arc_swap::ArcSwapOption;
 use async_channel::Sender;
-use fescuestack_core::{ControlInput, ControlState, PeerAddress};
+use async_std::net::TcpListener;
+use async_std::task;
+use fescuestack_callers::{CallService, CallSettings};
+use fescuestack_core::{ClockSpan, ControlInput, ControlState, PeerAddress};
 use fescuestack_operators::{ExplainRing, MetricsError, NodeMetrics, OperatorPort, OperatorView};
 use fescuestack_peers::{LinkHub, LinkListener, LinkUsage};
 use fescuestack_platform::HttpSource;
@@ -17,6 +20,7 @@
 use crate::controller::{
     ControlDriver, ControlRequest, ControlShared, InstallRecord, control_channel,
 };
+use crate::observer::NodeObserver;
 use crate::settings::NodeSettings;
 
 /// Calls that `explain` can look back on.
@@ -57,6 +61,10 @@
 pub(crate) struct NodeProcess {
     requests: Sender<ControlRequest>,
     usage: Arc<LinkUsage>,
+    service: Arc<CallService>,
+    listeners: task::JoinHandle<()>,
+    operator_port: OperatorPort,
+    control_port: LinkListener,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -79,24 +87,42 @@
         let channel = control_channel();
         let requests = channel.0.clone();
 
+        let observer = NodeObserver::new(requests.clone(), metrics.clone(), ring.clone());
         let view = NodeView { requests: requests.clone(), metrics: metrics.clone(), ring };
         let operator = settings.listen.operator;
-        OperatorPort::listen(operator, Arc::new(view))
+        let operator_port = OperatorPort::listen(operator, Arc::new(view))
             .await
             .context(ListenSnafu { port: "operator", address: operator })?;
 
         let control = settings.control();
+        let mut calls = CallSettings::new(
+            control.node.name.clone(),
+            control.node.data_centre.clone(),
+            control_seed(&control.node),
+        );
+        calls.drain_bound = ClockSpan::new(settings.drain_ms);
+        let service = CallService::new(calls, snapshot.clone(), Arc::new(observer));
+        let caller = bind("caller", settings.listen.caller).await?;
+        let local = bind("local", settings.listen.local).await?;
+        let relay = bind("relay", settings.listen.relay).await?;
+        let listeners = task::spawn(service.clone().serve(caller, local, relay));
+
         let (event_sender, events) = async_channel::bounded(EVENT_LIMIT);
         let mut links = LinkHub::new(control.node.clone(), event_sender.clone(), usage.clone());
         if let Some(delay) = options.link_delay {
             links = links.with_delay(delay);
         }
         let address = settings.listen.control;
-        LinkListener::listen(address, event_sender, usage.clone())
+        let control_port = LinkListener::listen(address, event_sender, usage.clone())
             .context(ListenSnafu { port: "control", address })?;
 
-        let shared =
-            ControlShared { snapshot, usage: usage.clone(), metrics, installs: options.installs };
+        let shared = ControlShared {
+            snapshot,
+            usage: usage.clone(),
+            metrics,
+            service: service.clone(),
+            installs: options.installs,
+        };
         let node = control.node.clone();
         let policy = options.baseline.unwrap_or_else(|| {
             let seed = control_seed(&node);
@@ -109,7 +135,15 @@
             .spawn(move || driver.run(events))
             .context(ThreadSnafu)?;
         log::info!(node = &*node.name, data_centre = &*node.data_centre; "node started");
-        Ok(NodeProcess { requests, usage, thread: Some(thread) })
+        Ok(NodeProcess {
+            requests,
+            usage,
+            service,
+            listeners,
+            operator_port,
+            control_port,
+            thread: Some(thread),
+        })
     }
 
     /// Traffic on the control links.
@@ -131,20 +165,36 @@
         self.usage.open_links()
     }
 
-    /// Stops gracefully: announces leaving, lets calls finish, then ends the control thread.
-    pub(crate) async fn stop(mut self) {
-        let _ = self.requests.send(ControlRequest::Input(ControlInput::Leave)).await;
-        let _ = self.requests.send(ControlRequest::Stop).await;
-        self.join();
-    }
-
-    fn join(&mut self) {
+    /// Stops gracefully: announces leaving, lets calls in flight finish, then ends the control thread.
+    /// Returns the number of calls that were cut off because the bound of the settings was reached.
+    pub(crate) async fn stop(mut self) -> usize {
+        self.request(ControlRequest::Input(ControlInput::Leave)).await;
+        self.service.begin_drain();
+        let cut_off = self.service.drained().await;
+        if cut_off > 0 {
+            log::warn!(calls = cut_off; "shutdown bound reached, calls cut off");
+        }
+        self.request(ControlRequest::Stop).await;
+        self.listeners.cancel().await;
+        self.control_port.close().await;
+        self.operator_port.close().await;
         if let Some(thread) = self.thread.take()
             && thread.join().is_err()
         {
             log::error!("control thread panicked");
         }
+        cut_off
     }
+
+    async fn request(&self, request: ControlRequest) {
+        if self.requests.send(request).await.is_err() {
+            log::error!("control thread has ended");
+        }
+    }
+}
+
+async fn bind(port: &'static str, address: SocketAddr) -> Result<TcpListener, NodeError> {
+    TcpListener::bind(address).await.context(ListenSnafu { port, address })
 }
 
 /// Seed of the node's random choices. Nodes must differ, or jitter would not spread them.
--- /dev/null
+++ b/fescuestack/src/observer.rs
@@ -0,0 +1,78 @@
+//! Takes call records from the traffic side to logs, metrics, explain and control.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_std::task;
+use fescuestack_callers::{CallObserver, CallRecord};
+use fescuestack_core::{ControlInput, RequestFingerprint};
+use fescuestack_operators::{ExplainRing, NodeMetrics};
+
+use crate::controller::ControlRequest;
+
+/// Records that may wait to be written. Beyond it records are dropped, never calls delayed.
+const RECORD_LIMIT: usize = 4_096;
+
+/// Observer of a node's calls.
+pub(crate) struct NodeObserver {
+    records: Sender<CallRecord>,
+    control: Sender<ControlRequest>,
+    metrics: Arc<NodeMetrics>,
+}
+
+impl NodeObserver {
+    /// Creates an observer and starts the task that writes its records.
+    pub(crate) fn new(
+        control: Sender<ControlRequest>,
+        metrics: Arc<NodeMetrics>,
+        ring: Arc<ExplainRing>,
+    ) -> NodeObserver {
+        let (records, waiting) = async_channel::bounded(RECORD_LIMIT);
+        task::spawn(write_records(waiting, ring));
+        NodeObserver { records, control, metrics }
+    }
+
+    fn tell_control(&self, input: ControlInput) {
+        // Control is behind by a full queue; another crash will report the same fingerprint again.
+        if self.control.try_send(ControlRequest::Input(input)).is_err() {
+            log::warn!("control queue is full, crash report dropped");
+        }
+    }
+}
+
+impl CallObserver for NodeObserver {
+    fn call_ended(&self, record: CallRecord) {
+        if let Some(code) = record.code {
+            let elapsed = Duration::from_micros(record.elapsed_micros);
+            self.metrics.record_call(&record.tenant, &record.class, code.number(), elapsed);
+        }
+        if self.records.try_send(record).is_err() {
+            self.metrics.record_dropped();
+        }
+    }
+
+    fn upstream_died(&self, running: Vec<RequestFingerprint>) {
+        let fingerprints = running.iter().map(|fingerprint| fingerprint.number()).collect();
+        self.tell_control(ControlInput::CrashSeen { fingerprints });
+    }
+
+    fn run_completed(&self, fingerprint: RequestFingerprint) {
+        let fingerprints = vec![fingerprint.number()];
+        self.tell_control(ControlInput::RunsCompleted { fingerprints });
+    }
+}
+
+async fn write_records(records: Receiver<CallRecord>, ring: Arc<ExplainRing>) {
+    while let Ok(record) = records.recv().await {
+        let code = record.code.map_or(0, |code| code.number());
+        log::debug!(
+            request = &*record.request, version = record.version.to_string(), code = code,
+            service = record.service.as_str(), class = record.class.as_str(),
+            micros = record.elapsed_micros;
+            "call ended"
+        );
+        let text = serde_json::to_string(&record).unwrap_or_default();
+        ring.insert(&record.request, text);
+    }
+}
--- a/operators/src/metrics.rs
+++ b/operators/src/metrics.rs
@@ -41,6 +41,7 @@
     calls: Counter<u64>,
     control_bytes: Counter<u64>,
     versions: Counter<u64>,
+    dropped: Counter<u64>,
 }
 
 impl NodeMetrics {
@@ -61,7 +62,9 @@
         let calls = meter.u64_counter("fescuestack_calls").build();
         let control_bytes = meter.u64_counter("fescuestack_control").with_unit("By").build();
         let versions = meter.u64_counter("fescuestack_versions_installed").build();
-        Ok(NodeMetrics { registry, _provider: provider, latency, calls, control_bytes, versions })
+        let dropped = meter.u64_counter("fescuestack_records_dropped").build();
+        let _provider = provider;
+        Ok(NodeMetrics { registry, _provider, latency, calls, control_bytes, versions, dropped })
     }
 
     /// Counts a finished call.
@@ -83,6 +86,11 @@
         self.versions.add(1, &[]);
     }
 
+    /// Counts a call record that was dropped because too many were waiting.
+    pub fn record_dropped(&self) {
+        self.dropped.add(1, &[]);
+    }
+
     /// All metrics in the text format of Prometheus. Fails when a metric cannot be encoded.
     pub fn encode(&self) -> Result<String, MetricsError> {
         let mut text = Vec::new();
--- a/operators/src/port.rs
+++ b/operators/src/port.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use async_std::net::{TcpListener, TcpStream};
-use async_std::task;
+use async_std::task::{self, JoinHandle};
 use futures_lite::StreamExt;
 use http_types::{Method, Request, Response, StatusCode, mime};
 
@@ -26,18 +26,20 @@
 }
 
 /// The operator port of a node.
-pub struct OperatorPort;
+pub struct OperatorPort {
+    address: SocketAddr,
+    task: JoinHandle<()>,
+}
 
 impl OperatorPort {
-    /// Binds the port and serves until the process ends. Fails when the address is in use. Returns
-    /// the bound address.
+    /// Binds the port and serves until it is closed. Fails when the address is in use.
     pub async fn listen(
         address: SocketAddr,
         view: Arc<impl OperatorView>,
-    ) -> io::Result<SocketAddr> {
+    ) -> io::Result<OperatorPort> {
         let listener = TcpListener::bind(address).await?;
-        let bound = listener.local_addr()?;
-        task::spawn(async move {
+        let address = listener.local_addr()?;
+        let task = task::spawn(async move {
             let mut incoming = listener.incoming();
             while let Some(accepted) = incoming.next().await {
                 match accepted {
@@ -48,7 +50,17 @@
                 }
             }
         });
-        Ok(bound)
+        Ok(OperatorPort { address, task })
+    }
+
+    /// The bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops listening.
+    pub async fn close(self) {
+        self.task.cancel().await;
     }
 }
 
--- a/peers/src/listener.rs
+++ b/peers/src/listener.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use async_channel::Sender;
-use async_std::task;
+use async_std::task::{self, JoinHandle};
 use tonic::transport::Server;
 use tonic::transport::server::TcpIncoming;
 use tonic::{Request, Response, Status, Streaming};
@@ -21,7 +21,10 @@
 const ENVELOPE_LIMIT_BYTES: usize = 4 * 1024 * 1024;
 
 /// The control port of a node.
-pub struct LinkListener;
+pub struct LinkListener {
+    address: SocketAddr,
+    task: JoinHandle<()>,
+}
 
 struct LinkServer {
     events: Sender<LinkEvent>,
@@ -29,24 +32,34 @@
 }
 
 impl LinkListener {
-    /// Binds the control port and hands messages to `events` until the process ends. Fails when the
-    /// address is in use. Returns the bound address.
+    /// Binds the control port and hands messages to `events` until it is closed. Fails when the address
+    /// is in use.
     pub fn listen(
         address: SocketAddr,
         events: Sender<LinkEvent>,
         usage: Arc<LinkUsage>,
-    ) -> io::Result<SocketAddr> {
+    ) -> io::Result<LinkListener> {
         let incoming = TcpIncoming::bind(address)?.with_nodelay(Some(true));
         let bound = incoming.local_addr()?;
         let service = NodeLinkServer::new(LinkServer { events, usage })
             .max_decoding_message_size(ENVELOPE_LIMIT_BYTES);
-        task::spawn(async move {
+        let task = task::spawn(async move {
             let served = Server::builder().add_service(service).serve_with_incoming(incoming).await;
             if let Err(err) = served {
                 log::error!("control port {bound} failed: {err}");
             }
         });
-        Ok(bound)
+        Ok(LinkListener { address: bound, task })
+    }
+
+    /// The bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops listening. Streams that are open end when the receiver of their messages is dropped.
+    pub async fn close(self) {
+        self.task.cancel().await;
     }
 }
 
