Run the whole path as separate processes in a test

Cause: the demo runs everything in one process, which hides faults of settings, signals and start order. Change: stand-ins as commands and a test that accepts, publishes, calls, changes, kills and restarts over processes. Conclusion: the path works over process borders, also without the platform.

--- a/fescuestack/src/cli.rs
+++ b/fescuestack/src/cli.rs
@@ -14,6 +14,7 @@
 use crate::node::{NodeOptions, NodeProcess};
 use crate::settings::NodeSettings;
 use crate::signals::wait_for_stop;
+use crate::standin::StandinCommand;
 
 /// Configuration distribution for a service mesh.
 #[derive(Debug, Parser)]
@@ -55,6 +56,9 @@
     /// Measure the product on loopback.
     #[command(subcommand)]
     Measure(MeasureCommand),
+    /// Run a stand-in of an outside system as a process of its own.
+    #[command(subcommand)]
+    Standin(StandinCommand),
     /// Save a node's recorded control inputs to standard output.
     Record {
         /// Operator port of the node.
@@ -83,6 +87,7 @@
             MainCommand::Explain { node, request } => {
                 print_answer(node, &format!("/explain/{request}"))
             }
+            MainCommand::Standin(command) => command.run(),
             MainCommand::Demo(settings) => settings.run(),
             MainCommand::Measure(command) => command.run(),
             MainCommand::Record { node } => print_answer(node, "/recording"),
--- a/fescuestack/src/fleet.rs
+++ b/fescuestack/src/fleet.rs
@@ -9,8 +9,7 @@
 use async_channel::{Receiver, Sender};
 use async_std::task;
 use fescuestack_core::{
-    ClockTime, ConfigSnapshot, HEAD_KEY, NodeName, PeerAddress, ServiceView, TargetEntry, VmEntry,
-    VmState,
+    ClockTime, ConfigSnapshot, NodeName, PeerAddress, ServiceView, TargetEntry, VmEntry, VmState,
 };
 use fescuestack_questionnaire::{AnswerFault, Artefact};
 use fescuestack_standins::PlatformStandin;
@@ -20,6 +19,7 @@
 use crate::controller::{InstallRecord, wall_clock};
 use crate::node::{NodeError, NodeOptions, NodeProcess};
 use crate::settings::{ListenSettings, NodeSettings};
+use crate::standin;
 
 /// Seeds that each node is given.
 const SEED_COUNT: usize = 3;
@@ -106,12 +106,8 @@
 
     /// Publishes an artefact, `head` last. Returns the time of publication.
     pub(crate) fn publish(&self, artefact: &Artefact) -> Instant {
-        let values = artefact.values.iter();
-        let body = values.clone().filter(|(key, _)| *key != HEAD_KEY);
-        let head = values.filter(|(key, _)| *key == HEAD_KEY);
         let published = Instant::now();
-        self.platform
-            .publish(body.chain(head).map(|(key, content)| (key.as_str(), content.as_str())));
+        standin::publish(&self.platform, artefact);
         published
     }
 
--- a/fescuestack/src/main.rs
+++ b/fescuestack/src/main.rs
@@ -11,6 +11,7 @@
 mod observer;
 mod settings;
 mod signals;
+mod standin;
 mod usage;
 
 use std::process::ExitCode;
--- a/fescuestack/src/measure.rs
+++ b/fescuestack/src/measure.rs
@@ -20,9 +20,6 @@
 /// Longest wait for a version to be active everywhere.
 const CONVERGENCE_LIMIT: Duration = Duration::from_secs(60);
 
-/// How long the fleet is left alone before the idle traffic is measured, so that links are open.
-const SETTLE_TIME: Duration = Duration::from_secs(5);
-
 /// What to measure.
 #[derive(Debug, Subcommand)]
 pub(crate) enum MeasureCommand {
@@ -48,6 +45,10 @@
     /// Time between changes, in milliseconds.
     #[arg(long, default_value_t = 1_160)]
     interval_ms: u64,
+    /// How long the fleet is left alone before the idle phase, in seconds. Nodes learn of each other
+    /// meanwhile.
+    #[arg(long, default_value_t = 10)]
+    settle_s: u64,
     /// Length of the idle phase, in seconds.
     #[arg(long, default_value_t = 10)]
     idle_s: u64,
@@ -178,7 +179,7 @@
         if self.kind == DistributionKind::Trees {
             first = fleet.wait_for(1, published, count, CONVERGENCE_LIMIT).await?;
         }
-        task::sleep(SETTLE_TIME).await;
+        task::sleep(Duration::from_secs(self.settle_s)).await;
 
         let idle_start = FleetCounters::read(&fleet);
         task::sleep(Duration::from_secs(self.idle_s)).await;
--- /dev/null
+++ b/fescuestack/src/standin.rs
@@ -0,0 +1,122 @@
+//! Stand-ins as processes of their own, for trials with separate processes.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task;
+use clap::Subcommand;
+use fescuestack_core::HEAD_KEY;
+use fescuestack_questionnaire::Artefact;
+use fescuestack_standins::{PlatformStandin, RequestLedger, UpstreamSettings, UpstreamStandin};
+use serde::Deserialize;
+
+use crate::cli::fail;
+use crate::signals::wait_for_stop;
+
+/// How often the platform stand-in looks for a new artefact.
+const RELOAD_PERIOD: Duration = Duration::from_millis(200);
+
+/// Which stand-in to run.
+#[derive(Debug, Subcommand)]
+pub(crate) enum StandinCommand {
+    /// The platform's configuration service. Publishes an artefact and each later content of the file.
+    Platform {
+        /// Address to listen on.
+        #[arg(long)]
+        listen: SocketAddr,
+        /// Artefact from `questionnaire accept`. It may be absent at first.
+        #[arg(long)]
+        artefact: PathBuf,
+        /// JSON file with further values by key, such as VM lists.
+        #[arg(long)]
+        values: Option<PathBuf>,
+    },
+    /// An upstream. Prints its ledger as JSON when it stops.
+    Upstream {
+        /// Name of the target.
+        #[arg(long)]
+        name: String,
+        /// Address to listen on.
+        #[arg(long)]
+        listen: SocketAddr,
+        /// Seed of the service times.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(transparent)]
+struct ValueFile(BTreeMap<String, String>);
+
+impl StandinCommand {
+    /// Runs the stand-in until SIGTERM or SIGINT.
+    pub(crate) fn run(self) -> ExitCode {
+        let _logger = match crate::logging::start_logging("warn") {
+            Ok(handle) => handle,
+            Err(err) => return fail(&err),
+        };
+        let ran = match self {
+            StandinCommand::Platform { listen, artefact, values } => {
+                task::block_on(run_platform(listen, &artefact, values.as_deref()))
+            }
+            StandinCommand::Upstream { name, listen, seed } => {
+                task::block_on(run_upstream(&name, listen, seed))
+            }
+        };
+        match ran {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(err) => fail(&err),
+        }
+    }
+}
+
+async fn run_platform(
+    listen: SocketAddr,
+    artefact: &Path,
+    values: Option<&Path>,
+) -> std::io::Result<()> {
+    let platform = PlatformStandin::new(listen).await?;
+    if let Some(path) = values {
+        let ValueFile(values) = serde_json::from_str(&std::fs::read_to_string(path)?)?;
+        platform.publish(values.iter().map(|(key, content)| (key.as_str(), content.as_str())));
+    }
+    let path = artefact.to_owned();
+    let reload = async move {
+        let mut last = String::new();
+        loop {
+            if let Ok(text) = std::fs::read_to_string(&path)
+                && text != last
+                && let Ok(artefact) = Artefact::scan(&text)
+            {
+                publish(&platform, &artefact);
+                last = text;
+            }
+            task::sleep(RELOAD_PERIOD).await;
+        }
+    };
+    futures_lite::future::or(reload, wait_for_stop()).await;
+    Ok(())
+}
+
+/// Publishes an artefact, `head` last, so that readers never see a head without its parts.
+pub(crate) fn publish(platform: &PlatformStandin, artefact: &Artefact) {
+    let values = artefact.values.iter();
+    let body = values.clone().filter(|(key, _)| *key != HEAD_KEY);
+    let head = values.filter(|(key, _)| *key == HEAD_KEY);
+    platform.publish(body.chain(head).map(|(key, content)| (key.as_str(), content.as_str())));
+}
+
+async fn run_upstream(name: &str, listen: SocketAddr, seed: u64) -> std::io::Result<()> {
+    let mut settings = UpstreamSettings::new(name, seed).with_warm_start();
+    settings.address = listen;
+    let upstream = UpstreamStandin::start(settings, Arc::new(RequestLedger::new())).await?;
+    wait_for_stop().await;
+    upstream.drain().await;
+    println!("{}", serde_json::to_string(&upstream.ledger().records())?);
+    Ok(())
+}
--- /dev/null
+++ b/fescuestack/tests/processes.rs
@@ -0,0 +1,276 @@
+//! The whole path as separate processes: questionnaire, platform, nodes and upstreams.
+
+use std::fs;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Bound of every wait: the stated limit for a change to be active everywhere, and the time that a
+/// loaded machine needs to start processes.
+const WAIT_LIMIT: Duration = Duration::from_secs(60);
+
+const ANSWERS: &str = r#"
+deployment: trial
+preference: convergence
+link-delay-ms: 1
+caller-delay-ms: 1
+regions:
+  - name: attica
+    data-centres: [marousi, piraeus]
+tenants:
+  - name: shops
+    zone: Europe/Athens
+    classes:
+      - name: kiosks
+        callers: outside
+        patience:
+          - { from: "00:00", to: "24:00", patience-ms: 10000 }
+services:
+  - name: stock
+    tenant: shops
+    queue-limit: 32
+    key-window-ms: 1000
+    routes:
+      - method: GET
+        prefix: /stock
+        kind: lookup
+        may-repeat: true
+        internal-only: false
+        body-limit-bytes: 0
+        classes: [shops/kiosks]
+      - method: POST
+        prefix: /orders
+        kind: submit
+        may-repeat: false
+        internal-only: false
+        body-limit-bytes: 10000
+        classes: [shops/kiosks]
+    target-series:
+      - count: 2
+        over: [marousi, piraeus]
+        base: 127.0.31.1:21500
+        port-step: 10
+        slots: 6
+        connections: 130
+"#;
+
+const PLATFORM: &str = "127.0.31.1:21490";
+
+/// Processes of a trial; the ones still running are killed at the end of the test.
+struct TrialProcesses {
+    folder: PathBuf,
+    children: Vec<(String, Child)>,
+}
+
+impl TrialProcesses {
+    fn new(name: &str) -> TrialProcesses {
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        fs::create_dir_all(&folder).expect("folder for the trial");
+        TrialProcesses { folder, children: Vec::new() }
+    }
+
+    fn run(&self, arguments: &[&str]) -> String {
+        let output = Command::new(env!("CARGO_BIN_EXE_fescuestack"))
+            .args(arguments)
+            .current_dir(&self.folder)
+            .output()
+            .expect("command runs");
+        let errors = String::from_utf8_lossy(&output.stderr);
+        assert!(output.status.success(), "{arguments:?}: {errors}");
+        String::from_utf8_lossy(&output.stdout).into_owned()
+    }
+
+    fn start(&mut self, name: &str, arguments: &[&str]) {
+        let child = Command::new(env!("CARGO_BIN_EXE_fescuestack"))
+            .args(arguments)
+            .current_dir(&self.folder)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("process starts");
+        self.children.push((name.to_owned(), child));
+    }
+
+    fn take(&mut self, name: &str) -> Child {
+        let index = self.children.iter().position(|(child, _)| child == name).expect("is running");
+        self.children.remove(index).1
+    }
+
+    fn kill(&mut self, name: &str) {
+        let mut child = self.take(name);
+        child.kill().expect("process is killed");
+        child.wait().expect("process has ended");
+    }
+
+    /// Sends SIGTERM. Returns whether the process ended well, and what it printed.
+    fn terminate(&mut self, name: &str) -> (bool, String) {
+        let child = self.take(name);
+        let pid = child.id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &pid]).status().expect("signal is sent");
+        assert!(sent.success());
+        let output = child.wait_with_output().expect("process has ended");
+        (output.status.success(), String::from_utf8_lossy(&output.stdout).into_owned())
+    }
+
+    fn write(&self, file: &str, content: &str) {
+        fs::write(self.folder.join(file), content).expect("file is written");
+    }
+
+    fn start_node(&mut self, number: u16) {
+        let place = ["marousi", "piraeus"][usize::from(number) - 1];
+        let base = 21_500 + (number - 1) * 10;
+        let other = 21_500 + (2 - number) * 10 + 2;
+        let other_place = ["piraeus", "marousi"][usize::from(number) - 1];
+        let settings = format!(
+            r#"
+node: stock-{number}
+data_centre: {place}
+listen:
+  relay: 127.0.31.1:{}
+  control: 127.0.31.1:{}
+  caller: 127.0.31.1:{}
+  local: 127.0.31.1:{}
+  operator: 127.0.31.1:{}
+platform: {PLATFORM}
+seeds:
+  - {{ name: stock-{}, data_centre: {other_place}, control: "127.0.31.1:{other}" }}
+"#,
+            base + 1,
+            base + 2,
+            base + 3,
+            base + 4,
+            base + 5,
+            3 - number,
+        );
+        let file = format!("node-{number}.yaml");
+        self.write(&file, &settings);
+        self.run(&["settings", "check", &file]);
+        self.start(&format!("node-{number}"), &["node", "--settings", &file]);
+    }
+
+    fn status(&self, number: u16) -> String {
+        let node = format!("127.0.31.1:{}", 21_505 + (number - 1) * 10);
+        let output = Command::new(env!("CARGO_BIN_EXE_fescuestack"))
+            .args(["status", "--node", &node])
+            .output()
+            .expect("command runs");
+        String::from_utf8_lossy(&output.stdout).into_owned()
+    }
+
+    fn wait_for_version(&self, number: u16, version: u64) {
+        let active = format!("\"active\":\"{version}-");
+        wait_until(&format!("version {version} on node {number}"), || {
+            self.status(number).contains(&active)
+        });
+    }
+}
+
+impl Drop for TrialProcesses {
+    fn drop(&mut self) {
+        for (_, child) in &mut self.children {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let started = Instant::now();
+    while !condition() {
+        assert!(started.elapsed() < WAIT_LIMIT, "{what} took longer than {WAIT_LIMIT:?}");
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+fn call(node: u16, head: &str, body: &str) -> Option<String> {
+    let address = format!("127.0.31.1:{}", 21_503 + (node - 1) * 10);
+    let mut stream = TcpStream::connect(address).ok()?;
+    let length = body.len();
+    let request = format!(
+        "{head}\r\nHost: stock\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n{body}"
+    );
+    stream.write_all(request.as_bytes()).ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).ok()?;
+    Some(answer.to_lowercase())
+}
+
+fn order(node: u16, key: &str) -> String {
+    let head = format!("POST /orders/7 HTTP/1.1\r\nIdempotency-Key: {key}");
+    call(node, &head, "two bags").unwrap_or_default()
+}
+
+/// Guards against parts that only work inside one process: settings, start order, signals, recovery
+/// without the platform, and an order that runs twice when it is sent again through another node.
+#[test]
+fn whole_path_runs_as_separate_processes() {
+    let mut trial = TrialProcesses::new("whole-path");
+    trial.write("answers.yaml", ANSWERS);
+    trial.run(&["questionnaire", "check", "answers.yaml"]);
+    trial.run(&[
+        "questionnaire",
+        "accept",
+        "answers.yaml",
+        "--base",
+        "none",
+        "--output",
+        "v1.json",
+    ]);
+    fs::copy(trial.folder.join("v1.json"), trial.folder.join("live.json")).expect("copy");
+
+    trial.start(
+        "platform",
+        &["standin", "platform", "--listen", PLATFORM, "--artefact", "live.json"],
+    );
+    for (name, listen) in [("stock-1", "127.0.31.1:21500"), ("stock-2", "127.0.31.1:21510")] {
+        trial.start(name, &["standin", "upstream", "--name", name, "--listen", listen]);
+    }
+    trial.start_node(1);
+    trial.start_node(2);
+    for number in [1, 2] {
+        trial.wait_for_version(number, 1);
+        wait_until("a lookup", || {
+            call(number, "GET /stock/4 HTTP/1.1", "").is_some_and(|answer| {
+                answer.starts_with("http/1.1 200") && answer.contains("fescuestack-outcome: done")
+            })
+        });
+    }
+
+    // An owner that has just started cannot vouch for a key, so the first answers may be unknown.
+    wait_until("an order", || order(1, "order-1").contains("fescuestack-outcome: done"));
+    let again = order(2, "order-1");
+    assert!(again.contains("fescuestack-code: 101"), "resend through the other node: {again}");
+
+    let changed = ANSWERS.replace("queue-limit: 32", "queue-limit: 40");
+    trial.write("answers.yaml", &changed);
+    trial.run(&[
+        "questionnaire",
+        "accept",
+        "answers.yaml",
+        "--previous",
+        "v1.json",
+        "--output",
+        "v2.json",
+    ]);
+    fs::copy(trial.folder.join("v2.json"), trial.folder.join("live.json")).expect("copy");
+    trial.wait_for_version(1, 2);
+    trial.wait_for_version(2, 2);
+
+    trial.kill("platform");
+    trial.kill("node-1");
+    wait_until("a lookup after the death of the other node", || {
+        call(2, "GET /stock/5 HTTP/1.1", "")
+            .is_some_and(|answer| answer.starts_with("http/1.1 200"))
+    });
+    trial.start_node(1);
+    trial.wait_for_version(1, 2);
+
+    for name in ["node-1", "node-2"] {
+        assert!(trial.terminate(name).0, "{name} ends well on SIGTERM");
+    }
+    let ledgers = [trial.terminate("stock-1").1, trial.terminate("stock-2").1].concat();
+    assert_eq!(ledgers.matches("order-1").count(), 1, "the order ran once: {ledgers}");
+}
