Let suspicions from other data centres lapse; bound transfers in every step

Such suspicions now lapse after 10 s. Requests for buckets and parts now need a slot too, and a damaged part ends the transfer.

--- a/core/src/gateways.rs
+++ b/core/src/gateways.rs
@@ -26,6 +26,25 @@
 /// Interval of questions for exceptions, in milliseconds.
 const EXCEPTIONS_MS: u64 = 2_000;
 
+/// A suspicion from another data centre lapses after this time. Its end there, refuted or not, is an
+/// event too, but a lost refutation must not keep a live target out of use.
+const SUSPICION_MS: u64 = 10_000;
+
+/// Latest event on a target of another data centre.
+#[derive(Debug)]
+struct RemoteEvent {
+    event: MemberEvent,
+    since: ClockTime,
+    /// Whether the event is a suspicion whose time is over.
+    lapsed: bool,
+}
+
+impl RemoteEvent {
+    fn is_exception(&self) -> bool {
+        self.event.state != MemberState::Alive && !self.lapsed
+    }
+}
+
 /// A node of another data centre.
 #[derive(Debug)]
 struct RemotePeer {
@@ -39,7 +58,7 @@
 struct RemoteCentre {
     peers: BTreeMap<MemberRank, RemotePeer>,
     /// Latest events on configured targets that are or were not alive.
-    events: BTreeMap<NodeName, MemberEvent>,
+    events: BTreeMap<NodeName, RemoteEvent>,
     /// Gateway that owes an answer, and since when.
     asked: Option<(MemberRank, ClockTime)>,
     pulled_at: ClockTime,
@@ -47,7 +66,8 @@
 
 impl RemoteCentre {
     fn is_usable(&self, rank: &MemberRank, peer: &RemotePeer, now: ClockTime) -> bool {
-        let gone = self.events.get(&rank.name).is_some_and(|e| e.state > MemberState::Suspect);
+        let gone =
+            self.events.get(&rank.name).is_some_and(|e| e.event.state > MemberState::Suspect);
         !gone && peer.silent_until <= now
     }
 
@@ -59,7 +79,7 @@
     }
 
     fn digest(&self) -> u32 {
-        self.events.values().fold(0, |digest, event| digest ^ exception_mark(event))
+        self.events.values().fold(0, |digest, known| digest ^ exception_mark(&known.event))
     }
 }
 
@@ -124,7 +144,7 @@
     }
 
     /// Takes in an event on a configured target. True if it is news.
-    pub(crate) fn take_event(&mut self, event: &MemberEvent) -> bool {
+    pub(crate) fn take_event(&mut self, now: ClockTime, event: &MemberEvent) -> bool {
         let Some(centre) = self.centres.get_mut(&event.peer.data_centre) else { return false };
         let known = centre.peers.get(&MemberRank::new(&event.peer.name));
         if !known.is_some_and(|known| known.configured) {
@@ -132,26 +152,42 @@
         }
         let news = match centre.events.get(&event.peer.name) {
             None => event.state != MemberState::Alive,
-            Some(old) => {
+            Some(RemoteEvent { event: old, .. }) => {
                 let newer = event.incarnation > old.incarnation;
                 let same = event.incarnation == old.incarnation;
                 (newer && event.state != old.state) || (same && event.state > old.state)
             }
         };
         if news {
-            centre.events.insert(event.peer.name.clone(), event.clone());
+            let known = RemoteEvent { event: event.clone(), since: now, lapsed: false };
+            centre.events.insert(event.peer.name.clone(), known);
         }
         news
     }
 
     /// Targets that are not alive.
     pub(crate) fn exceptions(&self) -> impl Iterator<Item = &MemberEvent> {
-        self.known_events().filter(|event| event.state != MemberState::Alive)
+        let events = self.centres.values().flat_map(|centre| centre.events.values());
+        events.filter(|known| known.is_exception()).map(|known| &known.event)
     }
 
-    /// Latest events on targets that are or were not alive.
+    /// Latest events on targets that are or were not alive, without suspicions.
     pub(crate) fn known_events(&self) -> impl Iterator<Item = &MemberEvent> {
-        self.centres.values().flat_map(|centre| centre.events.values())
+        let events = self.centres.values().flat_map(|centre| centre.events.values());
+        events.map(|known| &known.event).filter(|event| event.state != MemberState::Suspect)
+    }
+
+    /// Ends suspicions whose time is over; the targets count as alive again.
+    fn lapse_suspicions(&mut self, now: ClockTime) -> Vec<MemberEvent> {
+        let mut lapsed = Vec::new();
+        for known in self.centres.values_mut().flat_map(|centre| centre.events.values_mut()) {
+            let over = now.since(known.since).millis() >= SUSPICION_MS;
+            if over && !known.lapsed && known.event.state == MemberState::Suspect {
+                known.lapsed = true;
+                lapsed.push(MemberEvent { state: MemberState::Alive, ..known.event.clone() });
+            }
+        }
+        lapsed
     }
 
     /// Digest over the targets that are gone.
@@ -179,6 +215,9 @@
 
     /// Announces the versions to the gateways of the other data centres.
     pub(crate) fn step_gateways(&mut self, turn: &mut Turn<'_>) {
+        for event in self.remotes.lapse_suspicions(turn.now) {
+            self.report_liveness(turn, &event);
+        }
         if !self.is_reader() {
             return;
         }
@@ -264,8 +303,8 @@
         let recent = now.since(centre.pulled_at).millis() < EXCEPTIONS_MS;
         if centre.digest() != exceptions && !recent {
             centre.pulled_at = now;
-            let gone = centre.events.values().filter(|event| event.state != MemberState::Alive);
-            let known = gone.map(|event| event.peer.name.clone()).collect();
+            let gone = centre.events.values().filter(|known| known.is_exception());
+            let known = gone.map(|known| known.event.peer.name.clone()).collect();
             turn.send(from, PeerMessage::PullExceptions { known });
         }
     }
--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -65,7 +65,7 @@
             return;
         }
         if event.peer.data_centre != self.settings.node.data_centre {
-            if self.remotes.take_event(&event) {
+            if self.remotes.take_event(turn.now, &event) {
                 self.report_liveness(turn, &event);
                 self.events.push(spread_event(event, by));
             }
--- a/core/src/serving.rs
+++ b/core/src/serving.rs
@@ -30,10 +30,7 @@
             self.send_announce(turn, from);
             return;
         }
-        let held = self.transfer.slots.contains_key(&from.name);
-        if !held && self.transfer.slots.len() >= SLOT_LIMIT {
-            self.counters.refused_pulls += 1;
-            turn.send(from, PeerMessage::Busy { retry_ms: RETRY_MS });
+        if self.refuse(turn, from) {
             return;
         }
         let Some(chain) = self.versions.chain(have) else {
@@ -47,6 +44,17 @@
         }
     }
 
+    /// Refuses a peer that holds no slot while all are taken.
+    fn refuse(&mut self, turn: &mut Turn<'_>, from: &PeerAddress) -> bool {
+        let held = self.transfer.slots.contains_key(&from.name);
+        if held || self.transfer.slots.len() < SLOT_LIMIT {
+            return false;
+        }
+        self.counters.refused_pulls += 1;
+        turn.send(from, PeerMessage::Busy { retry_ms: RETRY_MS });
+        true
+    }
+
     fn hold_slot(&mut self, turn: &Turn<'_>, peer: &PeerAddress, span_ms: u64) {
         let end = turn.now + ClockSpan::new(span_ms);
         self.transfer.slots.insert(peer.name.clone(), end);
@@ -67,6 +75,9 @@
         buckets: Vec<u8>,
     ) {
         let Some(snapshot) = self.versions.snapshot.clone() else { return };
+        if self.refuse(turn, from) {
+            return;
+        }
         if snapshot.version() != version {
             self.send_digests(turn, from);
             return;
@@ -85,6 +96,9 @@
         parts: Vec<PartRequest>,
     ) {
         let Some(snapshot) = self.versions.snapshot.clone() else { return };
+        if self.refuse(turn, from) {
+            return;
+        }
         let held = |part: &PartRequest| snapshot.manifest().get(&part.name) == Some(part.hash);
         if !parts.iter().all(held) {
             // The version moved on; the asking node starts over and keeps what it has.
--- a/core/src/state.rs
+++ b/core/src/state.rs
@@ -128,6 +128,7 @@
             leaving: self.leaving,
             source: self.source_state(),
             reader: self.is_reader(),
+            serving: self.transfer.slots.len(),
             members: self.member_statuses(),
             rejected: self.versions.rejected.iter().cloned().collect(),
             clashes: self.versions.clashes.iter().copied().collect(),
--- a/core/src/status.rs
+++ b/core/src/status.rs
@@ -128,6 +128,8 @@
     pub source: SourceState,
     /// Whether the node reads the platform for its data centre.
     pub reader: bool,
+    /// Transfers to other nodes that are running.
+    pub serving: usize,
     /// Members of the own data centre, and targets of others that are not alive.
     pub members: Vec<MemberStatus>,
     /// Rejected versions, oldest first.
--- a/core/src/transfer.rs
+++ b/core/src/transfer.rs
@@ -363,8 +363,14 @@
             return;
         }
         wanted.remove(index);
-        if let Some(piece) = pieces.remove(&hash) {
-            assembly.put_content(hash, piece.into());
+        let whole =
+            pieces.remove(&hash).is_some_and(|piece| assembly.put_content(hash, piece.into()));
+        if !whole {
+            // The peer's content is damaged; asking it again would not end.
+            self.transfer.end();
+            self.transfer.drop_source(&from.name);
+            turn.send(from, PeerMessage::PullDone);
+            return;
         }
         if wanted.is_empty() {
             self.request_missing(turn);
--- a/core/tests/convergence.rs
+++ b/core/tests/convergence.rs
@@ -23,11 +23,13 @@
     let mut network = FakeNetwork::new(&[("a", 40), ("b", 30), ("c", 3)], 1);
     let version = network.platform.head;
     let taken = network.run_until_installed(version, 10_000);
+    let calls = network.platform.calls_since(0);
+    assert!(calls <= 6 * 40, "{calls} calls to the platform at the start");
     network.run(10_000);
     assert!(all_alive(&network), "every node knows every member of its data centre");
     let readers = network.live().into_iter().filter(|&i| network.status(i).reader);
     assert_eq!(readers.count(), 6, "two readers in each data centre");
-    println!("installed everywhere after {taken} ms");
+    println!("installed everywhere after {taken} ms with {calls} calls");
 }
 
 /// Guards against a cluster that needs the platform to find its members.
@@ -42,6 +44,25 @@
     network.run_until_installed(version, 10_000);
 }
 
+/// Guards against nodes that serve any number of transfers at once: with a large configuration, all
+/// nodes but the readers have to pull when they start together.
+#[test]
+fn transfers_are_bounded() {
+    let mut network = FakeNetwork::new(&[("a", 40)], 4);
+    let parts = ["s0", "s1", "s2", "s3"].map(publisher::large_part);
+    let version = network.platform.publish(&parts);
+    let mut most = 0;
+    while network.nodes.iter().any(|node| node.installed < version) {
+        network.run(20);
+        most = network.live().into_iter().map(|i| network.status(i).serving).fold(most, usize::max);
+        assert!(network.now < network::START_MS + 30_000, "I9: the configuration does not arrive");
+    }
+    println!("large configuration everywhere after {} ms", network.now - network::START_MS);
+    let refused = network.live().into_iter().map(|i| network.status(i).counters.refused_pulls);
+    assert!(refused.sum::<u64>() > 0, "some pulls were refused for the time being");
+    assert!(most <= 4, "{most} transfers at once");
+}
+
 /// Guards against distribution that costs more than planned: idle below 200 B/s for each node,
 /// below 4 KB/s at 0.86 changes a second, below 1.3 copies of a change for each node.
 #[test]
--- a/core/tests/failures.rs
+++ b/core/tests/failures.rs
@@ -41,9 +41,16 @@
     let newest = network.publish_and_wait(3);
     network.platform.set_head(old, VersionId::NONE);
     network.run(10_000);
-    network.kill(4, false);
-    network.start(4);
-    network.run_until_installed(newest, 6_000);
+    // Each node once, so that readers, which see the old head, are among them.
+    for index in 0..17 {
+        network.kill(index, false);
+        network.start(index);
+        while network.nodes[index].installed == VersionId::NONE {
+            network.run(10);
+        }
+        assert_eq!(network.nodes[index].installed, newest, "served an older version first");
+        network.run(2_000);
+    }
     let readers = network.live().into_iter().map(|index| network.status(index));
     let readers = readers.filter(|status| status.reader);
     assert!(readers.into_iter().all(|status| status.source == SourceState::Stale));
@@ -72,9 +79,21 @@
     (0..8).for_each(|index| {
         network.platform.head_of.insert(index, text.as_str().into());
     });
-    for limit in 2..6 {
+    let crossed = network.pushes_into("a");
+    for limit in 2..12 {
         network.publish_and_wait(limit);
+        network.run(1_000);
     }
+    let crossed = network.pushes_into("a") - crossed;
+    assert!(crossed <= 13, "{crossed} copies of 10 changes crossed into the data centre");
+    // Then the gateways that it pulls from are lost too.
+    let readers = [8, 9, 10, 11, 12, 13].into_iter().filter(|&index| network.status(index).reader);
+    let readers: Vec<usize> = readers.collect();
+    readers.iter().for_each(|&index| network.kill(index, true));
+    (14..17).for_each(|index| network.kill(index, true));
+    network.run(500);
+    network.platform.publish_limit(20);
+    network.run_until_installed(network.platform.head, CONVERGENCE_MS + 5_000);
     network.finish("source-frozen", Vec::new());
 }
 
@@ -258,10 +277,11 @@
     network.finish("half-restarts-source-down", Vec::new());
 }
 
-/// Guards against two failures at once: nodes wake into a partition with losses.
+/// Guards against two failures at once: nodes wake into a partition with losses. With this seed the
+/// refutation of a suspicion was lost between data centres and the suspicion stayed.
 #[test]
 fn paused_nodes_wake_in_a_partition() {
-    let mut network = settled(23);
+    let mut network = settled(6_023);
     network.nodes[RECORDED].paused = true;
     network.nodes[10].paused = true;
     network.loss = 50;
--- a/core/tests/membership.rs
+++ b/core/tests/membership.rs
@@ -123,6 +123,44 @@
     network.finish("halves", Vec::new());
 }
 
+/// Guards against a leave that a data centre never hears of because the links to it were cut while the
+/// event was passed on.
+#[test]
+fn leave_during_a_partition_is_known_after_it() {
+    let mut network = settled(38);
+    network.side.insert("a".to_owned(), 1);
+    network.run(5_000);
+    let name = network.nodes[9].address.name.clone();
+    network.input(9, ControlInput::Leave);
+    network.run(2_000);
+    network.kill(9, true);
+    network.run(60_000);
+    assert!(network.nodes[RECORDED].uses(&name), "the partition hides the leave");
+    network.side.clear();
+    network.run(15_000);
+    assert_unused(&network, &name);
+    network.start(9);
+    network.run(20_000);
+    network.assert_all_alive();
+    network.finish("leave-partition", Vec::new());
+}
+
+/// Guards against a node that never hears of events that it missed.
+#[test]
+fn missed_events_are_caught_up() {
+    let mut network = settled(39);
+    network.nodes[RECORDED].isolated = true;
+    let name = network.nodes[5].address.name.clone();
+    network.input(5, ControlInput::Leave);
+    network.run(2_000);
+    network.kill(5, true);
+    network.run(60_000);
+    network.nodes[RECORDED].isolated = false;
+    network.run(15_000);
+    assert_unused(&network, &name);
+    network.finish("missed-events", Vec::new());
+}
+
 /// Guards against poison requests that run on after two crashes, and against lists without bound.
 #[test]
 fn crashing_requests_are_quarantined() {
--- a/core/tests/network/mod.rs
+++ b/core/tests/network/mod.rs
@@ -41,6 +41,8 @@
     pub cut: BTreeSet<(usize, usize)>,
     /// Data centres reach each other only if they are on the same side.
     pub side: BTreeMap<String, u8>,
+    /// Changes sent to each data centre from others.
+    pub crossed: BTreeMap<String, u64>,
     /// One-way delay between data centres; up to as much is added at random.
     pub link_delay: u64,
     rng: Pcg32,
@@ -72,6 +74,7 @@
             silent: BTreeSet::new(),
             cut: BTreeSet::new(),
             side: BTreeMap::new(),
+            crossed: BTreeMap::new(),
             link_delay: 5,
             rng: Pcg32::seed_from_u64(seed),
             queue: BTreeMap::new(),
@@ -231,9 +234,13 @@
 
     fn send(&mut self, from: usize, to: &PeerAddress, message: PeerMessage) {
         let length = postcard::to_stdvec(&message).expect("messages can be encoded").len();
-        self.nodes[from].bytes += (length + FRAMING_BYTES) as u64;
-        self.nodes[from].pushes += u64::from(matches!(message, PeerMessage::Push { .. }));
         let (to, peer) = (self.index[&*to.name], to);
+        let push = u64::from(matches!(message, PeerMessage::Push { .. }));
+        self.nodes[from].bytes += (length + FRAMING_BYTES) as u64;
+        self.nodes[from].pushes += push;
+        if self.nodes[from].address.data_centre != peer.data_centre {
+            *self.crossed.entry(peer.data_centre.to_string()).or_default() += push;
+        }
         let (sender, receiver) = (&self.nodes[from], &self.nodes[to]);
         if receiver.state.is_none() && !receiver.vm_gone {
             self.push(1, from, ControlInput::LinkLost { peer: peer.clone() });
--- a/core/tests/network/scenario.rs
+++ b/core/tests/network/scenario.rs
@@ -17,6 +17,9 @@
 
 /// Three data centres of 8, 6 and 3 nodes with the first version in effect.
 pub fn settled(seed: u64) -> FakeNetwork {
+    // Shifts all seeds, to search more of them than a test run does.
+    let trial = std::env::var("FESCUESTACK_TRIAL").map_or(0, |text| text.parse().unwrap());
+    let seed = seed + 1_000 * trial;
     let mut network = FakeNetwork::new(&[("a", 8), ("b", 6), ("c", 3)], seed);
     network.record(RECORDED);
     network.run_until_installed(network.platform.head, 10_000);
@@ -32,6 +35,11 @@
         version
     }
 
+    /// Changes that crossed into a data centre so far.
+    pub fn pushes_into(&self, data_centre: &str) -> u64 {
+        self.crossed.get(data_centre).copied().unwrap_or(0)
+    }
+
     /// Checks that running nodes hold each other for alive and usable.
     pub fn assert_all_alive(&self) {
         for &index in &self.live() {
