Test the call path against failures, changes and overload

Real sockets, nodes and upstreams: an upstream that dies, cut answers, silent upstreams and half-open links, cancellation, drain under load, an upload across a new version, keys sent again through other nodes and after a change of targets, and three times the capacity.

--- a/callers/tests/mesh/mod.rs
+++ b/callers/tests/mesh/mod.rs
@@ -1,8 +1,12 @@
 //! A few nodes with their upstreams on loopback sockets, for the tests of the call path.
 #![allow(dead_code)]
 
+pub mod proxy;
+
+use std::pin::Pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
@@ -15,7 +19,7 @@
     TargetEntry, TargetsPart, VersionId,
 };
 use fescuestack_http::{ClientConnection, HttpFault, ServerSettings, serve_connection};
-use futures_lite::AsyncReadExt;
+use futures_lite::io::{AsyncRead, AsyncReadExt, BufReader};
 use http_types::{Body, Method, Request, Response, StatusCode, Url};
 use serde::Serialize;
 
@@ -46,6 +50,25 @@
     }
 }
 
+/// An end that comes after the bytes before it were sent.
+struct LateEnd(Pin<Box<dyn Future<Output = ()> + Send + Sync>>);
+
+impl LateEnd {
+    fn new() -> LateEnd {
+        LateEnd(Box::pin(task::sleep(Duration::from_millis(20))))
+    }
+}
+
+impl AsyncRead for LateEnd {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        _: &mut [u8],
+    ) -> Poll<std::io::Result<usize>> {
+        self.0.as_mut().poll(cx).map(|()| Ok(0))
+    }
+}
+
 struct RunGuard(Arc<UpstreamLog>, bool);
 
 impl Drop for RunGuard {
@@ -112,8 +135,12 @@
         }
         [.., "hang"] => std::future::pending().await,
         [.., "cut"] => {
-            let reader = futures_lite::io::Cursor::new(b"short".to_vec());
-            answer.set_body(Body::from_reader(reader, Some(50)));
+            let reader = futures_lite::io::Cursor::new(b"short").chain(LateEnd::new());
+            answer.set_body(Body::from_reader(BufReader::new(reader), Some(50)));
+        }
+        [.., "longcut"] => {
+            let reader = futures_lite::io::Cursor::new(vec![b'x'; 300_000]);
+            answer.set_body(Body::from_reader(reader, Some(400_000)));
         }
         [.., "long", bytes] => {
             let bytes = vec![b'x'; bytes.parse().unwrap()];
@@ -197,7 +224,7 @@
         TestNode { name, service, observer, upstream, caller, local, relay, snapshot, serving }
     }
 
-    fn entry(&self, slots: u32) -> TargetEntry {
+    pub fn entry(&self, slots: u32) -> TargetEntry {
         TargetEntry {
             name: self.name.as_str().into(),
             data_centre: "here".into(),
@@ -239,8 +266,13 @@
 
     /// Gives all nodes a new version with these nodes as targets.
     pub fn install(&mut self, targets: &[usize]) {
+        let entries = targets.iter().map(|index| self.nodes[*index].entry(self.slots));
+        self.install_entries(entries.collect());
+    }
+
+    /// Gives all nodes a new version with these targets.
+    pub fn install_entries(&mut self, entries: Vec<TargetEntry>) {
         self.number += 1;
-        let entries = targets.iter().map(|index| self.nodes[*index].entry(self.slots)).collect();
         let snapshot = Arc::new(snapshot(self.number, entries));
         for node in &self.nodes {
             node.snapshot.store(Some(snapshot.clone()));
