--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -20,6 +20,7 @@
 mod fingerprint;
 mod gate;
 mod gateways;
+mod handover;
 mod keys;
 mod manifest;
 mod members;
@@ -30,6 +31,7 @@
 mod plan;
 mod probes;
 mod quarantine;
+mod record;
 mod retries;
 mod serving;
 mod snapshot;
@@ -69,9 +71,9 @@
 pub use events::{CrashReport, SpreadEvent};
 pub use fingerprint::{FINGERPRINT_BODY_BYTES, RequestFingerprint};
 pub use gate::{GateAction, GateCall, GateOutcome, GateReply, GateSettings, GateStep, TargetGate};
+pub use handover::{KeyAnswer, KeyFinding, KeyQuestion, RecordedAnswer};
 pub use keys::{
-    KEY_CAPACITY, KEY_LIMIT_BYTES, KeyAnswer, KeyFinding, KeyQuestion, KeyTable, KeyVerdict,
-    RECORDED_BODY_BYTES, RECORDED_TOTAL_BYTES, RecordedAnswer,
+    KEY_CAPACITY, KEY_LIMIT_BYTES, KeyTable, KeyVerdict, RECORDED_BODY_BYTES, RECORDED_TOTAL_BYTES,
 };
 pub use manifest::{BUCKET_COUNT, BucketEntries, PartManifest, bucket_index};
 pub use message::{MemberEvent, MemberState, PartRequest, PeerAddress, PeerMessage, VersionHeads};
@@ -79,6 +81,10 @@
 pub use patience::{DAY_MINUTES, PatienceZone};
 pub use plan::{AttemptEnd, PlanAnswer, PlanCall, PlanStep, RequestPlan};
 pub use quarantine::{QUARANTINE_LIMIT, QUARANTINE_SPAN, QuarantineList};
+pub use record::{
+    ControlRecorder, RecordHeader, RecordedInput, ReplayMismatch, ReplayReport, StatedOutcome,
+    outcome_line, replay,
+};
 pub use retries::{ATTEMPT_LIMIT, RetryBudget, RetryCase};
 pub use snapshot::{ConfigSnapshot, RejectReason, ServiceView, TenantView};
 pub use state::ControlState;
