--- a/fescuestack/src/cli.rs
+++ b/fescuestack/src/cli.rs
@@ -56,6 +56,12 @@
     /// Measure the product on loopback.
     #[command(subcommand)]
     Measure(MeasureCommand),
+    /// Replay recorded control inputs. Fails at the first input whose outcome differs.
+    Replay {
+        /// Recordings, as JSON lines.
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+    },
     /// Run a stand-in of an outside system as a process of its own.
     #[command(subcommand)]
     Standin(StandinCommand),
@@ -87,6 +93,7 @@
             MainCommand::Explain { node, request } => {
                 print_answer(node, &format!("/explain/{request}"))
             }
+            MainCommand::Replay { files } => replay_files(&files),
             MainCommand::Standin(command) => command.run(),
             MainCommand::Demo(settings) => settings.run(),
             MainCommand::Measure(command) => command.run(),
@@ -146,6 +153,32 @@
     }
 }
 
+fn replay_files(files: &[PathBuf]) -> ExitCode {
+    for file in files {
+        let text = match std::fs::read_to_string(file) {
+            Ok(text) => text,
+            Err(err) => {
+                eprintln!("{}: {err}", file.display());
+                return ExitCode::FAILURE;
+            }
+        };
+        match fescuestack_core::replay(text.lines()) {
+            Ok(report) => println!(
+                "{}: {} inputs, {} stated outcomes, active version {}",
+                file.display(),
+                report.inputs,
+                report.outcomes,
+                report.status.active
+            ),
+            Err(err) => {
+                eprintln!("{}: {err}", file.display());
+                return ExitCode::FAILURE;
+            }
+        }
+    }
+    ExitCode::SUCCESS
+}
+
 pub(crate) fn fail(err: &dyn std::error::Error) -> ExitCode {
     eprintln!("{err}");
     ExitCode::FAILURE
--- a/fescuestack/src/controller.rs
+++ b/fescuestack/src/controller.rs
@@ -8,8 +8,8 @@
 use async_std::task;
 use fescuestack_callers::CallService;
 use fescuestack_core::{
-    ClockTime, ConfigSnapshot, ControlAction, ControlInput, HEAD_KEY, MemberState, NodeName,
-    PeerAddress, TargetLiveness,
+    ClockTime, ConfigSnapshot, ControlAction, ControlInput, ControlRecorder, HEAD_KEY, MemberState,
+    NodeName, PeerAddress, TargetLiveness,
 };
 use fescuestack_operators::NodeMetrics;
 use fescuestack_peers::{LinkEvent, LinkHub, LinkUsage};
@@ -72,6 +72,7 @@
 /// Drives a control state.
 pub(crate) struct ControlDriver<S: PlatformSource> {
     state: ControlPolicy,
+    recorder: ControlRecorder,
     links: LinkHub,
     source: S,
     requests: Receiver<ControlRequest>,
@@ -92,6 +93,7 @@
     /// Creates a driver that takes requests from `channel`.
     pub(crate) fn new(
         state: ControlPolicy,
+        recorder: ControlRecorder,
         node: &PeerAddress,
         links: LinkHub,
         source: S,
@@ -104,6 +106,7 @@
         let node = node.name.clone();
         ControlDriver {
             state,
+            recorder,
             links,
             source,
             requests,
@@ -151,12 +154,16 @@
     }
 
     fn recording(&self) -> String {
-        String::new()
+        let lines: Vec<String> = self.recorder.lines().collect();
+        lines.join("\n")
     }
 
     fn handle(&mut self, input: ControlInput) {
+        let now = wall_clock();
+        let recorded = input.clone();
         let mut actions = Vec::new();
-        self.state.handle(wall_clock(), input, &mut actions);
+        self.state.handle(now, input, &mut actions);
+        self.recorder.record(now, recorded, &actions);
         for action in actions {
             self.carry_out(action);
         }
--- a/fescuestack/src/fleet.rs
+++ b/fescuestack/src/fleet.rs
@@ -47,6 +47,8 @@
     Artefact { fault: AnswerFault },
     #[snafu(display("node {name}: {source}"))]
     Node { name: String, source: NodeError },
+    #[snafu(display("cannot start upstream {name}: {source}"))]
+    Upstream { name: String, source: std::io::Error },
     #[snafu(display(
         "version {number} was active on {nodes} of {expected} nodes after {seconds} s"
     ))]
--- a/fescuestack/src/main.rs
+++ b/fescuestack/src/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod logging;
 mod measure;
+mod measure_calls;
 mod node;
 mod observer;
 mod settings;
--- a/fescuestack/src/measure.rs
+++ b/fescuestack/src/measure.rs
@@ -12,6 +12,7 @@
 
 use crate::cli::fail;
 use crate::fleet::{ConvergenceTimes, DistributionKind, FleetError, LocalFleet};
+use crate::measure_calls::CallMeasurement;
 use crate::usage::ProcessUsage;
 
 /// Seed of the generated fleet.
@@ -25,6 +26,8 @@
 pub(crate) enum MeasureCommand {
     /// Convergence time and control bytes of configuration changes. The last line is one JSON object.
     Distribution(DistributionSettings),
+    /// Latency that two nodes add to a call. The last line is one JSON object.
+    Calls(CallMeasurement),
 }
 
 /// Settings of a distribution measurement.
@@ -118,6 +121,7 @@
             Err(err) => return fail(&err),
         };
         match self {
+            MeasureCommand::Calls(settings) => settings.run(),
             MeasureCommand::Distribution(settings) => match task::block_on(settings.measure()) {
                 Ok(report) => {
                     println!("{}", serde_json::to_string(&report).unwrap_or_default());
--- /dev/null
+++ b/fescuestack/src/measure_calls.rs
@@ -0,0 +1,178 @@
+//! Latency that two nodes add to a call, against direct calls in the same run.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task;
+use fescuestack_core::{RouteKind, TargetEntry};
+use fescuestack_questionnaire::{Answers, FleetSize, accept, generate_fleet};
+use fescuestack_standins::{
+    LoadClass, MeasureReport, MeasureSettings, RequestLedger, UpstreamSettings, UpstreamStandin,
+    measure_calls,
+};
+use serde::Serialize;
+
+use crate::cli::fail;
+use crate::controller::wall_clock;
+use crate::fleet::{DistributionKind, FleetError, LocalFleet};
+use crate::usage::ProcessUsage;
+
+/// Longest wait for the first version.
+const START_LIMIT: Duration = Duration::from_secs(7);
+
+/// How long connections are opened and service times learned before the load.
+const WARM_UP: Duration = Duration::from_secs(1);
+
+/// Port of the measured upstreams; the nodes' ports follow it.
+const FIRST_PORT: u16 = 21_000;
+
+/// Settings of a call measurement.
+#[derive(Debug, Clone, clap::Args)]
+pub(crate) struct CallMeasurement {
+    /// Calls a second through the nodes. As many go directly to the upstreams.
+    #[arg(long, default_value_t = 240.0)]
+    rate: f64,
+    /// Length of the load, in seconds.
+    #[arg(long, default_value_t = 10, value_parser = clap::value_parser!(u64).range(1..=600))]
+    seconds: u64,
+    /// Seed of the load.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Nodes that take calls from callers; as many others stand beside the called upstreams.
+    #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u32).range(1..=32))]
+    entries: u32,
+    /// Kind of the called route.
+    #[arg(long, value_enum, default_value = "lookup")]
+    kind: CalledKind,
+    /// Mean service time of a lookup, in microseconds.
+    #[arg(long, default_value_t = 2_000)]
+    lookup_us: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
+enum CalledKind {
+    Lookup,
+    Submit,
+}
+
+#[derive(Debug, Serialize)]
+struct CallReport {
+    nodes: usize,
+    calls_per_s_per_node: f64,
+    processor_us_per_call: f64,
+    #[serde(flatten)]
+    measured: MeasureReport,
+}
+
+impl CallMeasurement {
+    /// Runs the measurement. The last line is one JSON object.
+    pub(crate) fn run(self) -> ExitCode {
+        match task::block_on(self.measure()) {
+            Ok(report) => {
+                println!("{}", serde_json::to_string(&report).unwrap_or_default());
+                ExitCode::SUCCESS
+            }
+            Err(err) => fail(&err),
+        }
+    }
+
+    async fn measure(&self) -> Result<CallReport, FleetError> {
+        let artefact = accept(&self.answers(), None).expect("generated answers are valid");
+        let mut fleet = LocalFleet::new(&artefact, DistributionKind::Trees, Duration::ZERO).await?;
+        let called: Vec<TargetEntry> = match fleet.first().service("service-1") {
+            Some(view) => view.targets.clone(),
+            None => Vec::new(),
+        };
+        let ledger = Arc::new(RequestLedger::new());
+        let mut upstreams = Vec::new();
+        for (index, target) in called.iter().enumerate() {
+            upstreams.push(self.start_upstream(&fleet, target, index as u64, &ledger).await?);
+        }
+        let published = fleet.publish(&artefact);
+        fleet.start().await?;
+        fleet.wait_for(1, published, fleet.nodes.len(), START_LIMIT).await?;
+        task::sleep(WARM_UP).await;
+
+        let is_entry =
+            |index: &usize| called.iter().all(|target| target.name != fleet.targets[*index].name);
+        let entries: Vec<_> = (0..fleet.targets.len())
+            .filter(is_entry)
+            .map(|index| fleet.settings(index).listen.caller)
+            .collect();
+        let entry_count = entries.len() as f64;
+        let settings = MeasureSettings {
+            seed: self.seed,
+            rate: 2.0 * self.rate,
+            seconds: self.seconds,
+            entries,
+            upstreams: called
+                .iter()
+                .map(|target| ("service-1".to_owned(), target.upstream))
+                .collect(),
+            classes: self.classes(&fleet),
+        };
+        let before = ProcessUsage::read();
+        let measured = measure_calls(settings, Some(&ledger)).await;
+        let used = ProcessUsage::read().processor.saturating_sub(before.processor);
+        let offered: u64 = measured.load.classes.iter().map(|class| class.offered).sum();
+        let nodes = fleet.nodes.len();
+        fleet.stop().await;
+        Ok(CallReport {
+            nodes,
+            calls_per_s_per_node: self.rate / entry_count,
+            processor_us_per_call: used.as_micros() as f64 / offered.max(1) as f64,
+            measured,
+        })
+    }
+
+    /// Two services with as many targets each: the first one's nodes take the calls, the second one's
+    /// upstreams run them, so that each call passes two nodes.
+    fn answers(&self) -> Answers {
+        let size = FleetSize { services: 2, targets: 2, regions: 1, data_centres: 1 };
+        let mut answers = generate_fleet(size, self.seed);
+        for (place, service) in (1_u8..).zip(&mut answers.services.value) {
+            for series in &mut service.target_series.value {
+                series.count.value = self.entries;
+                series.base.value = SocketAddr::from(([127, 32, place, 1], FIRST_PORT));
+            }
+        }
+        answers
+    }
+
+    async fn start_upstream(
+        &self,
+        fleet: &LocalFleet,
+        target: &TargetEntry,
+        seed: u64,
+        ledger: &Arc<RequestLedger>,
+    ) -> Result<UpstreamStandin, FleetError> {
+        let mut settings = UpstreamSettings::new(&target.name, self.seed + seed).with_warm_start();
+        settings.address = target.upstream;
+        settings.lookup_us = self.lookup_us;
+        settings.slots = target.slots as usize;
+        settings.connections = target.connections as usize * 2;
+        if let Some(view) = fleet.service_of(&target.name) {
+            settings = settings.with_service(&view.part);
+        }
+        UpstreamStandin::start(settings, ledger.clone())
+            .await
+            .map_err(|source| FleetError::Upstream { name: target.name.to_string(), source })
+    }
+
+    fn classes(&self, fleet: &LocalFleet) -> Vec<LoadClass> {
+        let kind = match self.kind {
+            CalledKind::Lookup => RouteKind::Lookup,
+            CalledKind::Submit => RouteKind::Submit,
+        };
+        let mut classes = LoadClass::from_snapshot(fleet.first(), wall_clock(), false);
+        classes.retain(|class| class.service == "service-1" && class.kind == kind);
+        classes.truncate(1);
+        for class in &mut classes {
+            // Without a key, so that the owner's window after its start does not matter here.
+            class.has_key = false;
+        }
+        classes
+    }
+}
--- a/fescuestack/src/node.rs
+++ b/fescuestack/src/node.rs
@@ -10,7 +10,7 @@
 use async_std::net::TcpListener;
 use async_std::task;
 use fescuestack_callers::{CallService, CallSettings};
-use fescuestack_core::{ClockSpan, ControlInput, ControlState, PeerAddress};
+use fescuestack_core::{ClockSpan, ControlInput, ControlRecorder, ControlState, PeerAddress};
 use fescuestack_operators::{ExplainRing, MetricsError, NodeMetrics, OperatorPort, OperatorView};
 use fescuestack_peers::{LinkHub, LinkListener, LinkUsage};
 use fescuestack_platform::HttpSource;
@@ -26,6 +26,9 @@
 /// Calls that `explain` can look back on.
 const EXPLAIN_CAPACITY: usize = 4_096;
 
+/// Control inputs that `record` can save: several minutes, because ten of them are ticks each second.
+const RECORD_CAPACITY: usize = 4_096;
+
 /// Link events that may wait for the control thread.
 const EVENT_LIMIT: usize = 1_024;
 
@@ -124,12 +127,13 @@
             installs: options.installs,
         };
         let node = control.node.clone();
-        let policy = options.baseline.unwrap_or_else(|| {
-            let seed = control_seed(&node);
-            ControlPolicy::Trees(Box::new(ControlState::new(control, seed)))
-        });
+        let seed = control_seed(&node);
+        let recorder = ControlRecorder::new(control.clone(), seed, RECORD_CAPACITY);
+        let policy = options
+            .baseline
+            .unwrap_or_else(|| ControlPolicy::Trees(Box::new(ControlState::new(control, seed))));
         let source = HttpSource::new(settings.platform);
-        let driver = ControlDriver::new(policy, &node, links, source, channel, shared);
+        let driver = ControlDriver::new(policy, recorder, &node, links, source, channel, shared);
         let thread = std::thread::Builder::new()
             .name("control".to_owned())
             .spawn(move || driver.run(events))
