--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -31,6 +31,7 @@
 mod plan;
 mod probes;
 mod quarantine;
+mod record;
 mod retries;
 mod serving;
 mod snapshot;
@@ -80,6 +81,10 @@
 pub use patience::{DAY_MINUTES, PatienceZone};
 pub use plan::{AttemptEnd, PlanAnswer, PlanCall, PlanStep, RequestPlan};
 pub use quarantine::{QUARANTINE_LIMIT, QUARANTINE_SPAN, QuarantineList};
+pub use record::{
+    ControlRecorder, RecordHeader, RecordedInput, ReplayMismatch, ReplayReport, StatedOutcome,
+    outcome_line, replay,
+};
 pub use retries::{ATTEMPT_LIMIT, RetryBudget, RetryCase};
 pub use snapshot::{ConfigSnapshot, RejectReason, ServiceView, TenantView};
 pub use state::ControlState;
--- a/fescuestack/src/measure.rs
+++ b/fescuestack/src/measure.rs
@@ -12,6 +12,7 @@
 
 use crate::cli::fail;
 use crate::fleet::{ConvergenceTimes, DistributionKind, FleetError, LocalFleet};
+use crate::measure_calls::CallMeasurement;
 use crate::usage::ProcessUsage;
 
 /// Seed of the generated fleet.
@@ -20,14 +21,13 @@
 /// Longest wait for a version to be active everywhere.
 const CONVERGENCE_LIMIT: Duration = Duration::from_secs(60);
 
-/// How long the fleet is left alone before the idle traffic is measured, so that links are open.
-const SETTLE_TIME: Duration = Duration::from_secs(5);
-
 /// What to measure.
 #[derive(Debug, Subcommand)]
 pub(crate) enum MeasureCommand {
     /// Convergence time and control bytes of configuration changes. The last line is one JSON object.
     Distribution(DistributionSettings),
+    /// Latency that two nodes add to a call. The last line is one JSON object.
+    Calls(CallMeasurement),
 }
 
 /// Settings of a distribution measurement.
@@ -48,6 +48,10 @@
     /// Time between changes, in milliseconds.
     #[arg(long, default_value_t = 1_160)]
     interval_ms: u64,
+    /// How long the fleet is left alone before the idle phase, in seconds. Nodes learn of each other
+    /// meanwhile.
+    #[arg(long, default_value_t = 10)]
+    settle_s: u64,
     /// Length of the idle phase, in seconds.
     #[arg(long, default_value_t = 10)]
     idle_s: u64,
@@ -89,15 +93,16 @@
     open_links_per_node: f64,
 }
 
+/// Quantiles of a set of times, in milliseconds.
 #[derive(Debug, Default, Serialize)]
-struct QuantileReport {
+pub(crate) struct QuantileReport {
     p50: f64,
     p99: f64,
     max: f64,
 }
 
 impl QuantileReport {
-    fn new(mut times: Vec<Duration>) -> QuantileReport {
+    pub(crate) fn new(mut times: Vec<Duration>) -> QuantileReport {
         times.sort_unstable();
         let at = |share: f64| {
             let index = (share * times.len() as f64).ceil() as usize;
@@ -116,6 +121,7 @@
             Err(err) => return fail(&err),
         };
         match self {
+            MeasureCommand::Calls(settings) => settings.run(),
             MeasureCommand::Distribution(settings) => match task::block_on(settings.measure()) {
                 Ok(report) => {
                     println!("{}", serde_json::to_string(&report).unwrap_or_default());
@@ -177,7 +183,7 @@
         if self.kind == DistributionKind::Trees {
             first = fleet.wait_for(1, published, count, CONVERGENCE_LIMIT).await?;
         }
-        task::sleep(SETTLE_TIME).await;
+        task::sleep(Duration::from_secs(self.settle_s)).await;
 
         let idle_start = FleetCounters::read(&fleet);
         task::sleep(Duration::from_secs(self.idle_s)).await;
