--- a/core/examples/distribution_slopes.rs
+++ b/core/examples/distribution_slopes.rs
@@ -7,11 +7,10 @@
 //!
 //! `steady` and `fleet-events` give every data centre the size, the others only the first one.
 
-use std::collections::BTreeMap;
 use std::process::ExitCode;
 
 use fescuestack_core::{
-    CallerClass, CallersPart, ConfigPart, PatiencePeriod, SpreadPreference, VersionId,
+    CallerClass, CallersPart, ConfigPart, ControlInput, PatiencePeriod, SpreadPreference, VersionId,
 };
 
 #[allow(unused_imports, missing_docs)]
@@ -143,35 +142,65 @@
     network.nodes.iter().map(|node| node.bytes).sum()
 }
 
-/// Bytes over the whole fleet for each restart and each death of a VM in the first data centre.
+/// What happens to a node of the first data centre.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum NodeEvent {
+    /// The process dies and starts again.
+    Restart,
+    /// The node leaves as planned and starts again, as in a deployment.
+    Renewal,
+    /// The VM is gone.
+    Death,
+}
+
+/// Bytes over the whole fleet for each event in the first data centre.
 fn events(first: usize, others: usize) {
     const EVENTS: usize = 10;
     let mut network = settled(first, others, SpreadPreference::Convergence);
     let begin = total_bytes(&network);
     network.run(100_000);
     let idle = total_bytes(&network) - begin;
-    let mut extra = BTreeMap::new();
-    for (label, is_restart) in [("restart_bytes", true), ("death_bytes", false)] {
+    let mut extra = Vec::new();
+    for (turn, event) in
+        [NodeEvent::Restart, NodeEvent::Renewal, NodeEvent::Death].into_iter().enumerate()
+    {
         let begin = total_bytes(&network);
-        // The middle of the list, so that no seed of another node is among them.
         for number in 0..EVENTS {
-            let index = first / 4 + number + if is_restart { 0 } else { EVENTS };
-            network.kill(index, !is_restart);
-            if is_restart {
-                network.start(index);
-            }
-            network.run(10_000);
+            cause(&mut network, (first / 4 + turn * EVENTS + number) % first, event);
         }
         let more = total_bytes(&network) as i64 - begin as i64 - idle as i64;
-        extra.insert(label, more / EVENTS as i64);
+        extra.push(more / EVENTS as i64);
         network.run(60_000);
     }
-    let (restart, death) = (extra["restart_bytes"], extra["death_bytes"]);
     println!(
-        "{{\"centre\":{first},\"others\":{others},\"restart_bytes\":{restart},\"death_bytes\":{death}}}"
+        "{{\"centre\":{first},\"others\":{others},\"restart_bytes\":{},\"renewal_bytes\":{},\
+         \"death_bytes\":{}}}",
+        extra[0], extra[1], extra[2]
     );
 }
 
+/// Causes an event and waits for 10 s.
+fn cause(network: &mut FakeNetwork, index: usize, event: NodeEvent) {
+    match event {
+        NodeEvent::Restart => {
+            network.kill(index, false);
+            network.start(index);
+            network.run(10_000);
+        }
+        NodeEvent::Renewal => {
+            network.input(index, ControlInput::Leave);
+            network.run(2_000);
+            network.kill(index, false);
+            network.start(index);
+            network.run(8_000);
+        }
+        NodeEvent::Death => {
+            network.kill(index, true);
+            network.run(10_000);
+        }
+    }
+}
+
 /// Parts that bring a configuration to the number and size of parts of 1,600 services.
 fn padding() -> Vec<ConfigPart> {
     let period = PatiencePeriod { from_minute: 0, to_minute: 0, patience_ms: 1_000 };
