Believe the creation time in idempotency keys within a stated clock skew

Cause: for a whole key window (120 s) after its start an owner answered 306 to every key, and earlier owners vouched for none, so after a restart of the fleet no payment, order or upload ran. Ruled out: copies of the key table on other nodes (a replicated store), a shorter window (resends run twice). Change: key-clock-skew-ms in the questionnaire. When it is given and a key is a version 7 UUID, a table vouches for keys created after its own start plus the skew; times further ahead than the skew are not believed. Conclusion: restarts cost keyed requests the clock skew (0.5 s) in place of the key window.

--- a/callers/tests/mesh/mod.rs
+++ b/callers/tests/mesh/mod.rs
@@ -330,6 +330,7 @@
         ],
         queue_limit: 200,
         key_window_ms: KEY_WINDOW_MS,
+        key_skew_ms: None,
     };
     let targets = TargetsPart { service: "shop".to_owned(), targets };
     let parts = vec![
--- a/core/src/config.rs
+++ b/core/src/config.rs
@@ -104,6 +104,10 @@
     pub queue_limit: u32,
     /// How long an idempotency key is remembered, in milliseconds.
     pub key_window_ms: u64,
+    /// Most by which the clocks of callers and nodes differ, in milliseconds, when the callers use
+    /// version 7 UUIDs as idempotency keys. Without it the creation time in a key is not believed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub key_skew_ms: Option<u64>,
 }
 
 /// The kind of a route, which decides on retries and streaming.
--- a/core/src/keys.rs
+++ b/core/src/keys.rs
@@ -17,6 +17,7 @@
 use crate::custody::{CustodyDuty, KeyCustody};
 use crate::fingerprint::RequestFingerprint;
 use crate::handover::{KeyAnswer, KeyFinding, KeyQuestion, RecordedAnswer};
+use crate::keytime::scan_key_time;
 use crate::snapshot::ServiceView;
 use crate::version::VersionId;
 
@@ -101,6 +102,8 @@
 pub struct KeyTable {
     custody: KeyCustody,
     window: ClockSpan,
+    /// Most by which clocks differ; without it creation times are not believed.
+    skew: Option<ClockSpan>,
     /// Every key seen since then is in the table, until it expires.
     known_since: ClockTime,
     entries: FxHashMap<Arc<str>, KeyEntry>,
@@ -117,6 +120,7 @@
         KeyTable {
             custody: KeyCustody::new(node, window),
             window,
+            skew: None,
             known_since: started,
             entries: FxHashMap::default(),
             expiries: VecDeque::new(),
@@ -138,6 +142,7 @@
             self.known_since = self.known_since.max(now - self.window);
         }
         self.window = window;
+        self.skew = service.part.key_skew_ms.map(ClockSpan::new);
         self.custody.set_window(window);
         let targets = service.targets.iter().map(|target| target.name.clone()).collect();
         self.custody.update(now, version, targets);
@@ -172,7 +177,7 @@
             return answer(ResultCode::NotKeyOwner, ClockSpan::ZERO);
         }
         let sure_at = self.known_since + self.window;
-        if now < sure_at {
+        if now < sure_at && !self.is_newer(now, key) {
             return answer(ResultCode::KeyOwnerYoung, sure_at.since(now));
         }
         let mut owners = match self.custody.duty(now, key) {
@@ -196,6 +201,14 @@
         KeyVerdict::Ask(owners)
     }
 
+    /// Whether `key` was certainly created after this table began to know every key. The creation time
+    /// in a key is believed only within the stated difference of clocks, and never when it lies further
+    /// ahead: a fast clock would make an old key look new.
+    fn is_newer(&self, now: ClockTime, key: &str) -> bool {
+        let (Some(skew), Some(created)) = (self.skew, scan_key_time(key)) else { return false };
+        self.known_since + skew < created && created <= now + skew
+    }
+
     /// Goes on after earlier owners were asked. `None` stands for one that did not answer.
     pub fn resume(
         &mut self,
@@ -345,7 +358,7 @@
         } else if self.entries.len() >= self.capacity {
             return KeyFinding::Unsure;
         }
-        if now < self.known_since + self.window {
+        if now < self.known_since + self.window && !self.is_newer(now, &question.key) {
             return KeyFinding::Unsure;
         }
         let CustodyDuty::Ask(mut also_ask) = self.custody.duty(now, &question.key) else {
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -22,6 +22,7 @@
 mod gateways;
 mod handover;
 mod keys;
+mod keytime;
 mod manifest;
 mod members;
 mod membership;
@@ -75,6 +76,7 @@
 pub use keys::{
     KEY_CAPACITY, KEY_LIMIT_BYTES, KeyTable, KeyVerdict, RECORDED_BODY_BYTES, RECORDED_TOTAL_BYTES,
 };
+pub use keytime::{dated_key, scan_key_time};
 pub use manifest::{BUCKET_COUNT, BucketEntries, PartManifest, bucket_index};
 pub use message::{MemberEvent, MemberState, PartRequest, PeerAddress, PeerMessage, VersionHeads};
 pub use owner::key_owner;
--- a/core/src/snapshot.rs
+++ b/core/src/snapshot.rs
@@ -330,5 +330,6 @@
         routes: Vec::new(),
         queue_limit: 0,
         key_window_ms: 0,
+        key_skew_ms: None,
     }
 }
--- a/core/tests/calls/service.rs
+++ b/core/tests/calls/service.rs
@@ -33,6 +33,7 @@
         routes: Vec::new(),
         queue_limit,
         key_window_ms: window,
+        key_skew_ms: None,
     };
     ServiceView { part, targets }
 }
--- a/core/tests/network/publisher.rs
+++ b/core/tests/network/publisher.rs
@@ -79,6 +79,7 @@
         routes: vec![route],
         queue_limit,
         key_window_ms: 120_000,
+        key_skew_ms: None,
     })
 }
 
--- a/questionnaire/src/answers.rs
+++ b/questionnaire/src/answers.rs
@@ -139,6 +139,10 @@
     pub queue_limit: Spanned<u32>,
     /// How long an idempotency key is remembered, in milliseconds.
     pub key_window_ms: Spanned<u64>,
+    /// Most by which the clocks of callers and nodes differ, in milliseconds, when the callers use
+    /// version 7 UUIDs as idempotency keys.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub key_clock_skew_ms: Option<Spanned<u64>>,
     /// Routes.
     pub routes: Spanned<Vec<RouteAnswer>>,
     /// Targets listed one by one.
@@ -314,6 +318,7 @@
         tenant: map.text("tenant"),
         queue_limit: map.count("queue-limit"),
         key_window_ms: map.number("key-window-ms"),
+        key_clock_skew_ms: map.optional_number("key-clock-skew-ms"),
         routes: map.list("routes", read_route),
         targets: map.optional_list("targets", read_target),
         target_series: map.optional_list("target-series", read_series),
--- a/questionnaire/src/check.rs
+++ b/questionnaire/src/check.rs
@@ -206,6 +206,13 @@
         let queue = &service.queue_limit;
         self.limit(u64::from(queue.value), queue.referenced, "queue-limit");
         self.limit(service.key_window_ms.value, service.key_window_ms.referenced, "key-window-ms");
+        if let Some(skew) = &service.key_clock_skew_ms
+            && skew.value >= service.key_window_ms.value
+        {
+            let message = "`key-clock-skew-ms` is not below `key-window-ms`; write a lower value or \
+                           leave it out when the callers' clocks are not synchronised";
+            self.fail(AnswerCode::SkewTooLarge, skew.referenced, message);
+        }
         if service.routes.value.is_empty() {
             let message = "`routes` is empty; write at least one route";
             self.fail(AnswerCode::MissingAnswer, service.routes.referenced, message);
--- a/questionnaire/src/difference.rs
+++ b/questionnaire/src/difference.rs
@@ -215,6 +215,8 @@
     field("the tenant", &old.tenant, &new.tenant);
     field("the queue limit", &old.queue_limit, &new.queue_limit);
     field("the key window in ms", &old.key_window_ms, &new.key_window_ms);
+    let skew = |part: &ServicePart| part.key_skew_ms.map_or("none".to_owned(), |ms| ms.to_string());
+    field("the clock skew of keys in ms", &skew(old), &skew(new));
     let same = |left: &RouteRule, right: &RouteRule| {
         left.method == right.method && left.prefix == right.prefix
     };
--- a/questionnaire/src/error.rs
+++ b/questionnaire/src/error.rs
@@ -73,6 +73,7 @@
     Refused = 528, "change refused", "the generated version breaks an invariant of the configuration", "see the 4xx code in the message";
     BadArtefact = 529, "bad artefact", "the previous artefact is damaged", "take the artefact from where it was published";
     TooManyTargets = 530, "too many targets", "the target series ask for more targets than the questionnaire may hold", "lower the count";
+    SkewTooLarge = 531, "clock skew too large", "the clocks differ by as much as keys are remembered", "write a lower skew or leave it out";
 }
 
 impl AnswerCode {
--- a/questionnaire/src/fleet.rs
+++ b/questionnaire/src/fleet.rs
@@ -147,6 +147,7 @@
         tenant: hole(tenant),
         queue_limit: hole(random.random_range(16..128)),
         key_window_ms: hole(120_000),
+        key_clock_skew_ms: Some(hole(500)),
         targets: hole(Vec::new()),
         target_series: hole(vec![series]),
     }
--- a/questionnaire/src/generate.rs
+++ b/questionnaire/src/generate.rs
@@ -112,6 +112,7 @@
         routes: service.routes.value.iter().map(route_rule).collect(),
         queue_limit: service.queue_limit.value,
         key_window_ms: service.key_window_ms.value,
+        key_skew_ms: service.key_clock_skew_ms.as_ref().map(|skew| skew.value),
     }
 }
 
--- a/questionnaire/src/tree.rs
+++ b/questionnaire/src/tree.rs
@@ -202,6 +202,11 @@
         }
     }
 
+    pub(crate) fn optional_number(&mut self, key: &'static str) -> Option<Spanned<u64>> {
+        self.find(key)?;
+        Some(self.number(key))
+    }
+
     pub(crate) fn count(&mut self, key: &'static str) -> Spanned<u32> {
         let number = self.number(key);
         match u32::try_from(number.value) {
--- a/questionnaire/tests/faults.rs
+++ b/questionnaire/tests/faults.rs
@@ -141,6 +141,11 @@
     ),
     ("queue-limit: 48", "queue-limit: 0", &[(ZeroLimit, 24)]),
     ("key-window-ms: 120000", "key-window-ms: 0", &[(ZeroLimit, 25)]),
+    (
+        "key-window-ms: 120000",
+        "key-window-ms: 120000\n    key-clock-skew-ms: 120000",
+        &[(SkewTooLarge, 26)],
+    ),
     ("patience-ms: 400 ", "patience-ms: 0 ", &[(ZeroLimit, 20)]),
     ("body-limit-bytes: 4096", "body-limit-bytes: 0", &[(ZeroLimit, 39)]),
     ("body-limit-bytes: 4096", "body-limit-bytes: 1048577", &[(BodyLimitTooLarge, 39)]),
--- a/standins/src/caller.rs
+++ b/standins/src/caller.rs
@@ -75,9 +75,10 @@
         address: SocketAddr,
         class: &LoadClass,
         number: u64,
+        key: &str,
         attempt: &str,
     ) -> CallAnswer {
-        let Some(request) = build_request(class, number, attempt) else {
+        let Some(request) = build_request(class, number, key, attempt) else {
             return CallAnswer::BROKEN;
         };
         let Some(mut connection) = self.connect(address).await else { return CallAnswer::BROKEN };
@@ -108,13 +109,13 @@
     }
 }
 
-fn build_request(class: &LoadClass, number: u64, attempt: &str) -> Option<Request> {
+fn build_request(class: &LoadClass, number: u64, key: &str, attempt: &str) -> Option<Request> {
     let path = class.path.replace("{n}", &number.to_string());
     let url = Url::parse(&format!("http://{}{path}", class.service)).ok()?;
     let mut request = Request::new(class.method.parse::<Method>().ok()?, url);
     request.insert_header(REQUEST_HEADER, attempt);
     if class.has_key {
-        request.insert_header(KEY_HEADER, format!("key-{}", request_of(attempt)));
+        request.insert_header(KEY_HEADER, key);
     }
     if !class.caller_class.is_empty() {
         request.insert_header("fescuestack-class", class.caller_class.as_str());
--- a/standins/src/generator.rs
+++ b/standins/src/generator.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use async_std::{future, task};
-use fescuestack_core::RouteKind;
+use fescuestack_core::{ClockTime, PartHash, RouteKind, dated_key};
 use serde::{Deserialize, Serialize};
 
 use crate::arrivals::{ArrivalPlan, LoadClass, LoadEntry, LoadPath, LoadSettings, PlannedArrival};
@@ -105,11 +105,12 @@
 async fn send_request(state: &LoadState, arrival: PlannedArrival, due: Instant) -> RequestRecord {
     let class = &state.settings.classes[arrival.class];
     let request = format!("{}-{}", state.run, arrival.number);
+    let key = request_key(&request);
     let mut attempts = Vec::new();
     let mut since = due;
     for number in 0..=class.resends {
         let attempt = format!("{request}.{number}");
-        let answer = send_attempt(state, class, &arrival, &attempt, since).await;
+        let answer = send_attempt(state, class, &arrival, &key, &attempt, since).await;
         attempts.push(AttemptRecord { attempt, answer });
         if matches!(answer.verdict, AnswerVerdict::Done { .. } | AnswerVerdict::Foreign) {
             break;
@@ -123,17 +124,26 @@
     RequestRecord { request, class: arrival.class, path: arrival.path, latency_us, attempts }
 }
 
+/// The idempotency key of a request, as a caller makes it when it first sends the request.
+fn request_key(request: &str) -> String {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let created = ClockTime::new(elapsed.as_millis() as u64);
+    let hash = PartHash::new(request.as_bytes());
+    dated_key(created, u128::from_le_bytes(*hash.as_bytes()))
+}
+
 /// Sends one attempt and waits until the patience, counted from `since`, is over.
 async fn send_attempt(
     state: &LoadState,
     class: &LoadClass,
     arrival: &PlannedArrival,
+    key: &str,
     attempt: &str,
     since: Instant,
 ) -> CallAnswer {
     let until = since + Duration::from_millis(class.patience_ms);
     let left = until.saturating_duration_since(Instant::now());
-    let call = state.client.call(arrival.address, class, arrival.number, attempt);
+    let call = state.client.call(arrival.address, class, arrival.number, key, attempt);
     let gave_up = CallAnswer { verdict: AnswerVerdict::GaveUp, code: None };
     future::timeout(left, call).await.unwrap_or(gave_up)
 }
--- a/standins/tests/upstream.rs
+++ b/standins/tests/upstream.rs
@@ -8,7 +8,7 @@
 use fescuestack_core::RouteKind;
 use fescuestack_standins::{
     AnswerVerdict, CallerClient, LoadClass, ProbeMode, RequestLedger, RunEnd, UpstreamSettings,
-    UpstreamStandin,
+    UpstreamStandin, request_of,
 };
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 
@@ -22,7 +22,8 @@
 
 async fn call(standin: &UpstreamStandin, class: &LoadClass, attempt: &str) -> AnswerVerdict {
     let client = CallerClient::new();
-    let call = client.call(standin.address(), class, 1, attempt);
+    let key = format!("key-{}", request_of(attempt));
+    let call = client.call(standin.address(), class, 1, &key, attempt);
     future::timeout(LONG, call).await.expect("an answer in time").verdict
 }
 
@@ -80,7 +81,7 @@
             .map(|attempt| {
                 let (standin, search) = (standin.clone(), search.clone());
                 task::spawn(async move {
-                    CallerClient::new().call(standin.address(), &search, 1, attempt).await
+                    CallerClient::new().call(standin.address(), &search, 1, "key-1", attempt).await
                 })
             })
             .into();
@@ -146,10 +147,10 @@
         let standin = start(settings).await;
         let client = CallerClient::new();
         let lookup = class(RouteKind::Lookup);
-        let first = client.call(standin.address(), &lookup, 1, "1.0").await;
+        let first = client.call(standin.address(), &lookup, 1, "", "1.0").await;
         assert!(matches!(first.verdict, AnswerVerdict::Done { .. }));
         standin.silence_connections();
-        let hung = client.call(standin.address(), &lookup, 1, "2.0");
+        let hung = client.call(standin.address(), &lookup, 1, "", "2.0");
         assert!(future::timeout(Duration::from_millis(300), hung).await.is_err());
         assert!(matches!(call(&standin, &lookup, "3.0").await, AnswerVerdict::Done { .. }));
         assert_eq!(standin.ledger().len(), 2, "the silent connection ran nothing");
