--- a/core/src/transfer.rs
+++ b/core/src/transfer.rs
@@ -63,10 +63,8 @@
 impl PartPieces {
     /// Length without a gap from the start, in bytes.
     fn prefix_len(&self) -> u32 {
-        let extend = |length: u32, (&offset, piece): (&u32, &Box<str>)| {
-            if offset == length { length + piece.len() as u32 } else { length }
-        };
-        self.0.iter().fold(0, extend)
+        let lengths = self.0.iter().map(|(offset, piece)| (*offset, piece.len() as u32));
+        lengths.fold(0, |end, (offset, length)| if offset == end { end + length } else { end })
     }
 
     fn join(self) -> String {
