--- a/core/src/plan.rs
+++ b/core/src/plan.rs
@@ -225,7 +225,7 @@
 
 impl AttemptEnd {
     /// What the end of the attempt says about the target.
-    fn outcome(&self) -> TargetOutcome {
+    pub fn outcome(&self) -> TargetOutcome {
         match self.code {
             ResultCode::Done | ResultCode::DoneEarlier => {
                 TargetOutcome::Answered { micros: self.micros }
--- a/core/tests/calls/main.rs
+++ b/core/tests/calls/main.rs
@@ -2,4 +2,6 @@
 
 mod fleet;
 mod interleavings;
+mod load;
+mod overload;
 mod service;
