--- a/fescuestack/src/main.rs
+++ b/fescuestack/src/main.rs
@@ -3,12 +3,16 @@
 mod baseline;
 mod cli;
 mod controller;
+mod demo;
 mod fleet;
 mod logging;
 mod measure;
+mod measure_calls;
 mod node;
+mod observer;
 mod settings;
 mod signals;
+mod standin;
 mod usage;
 
 use std::process::ExitCode;
