Keep failed uploads from counting against targets

A caller that broke off its upload made the attempt look like a lost connection to the target, and five of those ejected the target. The body now remembers that it failed, and the plan is abandoned without an outcome for the target; before the first byte the answer is 214, or 209 for a body beyond its limit. A deadline that passes while a connection is opened is 202, not 303, since nothing was sent.

Tests: a broken link during calls, broken uploads, and a quarantined fingerprint at the entry and at the target.

--- a/callers/src/content.rs
+++ b/callers/src/content.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
 
 use fescuestack_core::RouteKind;
@@ -22,6 +24,14 @@
     body: ContentBody,
     start: Vec<u8>,
     length: Option<u64>,
+    failure: Arc<ContentFailure>,
+}
+
+/// How the streamed body of a request has failed.
+#[derive(Debug, Default)]
+struct ContentFailure {
+    ended_early: AtomicBool,
+    too_large: AtomicBool,
 }
 
 #[derive(Debug)]
@@ -50,20 +60,25 @@
             RouteKind::Lookup | RouteKind::Search | RouteKind::Submit => WHOLE_LIMIT_BYTES,
         };
         let gathered = gather_body(body, limit).await.map_err(|_| ResultCode::UploadIncomplete)?;
+        let failure = Arc::new(ContentFailure::default());
         let (start, length, body) = match gathered {
             GatheredBody::Whole(bytes) => {
                 let length = bytes.len() as u64;
                 (bytes, Some(length), ContentBody::Whole)
             }
             GatheredBody::Partial(start, rest) => {
-                let limited = LimitedBody { body: rest, left: rule.body_limit_bytes };
+                let limited = LimitedBody {
+                    body: rest,
+                    left: rule.body_limit_bytes,
+                    failure: failure.clone(),
+                };
                 (start, declared, ContentBody::Stream(Some(limited.into_body())))
             }
         };
         if start.len() as u64 > rule.body_limit_bytes {
             return Err(ResultCode::BodyTooLarge);
         }
-        Ok(CallContent { head: request, body, start, length })
+        Ok(CallContent { head: request, body, start, length, failure })
     }
 
     /// Whether the body can be sent only once.
@@ -71,6 +86,15 @@
         matches!(self.body, ContentBody::Stream(_))
     }
 
+    /// Why the streamed body failed, if it did: 209 or 214.
+    pub(crate) fn failure(&self) -> Option<ResultCode> {
+        if self.failure.too_large.load(Ordering::Acquire) {
+            return Some(ResultCode::BodyTooLarge);
+        }
+        let early = self.failure.ended_early.load(Ordering::Acquire);
+        early.then_some(ResultCode::UploadIncomplete)
+    }
+
     /// The request with its body, to be sent. `None` when a stream was sent before.
     pub(crate) fn request(&mut self) -> Option<Request> {
         let body = match &mut self.body {
@@ -118,6 +142,7 @@
 struct LimitedBody {
     body: Body,
     left: u64,
+    failure: Arc<ContentFailure>,
 }
 
 impl LimitedBody {
@@ -133,10 +158,17 @@
         cx: &mut Context<'_>,
         out: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let count = ready!(Pin::new(&mut self.body).poll_read(cx, out))?;
+        let polled = ready!(Pin::new(&mut self.body).poll_read(cx, out));
+        if polled.is_err() {
+            self.failure.ended_early.store(true, Ordering::Release);
+        }
+        let count = polled?;
         match self.left.checked_sub(count as u64) {
             Some(left) => self.left = left,
-            None => return Poll::Ready(Err(io::ErrorKind::InvalidData.into())),
+            None => {
+                self.failure.too_large.store(true, Ordering::Release);
+                return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+            }
         }
         Poll::Ready(Ok(count))
     }
--- a/callers/src/entry.rs
+++ b/callers/src/entry.rs
@@ -5,7 +5,7 @@
 
 use async_std::future::timeout;
 use fescuestack_core::{
-    CallDeadline, ConfigSnapshot, KEY_LIMIT_BYTES, PlanAnswer, PlanCall, PlanStep,
+    CallDeadline, CallOutcome, ConfigSnapshot, KEY_LIMIT_BYTES, PlanAnswer, PlanCall, PlanStep,
     RequestFingerprint, RequestPlan, ResultCode, RouteKind,
 };
 use fescuestack_http::HttpFault;
@@ -151,6 +151,12 @@
             let attempt = self.attempt(&mut call, entry, deadline, retry, trace).await;
             let end = attempt.end;
             trace.push(CallStep::Ended { code: end.code, from_target: end.from_target });
+            if let Some(code) = call.content.failure() {
+                // The body failed, not the target: the plan ends without counting against it.
+                let dispatched = end.code.outcome() != Some(CallOutcome::NotRun);
+                let code = if dispatched { end.code } else { code };
+                return (guard.plan.refuse(code, None), None);
+            }
             answer = attempt.answer;
             let now = self.clock.now();
             (step, entry) = balancer
--- a/callers/src/relay.rs
+++ b/callers/src/relay.rs
@@ -1,7 +1,7 @@
 //! The relay port: calls that other nodes send to the upstream beside this node.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::Duration;
 
 use async_std::future::timeout;
 use fescuestack_core::{
@@ -98,8 +98,9 @@
         trace.record.service = route.name().to_owned();
         trace.record.kind = Some(route.rule.kind);
         trace.push(CallStep::Routed { prefix: route.rule.prefix.clone(), kind: route.rule.kind });
-        let until = self.clock.instant(relayed.deadline);
-        let left = until.saturating_duration_since(Instant::now());
+        let left = relayed.deadline.left(self.clock.now());
+        trace.push(CallStep::Left { left });
+        let left = Duration::from_millis(left.millis());
         let reading = timeout(left, CallContent::read(request, route.rule)).await;
         let mut content = reading.unwrap_or(Err(ResultCode::PatienceSpent))?;
         let gate = GateCall {
--- a/callers/tests/failures.rs
+++ b/callers/tests/failures.rs
@@ -33,6 +33,13 @@
         assert!(paths.iter().all(|path| mesh.runs_of(path) == 1));
         let deaths = mesh.nodes[0].observer.deaths.lock().unwrap().clone();
         assert_eq!(deaths.iter().map(Vec::len).collect::<Vec<_>>(), [3]);
+        // A target's node and an entry node give a request the same fingerprint.
+        let numbers: Vec<u64> = deaths[0].iter().map(|print| print.number()).collect();
+        for node in &mesh.nodes {
+            node.service.install_quarantine(&numbers);
+            let answer = send(node.caller, request(Method::Post, paths[0])).await;
+            assert_eq!((answer.code.as_str(), answer.outcome.as_str()), ("208", "not-run"));
+        }
         let refused = send(caller, request(Method::Post, "/submit/4/x")).await;
         // 207 when the plan looks for another target after the refused connection and finds none.
         assert!(matches!(refused.code.as_str(), "207" | "213"), "{}", refused.code);
@@ -104,6 +111,82 @@
     });
 }
 
+/// Guards against a call that runs twice, or a lookup that fails, when the link to a node breaks.
+#[test]
+fn broken_link_is_unknown() {
+    task::block_on(async {
+        let mut mesh = Mesh::start(2, 8).await;
+        let proxy = SilentProxy::start(mesh.nodes[0].relay).await;
+        let mut entry = mesh.nodes[0].entry(8);
+        entry.relay = proxy.address;
+        mesh.install_entries(vec![entry, mesh.nodes[1].entry(8)]);
+        let caller = mesh.nodes[1].caller;
+        let log = mesh.nodes[0].upstream.log.clone();
+        let mut calls = Vec::new();
+        for index in 0..16 {
+            let (method, kind) = match index % 2 {
+                0 => (Method::Get, "lookup"),
+                _ => (Method::Post, "submit"),
+            };
+            let path = format!("/{kind}/slow/400/{index}");
+            calls.push(task::spawn(async move {
+                let answer = send(caller, request(method, &path)).await;
+                (path, answer)
+            }));
+        }
+        eventually("all run", || {
+            mesh.nodes
+                .iter()
+                .map(|node| node.upstream.log.runs.lock().unwrap().len())
+                .sum::<usize>()
+                == 16
+        })
+        .await;
+        proxy.cut();
+        for call in calls {
+            let (path, answer) = call.await;
+            let here = log.runs_of(&path) > 0;
+            if path.starts_with("/submit") {
+                let expected = if here { ("301", "unknown") } else { ("100", "done") };
+                assert_eq!((answer.code.as_str(), answer.outcome.as_str()), expected, "{path}");
+                assert_eq!(mesh.runs_of(&path), 1, "{path}");
+            } else {
+                assert_eq!(answer.code, "100", "{path}");
+            }
+        }
+    });
+}
+
+/// Guards against targets that are ejected because callers break off their uploads, and against an
+/// upload that is called "not run" after a part of it was sent on.
+#[test]
+fn broken_upload_does_not_count_against_target() {
+    task::block_on(async {
+        use async_std::io::{ReadExt, WriteExt};
+        let mut mesh = Mesh::start(4, 4).await;
+        mesh.install(&[0, 1, 2]);
+        let caller = mesh.nodes[3].caller;
+        for _ in 0..30 {
+            let mut stream = async_std::net::TcpStream::connect(caller).await.unwrap();
+            let head = "POST /upload/count HTTP/1.1\r\nhost: shop\r\ncontent-length: 90000\r\n\r\n";
+            stream.write_all(head.as_bytes()).await.unwrap();
+            stream.write_all(&[7; 50_000]).await.unwrap();
+            stream.shutdown(std::net::Shutdown::Write).unwrap();
+            let mut answer = String::new();
+            stream.read_to_string(&mut answer).await.unwrap();
+            assert!(answer.contains("fescuestack-outcome: unknown"), "{answer}");
+        }
+        for index in 0..60 {
+            assert_eq!(get(caller, &format!("/lookup/{index}")).await.code, "100");
+        }
+        // An ejected target takes no calls for a second.
+        for node in &mesh.nodes[..3] {
+            let runs = node.upstream.log.runs.lock().unwrap();
+            assert!(runs.iter().any(|path| path.starts_with("/lookup")), "{}", node.name);
+        }
+    });
+}
+
 /// Guards against half-open connections being used again after one of them went silent.
 #[test]
 fn silent_link_costs_one_call() {
--- a/upstreams/src/pool.rs
+++ b/upstreams/src/pool.rs
@@ -129,6 +129,10 @@
             || ExchangeFault::new(ResultCode::PatienceSpent, "no connection in the time left");
         let leasing = self.lease(limits.idempotent);
         let mut lease = before(limits.deadline, leasing).await.ok_or_else(spent)??;
+        // Nothing was sent yet, so a deadline that passed meanwhile still means "not run".
+        if limits.deadline <= Instant::now() {
+            return Err(spent());
+        }
         let sending = lease.connection.send(request);
         let Some(sent) = before(limits.deadline, sending).await else {
             // The whole path may have gone silent, so the unused connections are given up too.
@@ -228,11 +232,7 @@
 
 /// Runs `work` until `deadline`. `None` means that the time was over first.
 async fn before<T>(deadline: Instant, work: impl Future<Output = T>) -> Option<T> {
-    let left = deadline.saturating_duration_since(Instant::now());
-    if left.is_zero() {
-        return None;
-    }
-    timeout(left, work).await.ok()
+    timeout(deadline.saturating_duration_since(Instant::now()), work).await.ok()
 }
 
 /// Pools by address.
