Test the scanners with random input and the server with slow readers

Chunked bodies in any pieces, damaged bodies and damaged heads from fixed seeds; heads that pass the check do not panic in the library. An answer that a client does not read ends within the progress limit.

--- /dev/null
+++ b/http/tests/scan.rs
@@ -0,0 +1,103 @@
+//! Random inputs for the scanners, from fixed seeds.
+
+use async_std::task;
+use fescuestack_http::{ChunkScanner, HttpFault, scan_decimal, scan_head, scan_head_end};
+use futures_lite::io::Cursor;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+
+/// Decodes a chunked body that arrives in pieces of these sizes. Returns the data, whether the body
+/// has ended, and how many bytes were read.
+fn decode(encoded: &[u8], pieces: &[usize]) -> Result<(Vec<u8>, bool, usize), HttpFault> {
+    let mut scanner = ChunkScanner::new();
+    let (mut data, mut read) = (Vec::new(), 0);
+    for piece in pieces.iter().cycle() {
+        let end = (read + piece).min(encoded.len());
+        while read < end && !scanner.is_done() {
+            read += scanner.scan_framing(&encoded[read..end])?;
+            let count = (scanner.data_left() as usize).min(end - read);
+            data.extend_from_slice(&encoded[read..read + count]);
+            scanner.take_data(count as u64);
+            read += count;
+        }
+        if scanner.is_done() || read == encoded.len() {
+            break;
+        }
+    }
+    Ok((data, scanner.is_done(), read))
+}
+
+/// Guards against chunks that depend on how the bytes arrive, and against an end before the end.
+#[test]
+fn chunks_are_found_in_any_pieces() {
+    let mut rng = Pcg32::seed_from_u64(1);
+    for case in 0..500 {
+        let (mut encoded, mut expected) = (Vec::new(), Vec::new());
+        for _ in 0..rng.random_range(0..5) {
+            let chunk: Vec<u8> = (0..rng.random_range(1..40)).map(|_| rng.random()).collect();
+            let extension = if rng.random() { ";name=value" } else { "" };
+            encoded.extend(format!("{:x}{extension}\r\n", chunk.len()).bytes());
+            encoded.extend(&chunk);
+            encoded.extend(b"\r\n");
+            expected.extend(chunk);
+        }
+        encoded.extend(if rng.random() { &b"0\r\n\r\n"[..] } else { b"0\r\nname: value\r\n\r\n" });
+        let pieces: Vec<usize> = (0..7).map(|_| rng.random_range(1..20)).collect();
+        let mut followed = encoded.clone();
+        followed.extend(b"GET / HTTP/1.1\r\n");
+        let result = decode(&followed, &pieces).unwrap();
+        assert_eq!(result, (expected, true, encoded.len()), "case {case}");
+        for end in 0..encoded.len() {
+            let (_, done, _) = decode(&encoded[..end], &pieces).unwrap();
+            assert!(!done, "case {case} is done after {end} of {} bytes", encoded.len());
+        }
+    }
+}
+
+/// Guards against a panic on a damaged body, and against sizes that overflow.
+#[test]
+fn damaged_chunks_end_with_a_fault() {
+    let mut rng = Pcg32::seed_from_u64(2);
+    for _ in 0..5_000 {
+        let mut encoded = b"5;a=b\r\nhello\r\n0\r\nt: v\r\n\r\n".to_vec();
+        for _ in 0..rng.random_range(1..4) {
+            let index = rng.random_range(0..encoded.len());
+            encoded[index] = rng.random();
+        }
+        let _ = decode(&encoded, &[3]);
+    }
+    let huge = decode(b"11111111111111111\r\n", &[64]);
+    assert_eq!(huge, Err(HttpFault::BadChunk));
+    assert_eq!(decode(&[b'1'; 5000], &[64]), Err(HttpFault::BadChunk));
+}
+
+/// Guards against heads that pass the check and then panic in the library.
+#[test]
+fn checked_heads_do_not_panic() {
+    const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nhost: a.b\r\ncontent-length: 2\r\nx-y: z\r\n\r\n";
+    let mut rng = Pcg32::seed_from_u64(3);
+    let mut accepted = 0;
+    for _ in 0..20_000 {
+        let mut head = HEAD.to_vec();
+        for _ in 0..rng.random_range(0..3) {
+            let index = rng.random_range(0..head.len() - 4);
+            head[index] = rng.random();
+        }
+        let end = scan_head_end(&head, 0).unwrap();
+        if scan_head(&head[..end]).is_ok() {
+            accepted += 1;
+            let _ = task::block_on(async_h1::client::decode(Cursor::new(head)));
+        }
+    }
+    assert!(accepted > 5_000, "{accepted}");
+}
+
+/// Guards against numbers that another reader takes differently.
+#[test]
+fn decimals_are_digits_only() {
+    assert_eq!(scan_decimal(b"0"), Some(0));
+    assert_eq!(scan_decimal(b"18446744073709551615"), Some(u64::MAX));
+    for text in ["", "+1", "-1", " 1", "1 ", "0x1", "1e3", "18446744073709551616", "1_0"] {
+        assert_eq!(scan_decimal(text.as_bytes()), None, "{text:?}");
+    }
+}
--- a/http/tests/server.rs
+++ b/http/tests/server.rs
@@ -259,3 +259,43 @@
         panic!("the handler still runs");
     })
 }
+
+/// A body without end that shows when it is dropped.
+struct EndlessBody(#[allow(dead_code)] async_std::channel::Sender<()>);
+
+impl futures_lite::AsyncRead for EndlessBody {
+    fn poll_read(
+        self: std::pin::Pin<&mut Self>,
+        _: &mut std::task::Context<'_>,
+        out: &mut [u8],
+    ) -> std::task::Poll<std::io::Result<usize>> {
+        out.fill(b'x');
+        std::task::Poll::Ready(Ok(out.len()))
+    }
+}
+
+/// Guards against a client that holds a connection and its memory by not reading the answer.
+#[test]
+fn limits_slow_readers() {
+    task::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (sender, receiver) = async_std::channel::bounded::<()>(1);
+        task::spawn(serve_listener(listener, short_limits(), move |_| {
+            let body = futures_lite::io::BufReader::new(EndlessBody(sender.clone()));
+            let mut answer = Response::new(StatusCode::Ok);
+            answer.set_body(http_types::Body::from_reader(body, None));
+            async { answer }
+        }));
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n").await.unwrap();
+        stream.read_exact(&mut [0; 1000]).await.unwrap();
+        for _ in 0..500 {
+            if receiver.sender_count() == 1 {
+                return;
+            }
+            task::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("the answer is still being written");
+    });
+}
