Keep a leaving node up until its idle connections are out of use

A connection that was idle when the shutdown began carries no 'connection: close', and another node may send a non-idempotent request on it within 1 s. If the process ends at that moment the outcome is unknown. The shutdown now takes at least 1.5 s, counted from its beginning.

--- a/callers/src/service.rs
+++ b/callers/src/service.rs
@@ -1,8 +1,8 @@
 //! The call path of a node: its listeners, its state and its shutdown.
 
 use std::collections::HashSet;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -26,6 +26,10 @@
 /// Time between two looks at the calls that a shutdown waits for.
 const DRAIN_STEP: Duration = Duration::from_millis(10);
 
+/// Shortest shutdown. Other nodes use a connection for non-idempotent requests until it was unused
+/// for 1 s; a request that crosses the end of the process would have an unknown outcome.
+const DRAIN_LINGER: Duration = Duration::from_millis(1_500);
+
 /// What the call path of a node knows from its settings.
 #[derive(Debug, Clone)]
 pub struct CallSettings {
@@ -76,7 +80,7 @@
     prefix: String,
     count: AtomicU64,
     calls: Arc<AtomicUsize>,
-    leaving: AtomicBool,
+    leaving: OnceLock<Instant>,
 }
 
 impl CallService {
@@ -110,7 +114,7 @@
             prefix,
             count: AtomicU64::new(0),
             calls: Arc::default(),
-            leaving: AtomicBool::new(false),
+            leaving: OnceLock::new(),
         })
     }
 
@@ -169,17 +173,18 @@
     /// Begins the graceful shutdown: new calls from callers and other nodes are answered with 206.
     /// Calls of the upstream beside this node go on, since calls in flight may depend on them.
     pub fn begin_drain(&self) {
-        self.leaving.store(true, Ordering::Release);
+        self.leaving.get_or_init(Instant::now);
         self.target.begin_drain();
     }
 
-    /// Completes when the calls in flight have ended, or after the longest shutdown. Returns the
-    /// number of calls that are cut off.
+    /// Completes when the calls in flight have ended and the connections of other nodes are out of
+    /// use, or after the longest shutdown. Returns the number of calls that are cut off.
     pub async fn drained(&self) -> usize {
-        let started = Instant::now();
+        let started = *self.leaving.get_or_init(Instant::now);
         let bound = Duration::from_millis(self.settings.drain_bound.millis());
         while started.elapsed() < bound {
-            if self.calls() == 0 && self.target.is_drained() {
+            let idle = self.calls() == 0 && self.target.is_drained();
+            if idle && started.elapsed() >= DRAIN_LINGER {
                 return 0;
             }
             task::sleep(DRAIN_STEP).await;
@@ -188,7 +193,7 @@
     }
 
     pub(crate) fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Acquire)
+        self.leaving.get().is_some()
     }
 
     /// The active version, which the gate and the balancers have taken over.
--- a/callers/tests/changes.rs
+++ b/callers/tests/changes.rs
@@ -55,7 +55,13 @@
         for node in &mesh.nodes[1..] {
             node.service.set_liveness("a", TargetLiveness::Leaving);
         }
+        let refused = get(mesh.nodes[0].caller, "/lookup/x").await;
+        assert_eq!((refused.code.as_str(), refused.outcome.as_str()), ("206", "not-run"));
+        assert_eq!(get(mesh.nodes[0].local, "/lookup/x").await.code, "100");
+        let started = Instant::now();
         assert_eq!(leaving.drained().await, 0);
+        // Connections that other nodes hold must be too old for non-idempotent requests by then.
+        assert!(started.elapsed() >= Duration::from_secs(1), "{:?}", started.elapsed());
         mesh.nodes[0].die().await;
         mesh.nodes[0].upstream.die().await;
         let runs = mesh.nodes[0].upstream.log.runs.lock().unwrap().len();
