--- a/upstreams/src/pool.rs
+++ b/upstreams/src/pool.rs
@@ -129,6 +129,10 @@
             || ExchangeFault::new(ResultCode::PatienceSpent, "no connection in the time left");
         let leasing = self.lease(limits.idempotent);
         let mut lease = before(limits.deadline, leasing).await.ok_or_else(spent)??;
+        // Nothing was sent yet, so a deadline that passed meanwhile still means "not run".
+        if limits.deadline <= Instant::now() {
+            return Err(spent());
+        }
         let sending = lease.connection.send(request);
         let Some(sent) = before(limits.deadline, sending).await else {
             // The whole path may have gone silent, so the unused connections are given up too.
@@ -136,7 +140,7 @@
             return Err(ExchangeFault::new(ResultCode::PatienceOver, "no answer in the time left"));
         };
         let mut answer = sent.map_err(|error| ExchangeFault::from_send(error, self.peer))?;
-        if lease.connection.is_reusable() {
+        if lease.connection.is_settled() {
             lease.release();
         } else {
             let body = answer.take_body();
@@ -219,7 +223,7 @@
 impl ConnectionLease {
     /// Gives the connection back, or closes it when it must not be used again.
     pub(crate) fn release(self) {
-        if self.connection.is_reusable() {
+        if self.connection.is_settled() {
             let entry = IdleConnection { connection: self.connection, since: Instant::now() };
             self.permit.0.lock_idle().push(entry);
         }
@@ -228,11 +232,7 @@
 
 /// Runs `work` until `deadline`. `None` means that the time was over first.
 async fn before<T>(deadline: Instant, work: impl Future<Output = T>) -> Option<T> {
-    let left = deadline.saturating_duration_since(Instant::now());
-    if left.is_zero() {
-        return None;
-    }
-    timeout(left, work).await.ok()
+    timeout(deadline.saturating_duration_since(Instant::now()), work).await.ok()
 }
 
 /// Pools by address.
