--- a/fescuestack/src/cli.rs
+++ b/fescuestack/src/cli.rs
@@ -8,10 +8,13 @@
 use clap::{Parser, Subcommand};
 use fescuestack_questionnaire::QuestionnaireCommand;
 
+use crate::demo::DemoSettings;
 use crate::logging::start_logging;
+use crate::measure::MeasureCommand;
 use crate::node::{NodeOptions, NodeProcess};
 use crate::settings::NodeSettings;
 use crate::signals::wait_for_stop;
+use crate::standin::StandinCommand;
 
 /// Configuration distribution for a service mesh.
 #[derive(Debug, Parser)]
@@ -24,7 +27,6 @@
 #[derive(Debug, Subcommand)]
 enum MainCommand {
     /// Check, generate, compare and accept the operators' answers.
-    #[command(subcommand)]
     Questionnaire(QuestionnaireCommand),
     /// Run the process beside one upstream.
     Node {
@@ -49,6 +51,20 @@
         /// Request id, from the header `fescuestack-request`.
         request: String,
     },
+    /// Run a whole deployment on loopback. The last line is one JSON object.
+    Demo(DemoSettings),
+    /// Measure the product on loopback.
+    #[command(subcommand)]
+    Measure(MeasureCommand),
+    /// Replay recorded control inputs. Fails at the first input whose outcome differs.
+    Replay {
+        /// Recordings, as JSON lines.
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+    },
+    /// Run a stand-in of an outside system as a process of its own.
+    #[command(subcommand)]
+    Standin(StandinCommand),
     /// Save a node's recorded control inputs to standard output.
     Record {
         /// Operator port of the node.
@@ -77,6 +93,10 @@
             MainCommand::Explain { node, request } => {
                 print_answer(node, &format!("/explain/{request}"))
             }
+            MainCommand::Replay { files } => replay_files(&files),
+            MainCommand::Standin(command) => command.run(),
+            MainCommand::Demo(settings) => settings.run(),
+            MainCommand::Measure(command) => command.run(),
             MainCommand::Record { node } => print_answer(node, "/recording"),
         }
     }
@@ -133,6 +153,32 @@
     }
 }
 
+fn replay_files(files: &[PathBuf]) -> ExitCode {
+    for file in files {
+        let text = match std::fs::read_to_string(file) {
+            Ok(text) => text,
+            Err(err) => {
+                eprintln!("{}: {err}", file.display());
+                return ExitCode::FAILURE;
+            }
+        };
+        match fescuestack_core::replay(text.lines()) {
+            Ok(report) => println!(
+                "{}: {} inputs, {} stated outcomes, active version {}",
+                file.display(),
+                report.inputs,
+                report.outcomes,
+                report.status.active
+            ),
+            Err(err) => {
+                eprintln!("{}: {err}", file.display());
+                return ExitCode::FAILURE;
+            }
+        }
+    }
+    ExitCode::SUCCESS
+}
+
 pub(crate) fn fail(err: &dyn std::error::Error) -> ExitCode {
     eprintln!("{err}");
     ExitCode::FAILURE
--- a/fescuestack/src/main.rs
+++ b/fescuestack/src/main.rs
@@ -3,10 +3,17 @@
 mod baseline;
 mod cli;
 mod controller;
+mod demo;
+mod fleet;
 mod logging;
+mod measure;
+mod measure_calls;
 mod node;
+mod observer;
 mod settings;
 mod signals;
+mod standin;
+mod usage;
 
 use std::process::ExitCode;
 
