--- a/core/examples/distribution_slopes.rs
+++ b/core/examples/distribution_slopes.rs
@@ -3,9 +3,10 @@
 //! Control states exchange messages over the fake network of the tests, so that the counts are exact
 //! and the same on every run. Times are simulated. Messages count uncompressed.
 //!
-//!     distribution_slopes steady|centre|events|fleet-events|restart SIZE...
+//!     distribution_slopes steady|centre|events|fleet-events|wave|restart SIZE...
 //!
-//! `steady` and `fleet-events` give every data centre the size, the others only the first one.
+//! `steady`, `fleet-events` and `wave` give every data centre the size, the others only the first
+//! one.
 
 use std::process::ExitCode;
 
@@ -35,10 +36,11 @@
         Some("centre") => |size| steady(size, 3),
         Some("events") => |size| events(size, 3),
         Some("fleet-events") => |size| events(size, size),
+        Some("wave") => wave,
         Some("restart") => restart,
         _ => {
             eprintln!(
-                "usage: distribution_slopes steady|centre|events|fleet-events|restart SIZE..."
+                "usage: distribution_slopes steady|centre|events|fleet-events|wave|restart SIZE..."
             );
             return ExitCode::FAILURE;
         }
@@ -201,6 +203,31 @@
     }
 }
 
+/// A deployment wave at the rate of 15,000 nodes in an hour: all nodes of the fleet leave as planned
+/// and start again, one every 240 ms.
+fn wave(size: usize) {
+    const INTERVAL_MS: u64 = 240;
+    const STOP_MS: u64 = 2_000;
+    let mut network = settled(size, size, SpreadPreference::Convergence);
+    let count = network.nodes.len();
+    let (begin, bytes) = (network.now, total_bytes(&network));
+    let mut stopping = std::collections::VecDeque::new();
+    for number in 0..count {
+        // Neighbours in the list share a data centre; the wave goes through all of them in turn.
+        let index = number % CENTRE_COUNT * size + number / CENTRE_COUNT;
+        network.input(index, ControlInput::Leave);
+        stopping.push_back((index, network.now + STOP_MS));
+        network.run(INTERVAL_MS);
+        while let Some((index, _)) = stopping.pop_front_if(|(_, at)| *at <= network.now) {
+            network.kill(index, false);
+            network.start(index);
+        }
+    }
+    let seconds = (network.now - begin) as f64 / 1e3;
+    let rate = (total_bytes(&network) - bytes) as f64 / seconds / count as f64;
+    println!("{{\"centre\":{size},\"nodes\":{count},\"wave_bytes\":{rate:.0}}}");
+}
+
 /// Parts that bring a configuration to the number and size of parts of 1,600 services.
 fn padding() -> Vec<ConfigPart> {
     let period = PatiencePeriod { from_minute: 0, to_minute: 0, patience_ms: 1_000 };
