--- a/core/examples/distribution_slopes.rs
+++ b/core/examples/distribution_slopes.rs
@@ -218,7 +218,10 @@
         network.input(index, ControlInput::Leave);
         stopping.push_back((index, network.now + STOP_MS));
         network.run(INTERVAL_MS);
-        while let Some((index, _)) = stopping.pop_front_if(|(_, at)| *at <= network.now) {
+        while let Some(&(index, at)) = stopping.front()
+            && at <= network.now
+        {
+            stopping.pop_front();
             network.kill(index, false);
             network.start(index);
         }
