--- a/model/core.pml
+++ b/model/core.pml
@@ -144,7 +144,10 @@
     :: else -> skip
     fi;
 #ifdef MUTATION_FORGET
-    told[n] = 0;
+    if
+    :: (told[n] & BIT(v)) != 0 -> told[n] = 0
+    :: else -> skip
+    fi
 #endif
 }
 
@@ -339,6 +342,12 @@
     :: d_step { paused[n] ->
         paused[n] = false;
         end_transfer(n);
+#ifdef MUTATION_TIMER
+        if
+        :: asked[n] && !ready[n] && held[n] != 0 -> ready[n] = true; install(n)
+        :: else -> skip
+        fi;
+#endif
         EVENT(Wake); EVENT_END }
     :: d_step { !calm && cut == 0 && partitions < PARTITIONS ->
         partitions++;
