Hold the upstreams in the test of a broken link until it is cut

Calls slept 400 ms, and when more than 8 of the 16 chose one target, the rest waited until the first had answered, so some answers came before the cut. Ruled out: a fault of the call path; the answers that came early were complete and their own. Change: the upstream holds the calls until the test releases them after the cut, and 16 slots run them all at once. Conclusion: the test no longer depends on speed; its checks are unchanged.

--- a/callers/tests/failures.rs
+++ b/callers/tests/failures.rs
@@ -2,6 +2,7 @@
 
 mod mesh;
 
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use async_std::task;
@@ -115,11 +116,11 @@
 #[test]
 fn broken_link_is_unknown() {
     task::block_on(async {
-        let mut mesh = Mesh::start(2, 8).await;
+        let mut mesh = Mesh::start(2, 16).await;
         let proxy = SilentProxy::start(mesh.nodes[0].relay).await;
-        let mut entry = mesh.nodes[0].entry(8);
+        let mut entry = mesh.nodes[0].entry(16);
         entry.relay = proxy.address;
-        mesh.install_entries(vec![entry, mesh.nodes[1].entry(8)]);
+        mesh.install_entries(vec![entry, mesh.nodes[1].entry(16)]);
         let caller = mesh.nodes[1].caller;
         let log = mesh.nodes[0].upstream.log.clone();
         let mut calls = Vec::new();
@@ -128,7 +129,7 @@
                 0 => (Method::Get, "lookup"),
                 _ => (Method::Post, "submit"),
             };
-            let path = format!("/{kind}/slow/400/{index}");
+            let path = format!("/{kind}/held/{index}");
             calls.push(task::spawn(async move {
                 let answer = send(caller, request(method, &path)).await;
                 (path, answer)
@@ -143,6 +144,9 @@
         })
         .await;
         proxy.cut();
+        for node in &mesh.nodes {
+            node.upstream.log.released.store(true, Ordering::SeqCst);
+        }
         for call in calls {
             let (path, answer) = call.await;
             let here = log.runs_of(&path) > 0;
--- a/callers/tests/mesh/mod.rs
+++ b/callers/tests/mesh/mod.rs
@@ -4,7 +4,7 @@
 pub mod proxy;
 
 use std::pin::Pin;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -42,6 +42,8 @@
     pub finished: AtomicUsize,
     pub most: AtomicUsize,
     running: AtomicUsize,
+    /// Lets requests of the kind `held` end.
+    pub released: AtomicBool,
 }
 
 impl UpstreamLog {
@@ -133,6 +135,12 @@
             task::sleep(Duration::from_millis(millis.parse().unwrap())).await;
             answer.set_body(format!("{name} {path}"));
         }
+        [.., "held", _] => {
+            while !guard.0.released.load(Ordering::SeqCst) {
+                task::sleep(Duration::from_millis(1)).await;
+            }
+            answer.set_body(format!("{name} {path}"));
+        }
         [.., "hang"] => std::future::pending().await,
         [.., "cut"] => {
             let reader = futures_lite::io::Cursor::new(b"short").chain(LateEnd::new());
