--- a/core/tests/model/versions.rs
+++ b/core/tests/model/versions.rs
@@ -96,6 +96,7 @@
             routes: vec![route],
             queue_limit,
             key_window_ms: 1_000,
+            key_skew_ms: None,
         };
         let entries = self.nodes.iter().map(target_entry).collect();
         let targets = TargetsPart { service: "shop".into(), targets: entries };
