Do not pass on list entries that others know; test the start rule under losses

A node that started passed on each member that it learned from a welcome or from the comparison of views, although the others had named it. Only what contradicts the own view is passed on now. The start rule was not tested: with it disabled nothing failed. Readers now restart under losses with a platform that shows an old head, and with the rule disabled source_goes_back fails.

--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -53,6 +53,18 @@
         }
     }
 
+    /// Takes in an entry of another node's list. A live member that is new to this node is known to
+    /// the others, so it is not passed on; what contradicts the own view is.
+    pub(crate) fn take_listed(&mut self, turn: &mut Turn<'_>, event: MemberEvent) {
+        let own = event.peer.data_centre == self.settings.node.data_centre;
+        let known = self.members.get(&event.peer.name).is_some();
+        if own && !known && event.state == MemberState::Alive {
+            self.members.update(turn.now, &event);
+        } else {
+            self.take_member(turn, event, None);
+        }
+    }
+
     /// Takes in what is said of a member and passes on what is new.
     pub(crate) fn take_member(
         &mut self,
@@ -184,7 +196,7 @@
     ) {
         let answer = self.view_entries(wanted);
         for event in entries {
-            self.take_member(turn, event, None);
+            self.take_listed(turn, event);
         }
         if !answer.is_empty() {
             turn.send(from, PeerMessage::ViewEntries { entries: answer, wanted: Vec::new() });
--- a/core/src/start.rs
+++ b/core/src/start.rs
@@ -74,8 +74,13 @@
         self.probes.begin(turn.now);
         let own = self.own_event(MemberState::Alive);
         self.members.update(turn.now, &own);
-        for seed in self.settings.seeds.clone() {
-            self.learn_peer(turn, &seed, 0);
+        for peer in self.settings.seeds.clone() {
+            if peer.data_centre == self.settings.node.data_centre {
+                let state = MemberState::Alive;
+                self.take_listed(turn, MemberEvent { peer, incarnation: 0, state });
+            } else {
+                self.remotes.add(&peer, false);
+            }
         }
     }
 
@@ -170,7 +175,7 @@
         self.start.wanted = self.start.wanted.max(heads.seen());
         self.on_heads(turn, from, heads);
         for event in members {
-            self.take_member(turn, event, None);
+            self.take_listed(turn, event);
         }
     }
 
--- a/core/tests/failures.rs
+++ b/core/tests/failures.rs
@@ -41,7 +41,9 @@
     let newest = network.publish_and_wait(3);
     network.platform.set_head(old, VersionId::NONE);
     network.run(10_000);
-    // Each node once, so that readers, which see the old head, are among them.
+    // Each node once, so that readers, which see the old head, are among them. Losses delay what
+    // peers send, so that the platform's answer comes first on some.
+    network.loss = 150;
     for index in 0..17 {
         network.kill(index, false);
         network.start(index);
@@ -51,6 +53,7 @@
         assert_eq!(network.nodes[index].installed, newest, "served an older version first");
         network.run(2_000);
     }
+    network.loss = 0;
     let readers = network.live().into_iter().map(|index| network.status(index));
     let readers = readers.filter(|status| status.reader);
     assert!(readers.into_iter().all(|status| status.source == SourceState::Stale));
--- a/core/tests/membership.rs
+++ b/core/tests/membership.rs
@@ -43,22 +43,16 @@
     network.run(10_000);
     assert_unused(&network, &name);
     let state = MemberState::Left;
-    network.finish("leave", vec![StatedOutcome::Member { name, state }]);
-}
-
-/// Guards against a leave that does not reach the nodes when messages are lost.
-#[test]
-fn leaving_spreads_over_lossy_links() {
-    let mut network = settled(31);
+    // Links that lose messages do not keep the event from anyone.
     network.loss = 50;
-    for index in [5, 10, 14] {
+    for index in [6, 10, 14] {
         network.input(index, ControlInput::Leave);
         network.run(LEAVE_MS);
         let name = network.nodes[index].address.name.clone();
         network.kill(index, true);
         assert_unused(&network, &name);
     }
-    network.finish("leave-lossy", Vec::new());
+    network.finish("leave", vec![StatedOutcome::Member { name, state }]);
 }
 
 /// Guards against new work for a target whose process or VM died.
--- a/core/tests/network/node.rs
+++ b/core/tests/network/node.rs
@@ -25,6 +25,7 @@
     pub recorder: Option<ControlRecorder>,
     /// Members that the node told its host were dead.
     pub declared_dead: Vec<String>,
+    /// Inputs that wait while the process is paused.
     pub backlog: Vec<ControlInput>,
 }
 
--- a/core/tests/network/publisher.rs
+++ b/core/tests/network/publisher.rs
@@ -13,6 +13,7 @@
 
 type Answer = Result<ReadAnswer, PlatformFault>;
 
+#[derive(Default)]
 pub struct FakePlatform {
     pub values: BTreeMap<String, Arc<str>>,
     pub revision: u64,
@@ -120,21 +121,7 @@
 impl FakePlatform {
     /// Publishes a first version with all nodes as targets of services of 10 targets.
     pub fn new(addresses: &[PeerAddress]) -> FakePlatform {
-        let mut platform = FakePlatform {
-            values: BTreeMap::new(),
-            revision: 0,
-            fault: None,
-            head_of: BTreeMap::new(),
-            vms: None,
-            delay_ms: 3,
-            calls: BTreeMap::new(),
-            bad: BTreeSet::new(),
-            published: Vec::new(),
-            contents: BTreeMap::new(),
-            head: VersionId::NONE,
-            watches: Vec::new(),
-            answers: Vec::new(),
-        };
+        let mut platform = FakePlatform { delay_ms: 3, ..FakePlatform::default() };
         let mut parts = vec![fleet_part(addresses, SpreadPreference::Convergence), callers_part()];
         for (index, group) in addresses.chunks(10).enumerate() {
             parts.push(service_part(&format!("s{index}"), 1));
--- a/core/tests/replay.rs
+++ b/core/tests/replay.rs
@@ -21,7 +21,7 @@
 #[test]
 fn recorded_traces_replay() {
     let traces = traces();
-    assert!(traces.len() >= 12, "only {} traces", traces.len());
+    assert!(traces.len() >= 20, "only {} traces", traces.len());
     for (path, text) in traces {
         let report = replay(text.lines()).unwrap_or_else(|err| panic!("{}: {err}", path.display()));
         assert!(report.inputs > 100 && report.outcomes > 0, "{} checks little", path.display());
