--- a/core/tests/failures.rs
+++ b/core/tests/failures.rs
@@ -44,7 +44,7 @@
     // Each node once, so that readers, which see the old head, are among them. Losses delay what
     // peers send, so that the platform's answer comes first on some.
     network.loss = 150;
-    for index in 0..17 {
+    for index in (0..17).rev() {
         network.kill(index, false);
         network.start(index);
         while network.nodes[index].installed == VersionId::NONE {
@@ -100,6 +100,28 @@
     network.finish("source-frozen", Vec::new());
 }
 
+/// Guards against gateways that keep to others that they do not reach: the platform is frozen for
+/// data centre b, and its readers are cut off from the only other data centre.
+#[test]
+fn gateways_cut_off() {
+    let mut network = settled(25);
+    let head = HeadRecord { version: network.platform.head, base: VersionId::NONE };
+    let text = serde_json::to_string(&head).unwrap();
+    (14..17).for_each(|index| network.kill(index, true));
+    for index in 8..14 {
+        network.platform.head_of.insert(index, text.as_str().into());
+        if network.status(index).reader {
+            network.cut.extend((0..8).flat_map(|other| [(index, other), (other, index)]));
+        }
+    }
+    network.run(10_000);
+    for limit in 2..6 {
+        network.publish_and_wait(limit);
+        network.run(2_000);
+    }
+    network.finish("gateways-cut-off", Vec::new());
+}
+
 /// Guards against a reconnect storm: half of the nodes start together while a version is published.
 #[test]
 fn half_restarts_together() {
