--- a/core/src/keys.rs
+++ b/core/src/keys.rs
@@ -17,6 +17,7 @@
 use crate::custody::{CustodyDuty, KeyCustody};
 use crate::fingerprint::RequestFingerprint;
 use crate::handover::{KeyAnswer, KeyFinding, KeyQuestion, RecordedAnswer};
+use crate::keytime::scan_key_time;
 use crate::snapshot::ServiceView;
 use crate::version::VersionId;
 
@@ -107,6 +108,8 @@
     custody: KeyCustody,
     /// How long a key is kept: the window and the time that a question to this node may take.
     kept: ClockSpan,
+    /// Most by which clocks differ; without it creation times are not believed.
+    skew: Option<ClockSpan>,
     /// Every key seen since then is in the table, until it expires.
     known_since: ClockTime,
     entries: FxHashMap<Arc<str>, KeyEntry>,
@@ -123,6 +126,7 @@
         KeyTable {
             custody: KeyCustody::new(node, kept_span(window)),
             kept: kept_span(window),
+            skew: None,
             known_since: started,
             entries: FxHashMap::default(),
             expiries: VecDeque::new(),
@@ -146,6 +150,7 @@
             self.kept = kept;
             self.custody.set_window(kept);
         }
+        self.skew = service.part.key_skew_ms.map(ClockSpan::new);
         let targets = service.targets.iter().map(|target| target.name.clone()).collect();
         self.custody.update(now, version, targets);
     }
@@ -179,7 +184,7 @@
             return answer(ResultCode::NotKeyOwner, ClockSpan::ZERO);
         }
         let sure_at = self.known_since + self.kept;
-        if now < sure_at {
+        if now < sure_at && !self.is_newer(now, key) {
             return answer(ResultCode::KeyOwnerYoung, sure_at.since(now));
         }
         let mut owners = match self.custody.duty(now, key) {
@@ -203,6 +208,14 @@
         KeyVerdict::Ask(owners)
     }
 
+    /// Whether `key` was certainly created after this table began to know every key. The creation time
+    /// in a key is believed only within the stated difference of clocks, and never when it lies further
+    /// ahead: a fast clock would make an old key look new.
+    fn is_newer(&self, now: ClockTime, key: &str) -> bool {
+        let (Some(skew), Some(created)) = (self.skew, scan_key_time(key)) else { return false };
+        self.known_since + skew < created && created <= now + skew
+    }
+
     /// Goes on after earlier owners were asked. `None` stands for one that did not answer.
     pub fn resume(
         &mut self,
@@ -353,7 +366,7 @@
         } else if self.entries.len() >= self.capacity {
             return KeyFinding::Unsure;
         }
-        if now < self.known_since + self.kept {
+        if now < self.known_since + self.kept && !self.is_newer(now, &question.key) {
             return KeyFinding::Unsure;
         }
         let CustodyDuty::Ask(mut also_ask) = self.custody.duty(now, &question.key) else {
