Test single rules of the call path at their bounds

Key table: full, answers of 16 KB and one byte more, reuse of a key, runs longer than the window. Gate: a pause before dispatch, a drain. Entry: retries by code, kind, key and nesting. Quarantine: a crashing request beside three others, half of them seen before.

--- a/core/tests/calls/main.rs
+++ b/core/tests/calls/main.rs
@@ -4,4 +4,5 @@
 mod interleavings;
 mod load;
 mod overload;
+mod rules;
 mod service;
