Keep back late answers and take a body's failure only for its own codes

An answer that waited while the process was paused was passed on after the deadline, since a timer loses against a result that is ready. A refusal by the target or a complete answer is no longer replaced when the caller's upload failed at the same time.

--- a/callers/src/entry.rs
+++ b/callers/src/entry.rs
@@ -143,7 +143,7 @@
             balancer.step(|view, targets, budget| guard.plan.start(now, view, targets, budget));
         loop {
             let (target, deadline, retry) = match step {
-                PlanStep::Answer(end) => return (end, answer),
+                PlanStep::Answer(end) => return self.in_time(call.deadline, end, answer),
                 PlanStep::Dispatch { target, deadline, retry } => (target, deadline, retry),
             };
             let retry = retry && (marked || !call.content.is_stream());
@@ -151,7 +151,7 @@
             let attempt = self.attempt(&mut call, entry, deadline, retry, trace).await;
             let end = attempt.end;
             trace.push(CallStep::Ended { code: end.code, from_target: end.from_target });
-            if let Some(code) = call.content.failure() {
+            if let Some(code) = call.content.failure().filter(|_| is_broken(end.code)) {
                 // The body failed, not the target: the plan ends without counting against it.
                 let dispatched = end.code.outcome() != Some(CallOutcome::NotRun);
                 let code = if dispatched { end.code } else { code };
@@ -163,6 +163,20 @@
                 .step(|view, targets, budget| guard.plan.resume(now, view, targets, budget, &end));
         }
     }
+
+    /// Keeps back an answer that is late, such as one that waited while this process was paused.
+    fn in_time(
+        &self,
+        deadline: CallDeadline,
+        end: PlanAnswer,
+        answer: Option<Response>,
+    ) -> EntryEnd {
+        if answer.is_some() && deadline.is_over(self.clock.now()) {
+            let code = ResultCode::PatienceOver;
+            return (PlanAnswer { code, cause: Some(end.code), retry_after: None }, None);
+        }
+        (end, answer)
+    }
 }
 
 /// Ends the plan of a call whose caller has gone.
@@ -178,6 +192,17 @@
     }
 }
 
+/// Whether an attempt may have ended with this code because the body of the request failed.
+fn is_broken(code: ResultCode) -> bool {
+    matches!(
+        code,
+        ResultCode::ConnectFailed
+            | ResultCode::LinkLost
+            | ResultCode::UpstreamLost
+            | ResultCode::AnswerTruncated
+    )
+}
+
 fn plain(code: ResultCode) -> PlanAnswer {
     PlanAnswer { code, cause: None, retry_after: None }
 }
