--- a/callers/tests/mesh/mod.rs
+++ b/callers/tests/mesh/mod.rs
@@ -133,6 +133,7 @@
             task::sleep(Duration::from_millis(millis.parse().unwrap())).await;
             answer.set_body(format!("{name} {path}"));
         }
+        [.., "early"] => answer.set_body("early"),
         [.., "hang"] => std::future::pending().await,
         [.., "cut"] => {
             let reader = futures_lite::io::Cursor::new(b"short").chain(LateEnd::new());
--- a/callers/tests/path.rs
+++ b/callers/tests/path.rs
@@ -49,6 +49,22 @@
     });
 }
 
+/// Guards against an answer that is lost because the upstream did not read the upload.
+#[test]
+fn passes_early_answers() {
+    task::block_on(async {
+        let mesh = Mesh::start(2, 4).await;
+        for index in 0..12 {
+            let address = mesh.nodes[index % 2].caller;
+            let mut upload = request(Method::Post, "/upload/early");
+            upload.set_body(vec![7; 5_000_000]);
+            let answer = send(address, upload).await;
+            assert_eq!((answer.code.as_str(), answer.body.unwrap().as_str()), ("100", "early"));
+        }
+        assert_eq!(mesh.runs_of("/upload/early"), 12);
+    });
+}
+
 /// Guards against a refusal with the wrong code, status or outcome.
 #[test]
 fn refuses_with_codes() {
