Share one timer among the time limits of exchanges

Each limit on an exchange or an idle connection was a timer of the runtime, and setting one wakes the reactor. The limits are now kept in ticks of 5 ms, which one task looks at.

--- a/callers/src/entry.rs
+++ b/callers/src/entry.rs
@@ -3,12 +3,11 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use async_std::future::timeout;
 use fescuestack_core::{
     CallDeadline, CallOutcome, ConfigSnapshot, KEY_LIMIT_BYTES, PlanAnswer, PlanCall, PlanStep,
     RequestFingerprint, RequestPlan, ResultCode, RouteKind,
 };
-use fescuestack_http::HttpFault;
+use fescuestack_http::{HttpFault, within};
 use http_types::{Request, Response};
 
 use crate::balancers::ServiceBalancer;
@@ -100,7 +99,7 @@
             return refuse(ResultCode::Leaving);
         }
         let until = self.clock.instant(deadline).saturating_duration_since(Instant::now());
-        let reading = timeout(until, CallContent::read(request, route.rule));
+        let reading = within(until, CallContent::read(request, route.rule));
         let content = match reading.await.unwrap_or(Err(ResultCode::PatienceSpent)) {
             Ok(content) => content,
             Err(code) => return refuse(code),
--- a/callers/src/relay.rs
+++ b/callers/src/relay.rs
@@ -3,12 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_std::future::timeout;
 use fescuestack_core::{
     CallDeadline, ConfigSnapshot, GateCall, KEY_LIMIT_BYTES, KeyQuestion, ResultCode, VersionId,
     scan_left,
 };
-use fescuestack_http::{GatheredBody, HttpFault, gather_body};
+use fescuestack_http::{GatheredBody, HttpFault, gather_body, within};
 use http_types::{Body, Request, Response, StatusCode};
 
 use crate::content::CallContent;
@@ -101,7 +100,7 @@
         let left = relayed.deadline.left(self.clock.now());
         trace.push(CallStep::Left { left });
         let left = Duration::from_millis(left.millis());
-        let reading = timeout(left, CallContent::read(request, route.rule)).await;
+        let reading = within(left, CallContent::read(request, route.rule)).await;
         let mut content = reading.unwrap_or(Err(ResultCode::PatienceSpent))?;
         let gate = GateCall {
             class: relayed.class,
--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -8,7 +8,6 @@
 use std::task::{Context, Poll, Waker, ready};
 use std::time::{Duration, Instant};
 
-use async_std::future::timeout;
 use async_std::net::TcpStream;
 use futures_lite::io::Cursor;
 use http_types::headers::DATE;
@@ -17,6 +16,7 @@
 use crate::body::{BodySource, SharedBody, lock, poll_ready};
 use crate::hops::remove_hop_headers;
 use crate::reader::MessageReader;
+use crate::ticks::within;
 use crate::writer::{MessageWriter, WriteFault};
 use crate::{BodyFraming, HttpFault, scan_head, scan_status_line};
 
@@ -90,8 +90,8 @@
 impl ClientConnection {
     /// Connects to `address`. Fails when that takes longer than `limit`.
     pub async fn open(address: SocketAddr, limit: Duration) -> io::Result<ClientConnection> {
-        let opening = timeout(limit, TcpStream::connect(address));
-        let stream = opening.await.map_err(|_| io::ErrorKind::TimedOut)??;
+        let opening = within(limit, TcpStream::connect(address));
+        let stream = opening.await.ok_or(io::ErrorKind::TimedOut)??;
         stream.set_nodelay(true)?;
         let reader = MessageReader::new(stream.clone());
         let now = Instant::now();
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -13,6 +13,7 @@
 mod reader;
 mod scan;
 mod server;
+mod ticks;
 mod writer;
 
 pub use chunk::ChunkScanner;
@@ -24,6 +25,7 @@
     scan_host, scan_request_line, scan_status_line,
 };
 pub use server::{ServerSettings, serve_connection, serve_listener};
+pub use ticks::{TickSleep, within};
 
 /// Longest head read from a peer, in bytes, with the empty line. `async-h1` fails on longer ones.
 pub const HEAD_LIMIT_BYTES: usize = 8 * 1024 - 1;
--- a/http/src/progress.rs
+++ b/http/src/progress.rs
@@ -6,12 +6,12 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use async_std::task;
+use crate::ticks::TickSleep;
 
 /// A timer that is armed while a peer makes no progress.
 pub(crate) struct ProgressTimer {
     interval: Option<Duration>,
-    sleep: Option<Pin<Box<dyn Future<Output = ()> + Send + Sync>>>,
+    sleep: Option<TickSleep>,
 }
 
 impl ProgressTimer {
@@ -33,8 +33,8 @@
     /// Whether the peer made no progress for the interval. Wakes the task when that is so.
     pub(crate) fn poll_expired(&mut self, cx: &mut Context<'_>) -> bool {
         let Some(interval) = self.interval else { return false };
-        let sleep = self.sleep.get_or_insert_with(|| Box::pin(task::sleep(interval)));
-        sleep.as_mut().poll(cx) == Poll::Ready(())
+        let sleep = self.sleep.get_or_insert_with(|| TickSleep::new(interval));
+        Pin::new(sleep).poll(cx) == Poll::Ready(())
     }
 }
 
--- a/http/src/server.rs
+++ b/http/src/server.rs
@@ -9,7 +9,6 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, future};
@@ -19,6 +18,7 @@
 use crate::body::{BodySource, SharedBody, lock, poll_ready};
 use crate::hops::remove_hop_headers;
 use crate::reader::MessageReader;
+use crate::ticks::within;
 use crate::writer::MessageWriter;
 use crate::{BodyFraming, HttpFault, scan_head, scan_request_line};
 
@@ -139,14 +139,13 @@
         lock(&self.reader).limit_waits(None);
         if lock(&self.reader).buffered().is_empty() {
             let first = poll_fn(|cx| lock(&self.reader).poll_fill_unlimited(cx));
-            match timeout(self.settings.idle, first).await {
-                Ok(Ok(count)) if count > 0 => (),
+            match within(self.settings.idle, first).await {
+                Some(Ok(count)) if count > 0 => (),
                 _ => return Ok(None),
             }
         }
         let head = poll_fn(|cx| lock(&self.reader).poll_head(cx));
-        let head =
-            timeout(self.settings.head, head).await.map_err(|_| HttpFault::HeadTimeout)??;
+        let head = within(self.settings.head, head).await.ok_or(HttpFault::HeadTimeout)??;
         match head {
             Some(head) => self.parse_request(head).map(Some),
             None => Ok(None),
@@ -213,12 +212,12 @@
         }
         if !self.close && !lock(&self.reader).awaits_continue() {
             let mut rest = SharedBody::new(self.reader.clone()).take(SKIP_LIMIT_BYTES);
-            let _ = timeout(LINGER, skip(&mut rest)).await;
+            let _ = within(LINGER, skip(&mut rest)).await;
             self.close = !lock(&self.reader).is_body_done();
         }
         if self.close {
             let _ = self.stream.shutdown(Shutdown::Write);
-            let _ = timeout(LINGER, skip(&mut self.stream)).await;
+            let _ = within(LINGER, skip(&mut self.stream)).await;
         }
     }
 }
--- /dev/null
+++ b/http/src/ticks.rs
@@ -0,0 +1,130 @@
+//! Time limits that share one timer.
+//!
+//! Every timer of the runtime wakes its reactor when it is set, which costs each exchange two needless
+//! wake-ups for limits that are almost never reached. These limits are looked at every few
+//! milliseconds instead.
+
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::pin::{Pin, pin};
+use std::sync::{Mutex, OnceLock};
+use std::task::{Context, Poll, Waker};
+use std::time::{Duration, Instant};
+
+use async_std::task;
+
+use crate::body::lock;
+
+/// Length of a tick in milliseconds. Limits end up to a tick early, so that an answer about a
+/// deadline is not late.
+const TICK_MS: u64 = 5;
+
+/// Runs `future` for at most about `limit`. `None` means that the time was over first.
+pub async fn within<F: Future>(limit: Duration, future: F) -> Option<F::Output> {
+    let mut future = pin!(future);
+    let mut sleep = TickSleep::new(limit);
+    std::future::poll_fn(|cx| {
+        if let Poll::Ready(output) = future.as_mut().poll(cx) {
+            return Poll::Ready(Some(output));
+        }
+        Pin::new(&mut sleep).poll(cx).map(|()| None)
+    })
+    .await
+}
+
+/// Completes after about the given time.
+#[derive(Debug)]
+pub struct TickSleep {
+    due: u64,
+    /// Key of the waker among those that wait.
+    entry: Option<u64>,
+}
+
+impl TickSleep {
+    /// Creates a sleep that starts now.
+    pub fn new(limit: Duration) -> TickSleep {
+        let end = ticker().origin.elapsed().saturating_add(limit);
+        TickSleep { due: end.as_millis() as u64 / TICK_MS, entry: None }
+    }
+}
+
+impl Future for TickSleep {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        let ticker = ticker();
+        if self.due <= ticker.tick() {
+            return Poll::Ready(());
+        }
+        let mut state = lock(&ticker.state);
+        let id = match self.entry {
+            Some(id) => id,
+            None => state.next_id(),
+        };
+        self.entry = Some(id);
+        let waker = state.waiting.entry((self.due, id)).or_insert_with(|| cx.waker().clone());
+        waker.clone_from(cx.waker());
+        if !state.running {
+            state.running = true;
+            task::spawn(ticker.run());
+        }
+        Poll::Pending
+    }
+}
+
+impl Drop for TickSleep {
+    fn drop(&mut self) {
+        if let Some(id) = self.entry {
+            lock(&ticker().state).waiting.remove(&(self.due, id));
+        }
+    }
+}
+
+/// Wakes the sleeps that are due.
+struct Ticker {
+    origin: Instant,
+    state: Mutex<TickerState>,
+}
+
+#[derive(Default)]
+struct TickerState {
+    /// Wakers by tick and number.
+    waiting: BTreeMap<(u64, u64), Waker>,
+    last_id: u64,
+    /// Whether the task that ticks is running. It ends when nothing waits.
+    running: bool,
+}
+
+impl TickerState {
+    fn next_id(&mut self) -> u64 {
+        self.last_id += 1;
+        self.last_id
+    }
+}
+
+impl Ticker {
+    fn tick(&self) -> u64 {
+        self.origin.elapsed().as_millis() as u64 / TICK_MS
+    }
+
+    async fn run(&self) {
+        loop {
+            task::sleep(Duration::from_millis(TICK_MS)).await;
+            let mut state = lock(&self.state);
+            let later = state.waiting.split_off(&(self.tick() + 1, 0));
+            let due = std::mem::replace(&mut state.waiting, later);
+            state.running = !state.waiting.is_empty();
+            let running = state.running;
+            drop(state);
+            due.into_values().for_each(Waker::wake);
+            if !running {
+                return;
+            }
+        }
+    }
+}
+
+fn ticker() -> &'static Ticker {
+    static TICKER: OnceLock<Ticker> = OnceLock::new();
+    TICKER.get_or_init(|| Ticker { origin: Instant::now(), state: Mutex::default() })
+}
--- a/upstreams/src/lease.rs
+++ b/upstreams/src/lease.rs
@@ -6,7 +6,7 @@
 use std::task::{Context, Poll, ready};
 use std::time::Instant;
 
-use async_std::task;
+use fescuestack_http::TickSleep;
 use futures_lite::{AsyncBufRead, AsyncRead};
 use http_types::Body;
 
@@ -17,7 +17,7 @@
     body: Body,
     lease: Option<ConnectionLease>,
     deadline: Instant,
-    sleep: Option<Pin<Box<dyn Future<Output = ()> + Send + Sync>>>,
+    sleep: Option<TickSleep>,
 }
 
 impl LeasedBody {
@@ -32,11 +32,9 @@
 
     /// Completes when the deadline has passed.
     fn poll_deadline(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        let deadline = self.deadline;
-        let sleep = self.sleep.get_or_insert_with(|| {
-            Box::pin(task::sleep(deadline.saturating_duration_since(Instant::now())))
-        });
-        sleep.as_mut().poll(cx)
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let sleep = self.sleep.get_or_insert_with(|| TickSleep::new(left));
+        Pin::new(sleep).poll(cx)
     }
 
     /// Closes the connection with an error that says why.
--- a/upstreams/src/pool.rs
+++ b/upstreams/src/pool.rs
@@ -7,9 +7,8 @@
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
-use async_std::future::timeout;
 use fescuestack_core::ResultCode;
-use fescuestack_http::ClientConnection;
+use fescuestack_http::{ClientConnection, within};
 use http_types::{Request, Response};
 
 use crate::ExchangeFault;
@@ -232,7 +231,7 @@
 
 /// Runs `work` until `deadline`. `None` means that the time was over first.
 async fn before<T>(deadline: Instant, work: impl Future<Output = T>) -> Option<T> {
-    timeout(deadline.saturating_duration_since(Instant::now()), work).await.ok()
+    within(deadline.saturating_duration_since(Instant::now()), work).await
 }
 
 /// Pools by address.
