--- a/http/src/server.rs
+++ b/http/src/server.rs
@@ -18,7 +18,7 @@
 use crate::body::{BodySource, SharedBody, lock, poll_ready};
 use crate::hops::remove_hop_headers;
 use crate::reader::MessageReader;
-use crate::ticks::within;
+use crate::ticks::{TickSleep, within};
 use crate::writer::MessageWriter;
 use crate::{BodyFraming, HttpFault, scan_head, scan_request_line};
 
@@ -28,6 +28,9 @@
 /// Time for a client to take a refusal before the connection is reset.
 const LINGER: Duration = Duration::from_millis(500);
 
+/// Time after which a call is watched for a client that leaves.
+const WATCH_DELAY: Duration = Duration::from_millis(15);
+
 /// Pause after a failed accept, which usually means that file descriptors ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -234,7 +237,11 @@
     work: impl Future<Output = T>,
 ) -> Option<T> {
     let mut work = pin!(work);
-    let closed = poll_fn(|cx| lock(reader).poll_close(cx));
+    let closed = async {
+        // Most calls are over before the watch would be worth its system calls.
+        TickSleep::new(WATCH_DELAY).await;
+        poll_fn(|cx| lock(reader).poll_close(cx)).await;
+    };
     future::or(async { Some(work.as_mut().await) }, async {
         closed.await;
         None
