--- a/callers/tests/mesh/mod.rs
+++ b/callers/tests/mesh/mod.rs
@@ -4,7 +4,7 @@
 pub mod proxy;
 
 use std::pin::Pin;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -42,6 +42,8 @@
     pub finished: AtomicUsize,
     pub most: AtomicUsize,
     running: AtomicUsize,
+    /// Lets requests of the kind `held` end.
+    pub released: AtomicBool,
 }
 
 impl UpstreamLog {
@@ -134,6 +136,12 @@
             answer.set_body(format!("{name} {path}"));
         }
         [.., "early"] => answer.set_body("early"),
+        [.., "held", _] => {
+            while !guard.0.released.load(Ordering::SeqCst) {
+                task::sleep(Duration::from_millis(1)).await;
+            }
+            answer.set_body(format!("{name} {path}"));
+        }
         [.., "hang"] => std::future::pending().await,
         [.., "cut"] => {
             let reader = futures_lite::io::Cursor::new(b"short").chain(LateEnd::new());
@@ -331,6 +339,7 @@
         ],
         queue_limit: 200,
         key_window_ms: KEY_WINDOW_MS,
+        key_skew_ms: None,
     };
     let targets = TargetsPart { service: "shop".to_owned(), targets };
     let parts = vec![
