--- a/callers/tests/mesh/mod.rs
+++ b/callers/tests/mesh/mod.rs
@@ -135,6 +135,7 @@
             task::sleep(Duration::from_millis(millis.parse().unwrap())).await;
             answer.set_body(format!("{name} {path}"));
         }
+        [.., "early"] => answer.set_body("early"),
         [.., "held", _] => {
             while !guard.0.released.load(Ordering::SeqCst) {
                 task::sleep(Duration::from_millis(1)).await;
