Count silence as a failure only when it is long for the target

A caller with little patience gave up on a healthy target five times in a row, and the target was ejected for it. A wait now counts when it is more than four times the target's usual answer time. Tests cover this, the bound of a third, the doubling, and liveness.

--- a/core/src/balancer.rs
+++ b/core/src/balancer.rs
@@ -22,6 +22,9 @@
 /// At most one in this many targets of a service is ejected at the same time.
 const EJECT_SHARE: usize = 3;
 
+/// A wait this many times as long as the usual answer is a failure.
+const SILENCE_FACTOR: u64 = 4;
+
 /// Length of a first ejection.
 const EJECT_MINIMUM: ClockSpan = ClockSpan::new(1_000);
 
@@ -92,8 +95,14 @@
     },
     /// It refused the call because of load.
     Refused,
-    /// No connection, a broken one, or no answer in time.
+    /// No connection, or a broken one.
     Failed,
+    /// No answer before the caller's patience was over, after this time, in µs. It counts as a failure
+    /// only when the target's answers usually take much less: the patience may have been short.
+    Silent {
+        /// Time since dispatch.
+        micros: u64,
+    },
     /// The call says nothing about the target: it was cancelled, or refused for its content.
     Uncounted,
 }
@@ -417,6 +426,10 @@
             }
             TargetOutcome::Refused => self.failures = 0,
             TargetOutcome::Failed => self.failures += 1,
+            TargetOutcome::Silent { micros } => {
+                let is_long = micros > self.answer_micros * SILENCE_FACTOR;
+                self.failures += u32::from(is_long);
+            }
             TargetOutcome::Uncounted => (),
         }
         self.failures >= EJECT_FAILURES
--- a/core/src/plan.rs
+++ b/core/src/plan.rs
@@ -234,8 +234,8 @@
             ResultCode::ConnectFailed
             | ResultCode::LinkLost
             | ResultCode::UpstreamLost
-            | ResultCode::AnswerTruncated
-            | ResultCode::PatienceOver => TargetOutcome::Failed,
+            | ResultCode::AnswerTruncated => TargetOutcome::Failed,
+            ResultCode::PatienceOver => TargetOutcome::Silent { micros: self.micros },
             _ => TargetOutcome::Uncounted,
         }
     }
--- a/core/tests/calls/main.rs
+++ b/core/tests/calls/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the call path: entry nodes, nodes beside targets, upstreams.
 
+mod ejection;
 mod fleet;
 mod interleavings;
 mod load;
