Tell a refusal by the upstream from its answers

Ruled out: taking every 503 as not run, since one may come after a run. Change: an upstream that states fescuestack-outcome: not-run is answered with code 217 and may be tried elsewhere within the retry budget; a bare 503 stays the upstream's own answer. When no other target is left for a retry, the caller gets the code of the last attempt in place of 207. Figures: the new test fails before (100, done) and passes after (217, not run). Conclusion: not run now comes from the upstream's own word.

--- a/callers/src/headers.rs
+++ b/callers/src/headers.rs
@@ -93,7 +93,8 @@
         | ResultCode::NoTarget
         | ResultCode::NotReady
         | ResultCode::ConnectFailed
-        | ResultCode::TenantLimit => Some(ClockSpan::new(1_000)),
+        | ResultCode::TenantLimit
+        | ResultCode::UpstreamRefused => Some(ClockSpan::new(1_000)),
         _ => None,
     }
 }
@@ -108,6 +109,7 @@
         | ResultCode::NotReady
         | ResultCode::ConnectFailed
         | ResultCode::TenantLimit
+        | ResultCode::UpstreamRefused
         | ResultCode::KeyInFlight => StatusCode::ServiceUnavailable,
         ResultCode::PatienceSpent | ResultCode::PatienceOver => StatusCode::GatewayTimeout,
         ResultCode::NoRoute | ResultCode::ServiceGone => StatusCode::NotFound,
--- a/callers/src/ticket.rs
+++ b/callers/src/ticket.rs
@@ -15,7 +15,7 @@
     RecordedAnswer, RequestFingerprint, ResultCode,
 };
 use fescuestack_http::{GatheredBody, gather_body};
-use fescuestack_upstreams::ExchangeFault;
+use fescuestack_upstreams::{ExchangeFault, OUTCOME_HEADER};
 use futures_lite::{AsyncBufRead, AsyncRead};
 use http_types::{Body, Response};
 
@@ -110,6 +110,9 @@
         content: AnswerContent,
     ) -> (ResultCode, Option<Response>) {
         let gathered = match result {
+            // An upstream that sheds load says so in the header; a bare 503 is passed on as its answer,
+            // since it does not tell whether the request ran.
+            Ok(answer) if is_refusal(&answer) => return (self.end(GateOutcome::Refused), None),
             Ok(mut answer) if content == AnswerContent::HeadOnly => {
                 remove_own_headers(answer.as_mut());
                 return (self.end(done(started, None)), Some(answer));
@@ -223,6 +226,12 @@
     }
 }
 
+/// Whether the upstream states that it did not run the request.
+fn is_refusal(answer: &Response) -> bool {
+    let outcome = answer.header(OUTCOME_HEADER).map(|values| values.last().as_str());
+    outcome == Some(CallOutcome::NotRun.label())
+}
+
 /// Notes a run to its end. True if a death was reported with this request running.
 fn clear_suspect(state: &mut TargetState, fingerprint: RequestFingerprint) -> bool {
     state.down = false;
--- a/callers/tests/mesh/mod.rs
+++ b/callers/tests/mesh/mod.rs
@@ -146,6 +146,11 @@
             }
             answer.set_body(format!("{name} {path}"));
         }
+        [.., "shed"] => {
+            answer.set_status(StatusCode::ServiceUnavailable);
+            answer.insert_header("fescuestack-outcome", "not-run");
+        }
+        [.., "unavailable"] => answer.set_status(StatusCode::ServiceUnavailable),
         [.., "hang"] => std::future::pending().await,
         [.., "cut"] => {
             let reader = futures_lite::io::Cursor::new(b"short").chain(LateEnd::new());
--- a/callers/tests/path.rs
+++ b/callers/tests/path.rs
@@ -96,3 +96,20 @@
         assert!(mesh.nodes[0].observer.records.lock().unwrap().len() >= 8);
     });
 }
+
+/// Guards against a refusal by an upstream that its caller takes for a run, and against a bare 503, which may
+/// come after a run, that its caller takes for a refusal.
+#[test]
+fn refusal_of_the_upstream_is_not_run() {
+    task::block_on(async {
+        let mut mesh = Mesh::start(1, 4).await;
+        mesh.install(&[0]);
+        let caller = mesh.nodes[0].caller;
+        let shed = send(caller, request(Method::Post, "/submit/shed")).await;
+        assert_eq!((shed.code.as_str(), shed.outcome.as_str()), ("217", "not-run"));
+        assert!(shed.retry_after.is_some());
+        let bare = send(caller, request(Method::Post, "/submit/unavailable")).await;
+        assert_eq!((bare.code.as_str(), bare.outcome.as_str()), ("100", "done"));
+        assert_eq!(bare.status, StatusCode::ServiceUnavailable);
+    });
+}
--- a/core/src/code.rs
+++ b/core/src/code.rs
@@ -64,6 +64,7 @@
     UploadIncomplete = 214, "upload incomplete", "the request body ended early and was not dispatched whole";
     TenantLimit = 215, "tenant limit", "the tenant's share of the queue is used up";
     NotKeyOwner = 216, "not the key's owner", "the idempotency key belongs to another target";
+    UpstreamRefused = 217, "refused by the upstream", "the upstream answered that it did not run the request";
     LinkLost = 301, "link lost", "the connection to the target's node broke after dispatch";
     UpstreamLost = 302, "upstream lost", "the connection to the upstream broke after dispatch";
     PatienceOver = 303, "patience over after dispatch", "the deadline passed while the upstream was working";
--- a/core/src/gate.rs
+++ b/core/src/gate.rs
@@ -101,6 +101,8 @@
     },
     /// No byte was sent to the upstream.
     NotSent,
+    /// The upstream answered that it did not run the request.
+    Refused,
     /// Bytes were sent, and the outcome is unknown for this reason: 302, 303 or 304.
     Lost(ResultCode),
 }
@@ -217,7 +219,8 @@
     }
 
     /// Ends a call that was to be dispatched. Returns the code that goes back: it is 1xx or 3xx once
-    /// `dispatch` has allowed the call, except that `NotSent` stands for 213.
+    /// `dispatch` has allowed the call, except that `NotSent` stands for 213 and `Refused` for
+    /// 217.
     pub fn finish(
         &mut self,
         now: ClockTime,
@@ -237,12 +240,13 @@
                 ResultCode::Done
             }
             GateOutcome::NotSent => {
-                self.admission.finish(ticket, None);
-                if let Some(key) = key {
-                    self.keys.retract(now, &key);
-                }
+                self.end_unrun(now, ticket, key);
                 ResultCode::ConnectFailed
             }
+            GateOutcome::Refused => {
+                self.end_unrun(now, ticket, key);
+                ResultCode::UpstreamRefused
+            }
             GateOutcome::Lost(code) => {
                 self.admission.finish(ticket, None);
                 if let Some(key) = key {
@@ -253,6 +257,13 @@
         }
     }
 
+    fn end_unrun(&mut self, now: ClockTime, ticket: CallTicket, key: Option<Arc<str>>) {
+        self.admission.finish(ticket, None);
+        if let Some(key) = key {
+            self.keys.retract(now, &key);
+        }
+    }
+
     /// Ends a waiting call whose caller has gone. False when it is already to be dispatched: then the
     /// host closes the connection to the upstream and calls `finish`.
     pub fn cancel(&mut self, now: ClockTime, ticket: CallTicket) -> bool {
--- a/core/src/plan.rs
+++ b/core/src/plan.rs
@@ -126,10 +126,17 @@
         if end.code.outcome() == Some(CallOutcome::Unknown) && self.doubt.is_none() {
             self.doubt = Some(end.code);
         }
-        if self.is_repeated(now, service, balancer, budget, end) {
-            return self.send(now, service, balancer);
+        let answer = self.conclude(end.code, end.from_target, end.retry_after);
+        if !self.is_repeated(now, service, balancer, budget, end) {
+            return PlanStep::Answer(answer);
+        }
+        match self.send(now, service, balancer) {
+            // That no other target is left says less than how the last attempt ended.
+            PlanStep::Answer(other) if other.code == ResultCode::NoTarget => {
+                PlanStep::Answer(answer)
+            }
+            step => step,
         }
-        PlanStep::Answer(self.conclude(end.code, end.from_target, end.retry_after))
     }
 
     /// Ends the plan of a call whose caller has gone. The host closes the connection to the target.
@@ -230,7 +237,9 @@
             ResultCode::Done | ResultCode::DoneEarlier => {
                 TargetOutcome::Answered { micros: self.micros }
             }
-            ResultCode::Overload | ResultCode::TenantLimit => TargetOutcome::Refused,
+            ResultCode::Overload | ResultCode::TenantLimit | ResultCode::UpstreamRefused => {
+                TargetOutcome::Refused
+            }
             ResultCode::ConnectFailed
             | ResultCode::LinkLost
             | ResultCode::UpstreamLost
@@ -262,5 +271,6 @@
             | ResultCode::BadRequest
             | ResultCode::ConnectFailed
             | ResultCode::TenantLimit
+            | ResultCode::UpstreamRefused
     )
 }
--- a/core/src/retries.rs
+++ b/core/src/retries.rs
@@ -73,7 +73,7 @@
             // Planned moves: the target said so before any work, and another one takes the call. They
             // are free, since a restart of a quarter of a service would use up any budget.
             ResultCode::Leaving | ResultCode::NotReady | ResultCode::NotKeyOwner => true,
-            ResultCode::ConnectFailed => self.pay(budget),
+            ResultCode::ConnectFailed | ResultCode::UpstreamRefused => self.pay(budget),
             // An overloaded service gets no second attempt, or its overload would feed itself.
             // Every other refusal would be repeated by any target.
             code if code.outcome() == Some(CallOutcome::Unknown) => {
--- a/standins/src/exchange.rs
+++ b/standins/src/exchange.rs
@@ -175,6 +175,7 @@
 fn refusal(state: &StandinState, status: StatusCode) -> Response {
     let mut response = Response::new(status);
     response.insert_header("retry-after", "1");
+    response.insert_header("fescuestack-outcome", "not-run");
     if state.draining.load(Ordering::SeqCst) {
         response.insert_header(CONNECTION, "close");
     }
