Reset a link when its probe fails; keep trying gateways that were passed over

A failed probe now resets the link, the time doubles up to four minutes, and if all nodes of a data centre are passed over the one whose time ends first is tried.

--- a/core/src/gateways.rs
+++ b/core/src/gateways.rs
@@ -20,9 +20,13 @@
 /// A gateway that does not answer for this time is passed over.
 const ANSWER_MS: u64 = 2_500;
 
-/// How long it is passed over.
+/// How long it is passed over at first; doubled each time, since every new attempt delays what is
+/// announced by the wait for an answer.
 const PASS_OVER_MS: u64 = 15_000;
 
+/// Doublings of that time: up to four minutes.
+const PASS_OVER_DOUBLINGS: u32 = 4;
+
 /// Interval of questions for exceptions, in milliseconds.
 const EXCEPTIONS_MS: u64 = 2_000;
 
@@ -51,6 +55,16 @@
     peer: PeerAddress,
     configured: bool,
     silent_until: ClockTime,
+    /// Times that it was passed over since it was last heard.
+    silences: u32,
+}
+
+impl RemotePeer {
+    fn pass_over(&mut self, now: ClockTime) {
+        let doubled = PASS_OVER_MS << self.silences.min(PASS_OVER_DOUBLINGS);
+        self.silent_until = now + ClockSpan::new(doubled);
+        self.silences += 1;
+    }
 }
 
 /// Another data centre.
@@ -65,17 +79,16 @@
 }
 
 impl RemoteCentre {
-    fn is_usable(&self, rank: &MemberRank, peer: &RemotePeer, now: ClockTime) -> bool {
-        let gone =
-            self.events.get(&rank.name).is_some_and(|e| e.event.state > MemberState::Suspect);
-        !gone && peer.silent_until <= now
-    }
-
+    /// The gateway with `index`. When all nodes are passed over, as in a partition, it is the one whose
+    /// time ends first, so that the end of the partition is noticed.
     fn gateway(&self, index: usize, now: ClockTime) -> Option<&RemotePeer> {
-        let mut usable = self.peers.iter().filter(|(rank, peer)| self.is_usable(rank, peer, now));
+        let gone =
+            |name| self.events.get(name).is_some_and(|e| e.event.state > MemberState::Suspect);
+        let present = self.peers.iter().filter(|(rank, _)| !gone(&rank.name)).map(|(_, peer)| peer);
+        let mut usable = present.clone().filter(|peer| peer.silent_until <= now);
         let first = usable.next();
         let chosen = if index == 0 { first } else { usable.nth(index - 1).or(first) };
-        chosen.map(|(_, peer)| peer)
+        chosen.or_else(|| present.min_by_key(|peer| peer.silent_until))
     }
 
     fn digest(&self) -> u32 {
@@ -98,7 +111,7 @@
         let centre = self.centres.entry(peer.data_centre.clone()).or_default();
         let rank = MemberRank::new(&peer.name);
         let silent_until = ClockTime::ZERO;
-        let entry = RemotePeer { peer: peer.clone(), configured, silent_until };
+        let entry = RemotePeer { peer: peer.clone(), configured, silent_until, silences: 0 };
         let known = centre.peers.entry(rank).or_insert(entry);
         known.configured |= configured;
         if configured {
@@ -119,6 +132,7 @@
         let Some(centre) = self.centres.get_mut(&peer.data_centre) else { return };
         if let Some(known) = centre.peers.get_mut(&MemberRank::new(&peer.name)) {
             known.silent_until = ClockTime::ZERO;
+            known.silences = 0;
         }
         if centre.asked.as_ref().is_some_and(|(rank, _)| rank.name == peer.name) {
             centre.asked = None;
@@ -267,7 +281,7 @@
             }
             centre.asked = None;
             if let Some(silent) = centre.peers.get_mut(&rank) {
-                silent.silent_until = now + ClockSpan::new(PASS_OVER_MS);
+                silent.pass_over(now);
                 turn.reset_link(&silent.peer);
             }
             self.remotes.announce_at = now;
@@ -280,7 +294,7 @@
         if centre.asked.as_ref().is_some_and(|(rank, _)| rank.name == peer.name) {
             centre.asked = None;
             if let Some(lost) = centre.peers.get_mut(&MemberRank::new(&peer.name)) {
-                lost.silent_until = turn.now + ClockSpan::new(PASS_OVER_MS);
+                lost.pass_over(turn.now);
             }
             self.remotes.news = true;
         }
--- a/core/src/probes.rs
+++ b/core/src/probes.rs
@@ -39,10 +39,6 @@
 /// given each other up find together again.
 const REVIVAL_SECONDS: u64 = 5;
 
-/// A link that should have carried an answer and did not for this time is reset: three heartbeat
-/// periods.
-const SILENT_MS: u64 = 3 * PROBE_MS;
-
 #[derive(Debug)]
 struct PendingProbe {
     sequence: u32,
@@ -305,13 +301,8 @@
         // With no other member to ask there is nobody to hear from.
         let heard = probe.helped || self.members.count() <= 2;
         self.probes.note_outcome(!heard);
-        let silent = self
-            .members
-            .get(&probe.target.name)
-            .is_none_or(|entry| turn.now.since(entry.heard).millis() >= SILENT_MS);
-        if silent {
-            turn.reset_link(&probe.target);
-        }
+        // What the target sends may still arrive: the link that has gone silent is the one to it.
+        turn.reset_link(&probe.target);
         if self.probes.is_cut_off() || turn.now < self.start.hold_until {
             return;
         }
