--- a/core/src/gateways.rs
+++ b/core/src/gateways.rs
@@ -53,6 +53,12 @@
     silent_until: ClockTime,
 }
 
+impl RemotePeer {
+    fn pass_over(&mut self, now: ClockTime) {
+        self.silent_until = now + ClockSpan::new(PASS_OVER_MS);
+    }
+}
+
 /// Another data centre.
 #[derive(Debug, Default)]
 struct RemoteCentre {
@@ -65,17 +71,16 @@
 }
 
 impl RemoteCentre {
-    fn is_usable(&self, rank: &MemberRank, peer: &RemotePeer, now: ClockTime) -> bool {
-        let gone =
-            self.events.get(&rank.name).is_some_and(|e| e.event.state > MemberState::Suspect);
-        !gone && peer.silent_until <= now
-    }
-
+    /// The gateway with `index`. When all nodes are passed over, as in a partition, it is the one whose
+    /// time ends first, so that the end of the partition is noticed.
     fn gateway(&self, index: usize, now: ClockTime) -> Option<&RemotePeer> {
-        let mut usable = self.peers.iter().filter(|(rank, peer)| self.is_usable(rank, peer, now));
+        let gone =
+            |name| self.events.get(name).is_some_and(|e| e.event.state > MemberState::Suspect);
+        let present = self.peers.iter().filter(|(rank, _)| !gone(&rank.name)).map(|(_, peer)| peer);
+        let mut usable = present.clone().filter(|peer| peer.silent_until <= now);
         let first = usable.next();
         let chosen = if index == 0 { first } else { usable.nth(index - 1).or(first) };
-        chosen.map(|(_, peer)| peer)
+        chosen.or_else(|| present.min_by_key(|peer| peer.silent_until))
     }
 
     fn digest(&self) -> u32 {
@@ -267,7 +272,7 @@
             }
             centre.asked = None;
             if let Some(silent) = centre.peers.get_mut(&rank) {
-                silent.silent_until = now + ClockSpan::new(PASS_OVER_MS);
+                silent.pass_over(now);
                 turn.reset_link(&silent.peer);
             }
             self.remotes.announce_at = now;
@@ -280,7 +285,7 @@
         if centre.asked.as_ref().is_some_and(|(rank, _)| rank.name == peer.name) {
             centre.asked = None;
             if let Some(lost) = centre.peers.get_mut(&MemberRank::new(&peer.name)) {
-                lost.silent_until = turn.now + ClockSpan::new(PASS_OVER_MS);
+                lost.pass_over(turn.now);
             }
             self.remotes.news = true;
         }
