--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -45,6 +45,7 @@
 mod trees;
 mod version;
 mod versions;
+mod watch;
 
 pub use admission::{
     AdmissionAction, AdmissionAnswer, AdmissionCall, AdmissionQueue, AdmissionSettings, CallTicket,
--- a/core/src/source.rs
+++ b/core/src/source.rs
@@ -9,18 +9,16 @@
 use crate::config::{PartName, SpreadPreference};
 use crate::control::{ControlAction, PlatformFault, ReadAnswer, ValueRecord};
 use crate::delta::{
-    BUNDLE_PARTS, HeadRecord, ManifestRecord, PartContent, VersionDelta, bundle_key, delta_key,
-    manifest_key, page_key, part_key,
+    BUNDLE_PARTS, HeadRecord, ManifestRecord, VersionDelta, bundle_key, delta_key, manifest_key,
+    page_key, part_key,
 };
 use crate::distribution::PassRule;
 use crate::manifest::bucket_index;
 use crate::state::{ControlState, Turn};
 use crate::status::{ArrivalPath, SourceState};
 use crate::version::{PartHash, VersionId};
-
-/// Calls to the platform in one second. Its limit is about 2,000 for all readers, of which 13 data
-/// centres have 26.
-const CALLS_PER_SECOND: u64 = 20;
+use crate::versions::merge_deltas;
+use crate::watch::{TokenBucket, WatchState};
 
 /// Longest wait after faults, in milliseconds.
 const BACK_OFF_MS: u64 = 5_000;
@@ -44,15 +42,6 @@
 /// A fetch without progress is given up after this time, in milliseconds.
 const STALL_MS: u64 = 10_000;
 
-/// One of the two watches.
-#[derive(Debug, Default)]
-pub(crate) struct WatchState {
-    pub(crate) pending: bool,
-    pub(crate) revision: Option<u64>,
-    pub(crate) failures: u32,
-    pub(crate) retry_at: ClockTime,
-}
-
 #[derive(Debug)]
 enum SourceFetch {
     /// Deltas, newest first, back to the active version.
@@ -70,8 +59,7 @@
     last_head: Option<Result<VersionId, PlatformFault>>,
     /// Reason why the last fetch failed.
     pub(crate) fault: Option<ResultCode>,
-    tokens_ms: u64,
-    tokens_at: ClockTime,
+    tokens: TokenBucket,
     target: Option<HeadRecord>,
     fetch: Option<SourceFetch>,
     fetch_at: ClockTime,
@@ -116,18 +104,6 @@
         self.bundles.clear();
     }
 
-    /// Takes a token for a call. A second's worth of calls may be made in a burst.
-    fn take_token(&mut self, now: ClockTime) -> bool {
-        const CALL_MS: u64 = 1_000 / CALLS_PER_SECOND;
-        self.tokens_ms = (self.tokens_ms + now.since(self.tokens_at).millis()).min(1_000);
-        self.tokens_at = self.tokens_at.max(now);
-        if self.tokens_ms < CALL_MS {
-            return false;
-        }
-        self.tokens_ms -= CALL_MS;
-        true
-    }
-
     fn read(&mut self, key: String) {
         self.waiting.push_back(key);
     }
@@ -191,11 +167,11 @@
         if !self.is_reader() {
             return;
         }
-        if self.source.head_watch.is_due(turn.now) && self.source.take_token(turn.now) {
+        if self.source.head_watch.is_due(turn.now) && self.source.tokens.take(turn.now) {
             let after = self.source.head_watch.begin();
             turn.actions.push(ControlAction::WatchHead { after });
         }
-        if self.source.vms_watch.is_due(turn.now) && self.source.take_token(turn.now) {
+        if self.source.vms_watch.is_due(turn.now) && self.source.tokens.take(turn.now) {
             let after = self.source.vms_watch.begin();
             turn.actions.push(ControlAction::WatchVms { after });
         }
@@ -205,7 +181,7 @@
 
     fn issue_reads(&mut self, turn: &mut Turn<'_>) {
         while self.source.reading.len() < READS_AT_ONCE && !self.source.waiting.is_empty() {
-            if !self.source.take_token(turn.now) {
+            if !self.source.tokens.take(turn.now) {
                 break;
             }
             let Some(key) = self.source.waiting.pop_front() else { break };
@@ -521,39 +497,3 @@
         }
     }
 }
-
-impl WatchState {
-    fn is_due(&self, now: ClockTime) -> bool {
-        !self.pending && now >= self.retry_at
-    }
-
-    fn begin(&mut self) -> Option<u64> {
-        self.pending = true;
-        self.revision
-    }
-}
-
-/// Merges consecutive deltas, oldest first, into one.
-fn merge_deltas(chain: Vec<VersionDelta>) -> Option<VersionDelta> {
-    let from = chain.first()?.from;
-    let to = chain.last()?.to;
-    let mut changed: BTreeMap<PartName, Arc<str>> = BTreeMap::new();
-    let mut removed: BTreeSet<PartName> = BTreeSet::new();
-    for delta in chain {
-        for part in delta.changed {
-            removed.remove(&part.name);
-            changed.insert(part.name, part.content);
-        }
-        for name in delta.removed {
-            changed.remove(&name);
-            removed.insert(name);
-        }
-    }
-    let parts = changed.into_iter().map(|(name, content)| PartContent::new(name, content));
-    Some(VersionDelta {
-        from,
-        to,
-        changed: parts.collect(),
-        removed: removed.into_iter().collect(),
-    })
-}
--- a/core/src/versions.rs
+++ b/core/src/versions.rs
@@ -1,11 +1,12 @@
 //! The versions a node holds: the active one, recent deltas, early changes, rejections and clashes.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use crate::clock::ClockTime;
 use crate::code::ResultCode;
-use crate::delta::VersionDelta;
+use crate::config::PartName;
+use crate::delta::{PartContent, VersionDelta};
 use crate::snapshot::ConfigSnapshot;
 use crate::status::{ArrivalPath, RejectedVersion, VersionClash};
 use crate::version::{PartHash, VersionId};
@@ -150,3 +151,28 @@
     manifest.update(delta.changed.iter().map(|part| &part.name).zip(hashes), delta.removed.iter());
     manifest.digest() == delta.to.digest
 }
+
+/// Merges consecutive deltas, oldest first, into one.
+pub(crate) fn merge_deltas(chain: Vec<VersionDelta>) -> Option<VersionDelta> {
+    let from = chain.first()?.from;
+    let to = chain.last()?.to;
+    let mut changed: BTreeMap<PartName, Arc<str>> = BTreeMap::new();
+    let mut removed: BTreeSet<PartName> = BTreeSet::new();
+    for delta in chain {
+        for part in delta.changed {
+            removed.remove(&part.name);
+            changed.insert(part.name, part.content);
+        }
+        for name in delta.removed {
+            changed.remove(&name);
+            removed.insert(name);
+        }
+    }
+    let parts = changed.into_iter().map(|(name, content)| PartContent::new(name, content));
+    Some(VersionDelta {
+        from,
+        to,
+        changed: parts.collect(),
+        removed: removed.into_iter().collect(),
+    })
+}
