Bound the recording of control inputs in bytes

Cause: the ring of 4,096 inputs had no bound in bytes; pieces of transfers of 64 KB could fill 256 MB, twice the limit of a node. Change: a ring holds at most 8 MB of configuration content and drops its oldest inputs beyond. Figures (ring_is_bounded_in_bytes): 40 values of 1 MB leave less than 9 MB; all of them were kept before. Conclusion: recording stays within the memory of a node.

--- a/core/src/record.rs
+++ b/core/src/record.rs
@@ -8,16 +8,21 @@
 
 use crate::clock::ClockTime;
 use crate::config::NodeName;
-use crate::control::{ControlAction, ControlInput, ControlSettings};
-use crate::message::MemberState;
+use crate::control::{ControlAction, ControlInput, ControlSettings, ReadAnswer};
+use crate::message::{MemberState, PeerMessage};
 use crate::state::ControlState;
 use crate::status::ControlStatus;
 use crate::version::{PartHash, VersionId};
+use crate::versions::content_bytes;
 
 /// Hexadecimal digits of an actions digest that are kept. Eight tell a changed decision from the
 /// recorded one with near certainty.
 const DIGEST_DIGITS: usize = 8;
 
+/// Bytes of content that a ring holds. Without it, the 64 KB pieces of transfers would fill 256 MB in a
+/// ring of 4,096 inputs.
+const RING_BYTES: usize = 8 * 1024 * 1024;
+
 /// First line of a recording.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RecordHeader {
@@ -76,19 +81,23 @@
     header: RecordHeader,
     limit: usize,
     ring: VecDeque<RecordedInput>,
+    bytes: usize,
 }
 
 impl ControlRecorder {
     /// Creates a recorder that keeps the latest `limit` inputs.
     pub fn new(settings: ControlSettings, seed: u64, limit: usize) -> ControlRecorder {
         let header = RecordHeader { settings, seed, dropped: 0 };
-        ControlRecorder { header, limit, ring: VecDeque::new() }
+        ControlRecorder { header, limit, ring: VecDeque::new(), bytes: 0 }
     }
 
     /// Records an input and the actions it led to.
     pub fn record(&mut self, at: ClockTime, input: ControlInput, actions: &[ControlAction]) {
-        if self.ring.len() == self.limit {
-            self.ring.pop_front();
+        self.bytes += input_bytes(&input);
+        while self.ring.len() >= self.limit || (self.bytes > RING_BYTES && !self.ring.is_empty()) {
+            if let Some(oldest) = self.ring.pop_front() {
+                self.bytes -= input_bytes(&oldest.input);
+            }
             self.header.dropped += 1;
         }
         self.ring.push_back(RecordedInput { at, input, actions: digest_actions(actions) });
@@ -101,6 +110,21 @@
     }
 }
 
+/// Bytes of configuration content in an input.
+fn input_bytes(input: &ControlInput) -> usize {
+    match input {
+        ControlInput::Peer { message: PeerMessage::Push { delta, .. }, .. } => content_bytes(delta),
+        ControlInput::Peer { message: PeerMessage::Chunk { content, .. }, .. } => content.len(),
+        ControlInput::HeadRead { result }
+        | ControlInput::VmsRead { result }
+        | ControlInput::ValueRead { result, .. } => match result {
+            Ok(ReadAnswer::Found(record)) => record.content.len(),
+            _ => 0,
+        },
+        _ => 0,
+    }
+}
+
 /// A stated outcome as a line to append to a recording.
 pub fn outcome_line(outcome: StatedOutcome) -> String {
     encode_line(&RecordLine::Outcome { outcome })
--- a/core/tests/replay.rs
+++ b/core/tests/replay.rs
@@ -2,7 +2,10 @@
 
 use std::path::PathBuf;
 
-use fescuestack_core::{ReplayMismatch, replay};
+use fescuestack_core::{
+    ClockTime, ControlInput, ControlRecorder, ReadAnswer, RecordHeader, ReplayMismatch,
+    ValueRecord, replay,
+};
 
 fn traces() -> Vec<(PathBuf, String)> {
     let folder = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../traces");
@@ -48,3 +51,21 @@
     let result = replay(text.lines().chain([stated]));
     assert!(matches!(result, Err(ReplayMismatch::Outcome { .. })), "{result:?}");
 }
+
+/// Guards against a ring whose inputs are few but hold more content than a node may use for it.
+#[test]
+fn ring_is_bounded_in_bytes() {
+    let (_, text) = traces().swap_remove(0);
+    let header: RecordHeader = serde_json::from_str(text.lines().next().unwrap()).unwrap();
+    let mut recorder = ControlRecorder::new(header.settings, header.seed, 1_000);
+    let content: std::sync::Arc<str> = "x".repeat(1_000_000).into();
+    for revision in 0..40 {
+        let record = ValueRecord { revision, content: content.clone() };
+        let result = Ok(ReadAnswer::Found(record));
+        recorder.record(ClockTime::new(revision), ControlInput::HeadRead { result }, &[]);
+    }
+    let bytes: usize = recorder.lines().map(|line| line.len()).sum();
+    assert!(bytes < 9_000_000, "the recording has {bytes} bytes");
+    let first: RecordHeader = serde_json::from_str(&recorder.lines().next().unwrap()).unwrap();
+    assert!(first.dropped > 0);
+}
