Send the demo's calls with their classes, internal calls included

Cause: the load generator named the caller class in a header that nodes do not read, so every call had the first class of its route, and internal-only routes were not called at all. Conclusion: all route kinds and both listeners are part of the demo.

--- a/core/src/keys.rs
+++ b/core/src/keys.rs
@@ -14,10 +14,10 @@
 use crate::clock::{ClockSpan, ClockTime};
 use crate::code::ResultCode;
 use crate::config::NodeName;
-use crate::custody::{CustodyDuty, KeyCustody};
 use crate::fingerprint::RequestFingerprint;
 use crate::handover::{KeyAnswer, KeyFinding, KeyQuestion, RecordedAnswer};
 use crate::keytime::scan_key_time;
+use crate::ownership::{KeyOwnership, OwnershipCheck};
 use crate::snapshot::ServiceView;
 use crate::version::VersionId;
 
@@ -106,7 +106,7 @@
 /// The keys that a node has seen within the window.
 #[derive(Debug)]
 pub struct KeyTable {
-    custody: KeyCustody,
+    ownership: KeyOwnership,
     /// How long a key is kept: the window and the time that a question to this node may take.
     kept: ClockSpan,
     /// Most by which clocks differ; without it creation times are not believed.
@@ -125,7 +125,7 @@
     /// not jump forward, since a jump would shorten the window.
     pub fn new(node: NodeName, window: ClockSpan, started: ClockTime) -> KeyTable {
         KeyTable {
-            custody: KeyCustody::new(node, kept_span(window)),
+            ownership: KeyOwnership::new(node, kept_span(window)),
             kept: kept_span(window),
             skew: None,
             known_since: started,
@@ -149,17 +149,17 @@
             // Keys older than the shorter window have been forgotten.
             self.known_since = self.known_since.max(now - self.kept);
             self.kept = kept;
-            self.custody.set_window(kept);
+            self.ownership.set_window(kept);
         }
         self.skew = service.part.key_skew_ms.map(ClockSpan::new);
         let targets = service.targets.iter().map(|target| target.name.clone()).collect();
-        self.custody.update(now, version, targets);
+        self.ownership.update(now, version, targets);
     }
 
     /// Notes that the active version is the newest one that has been accepted. Without it, keys of
     /// targets that were removed and cannot be asked stay unknown.
     pub fn note_current(&mut self, now: ClockTime) {
-        self.custody.note_current(now);
+        self.ownership.note_current(now);
     }
 
     /// Decides on a request with a key.
@@ -181,16 +181,16 @@
                 }
             }
         }
-        if !self.custody.is_owner(key) {
+        if !self.ownership.is_owner(key) {
             return answer(ResultCode::NotKeyOwner, ClockSpan::ZERO);
         }
         let sure_at = self.known_since + self.kept;
         if now < sure_at && !self.is_newer(now, key) {
             return answer(ResultCode::KeyOwnerYoung, sure_at.since(now));
         }
-        let mut owners = match self.custody.duty(now, key) {
-            CustodyDuty::Ask(owners) => owners,
-            CustodyDuty::Unsure(until) => {
+        let mut owners = match self.ownership.duty(now, key) {
+            OwnershipCheck::Ask(owners) => owners,
+            OwnershipCheck::Unsure(until) => {
                 return answer(ResultCode::KeyOwnerYoung, until.since(now));
             }
         };
@@ -239,7 +239,7 @@
                 missing = true;
                 continue;
             };
-            self.custody.confirm(now, name, reply.version);
+            self.ownership.confirm(now, name, reply.version);
             match &reply.finding {
                 KeyFinding::Fenced { also_ask } => {
                     further.extend(also_ask.iter().filter(|name| !asked.contains(name)).cloned());
@@ -262,7 +262,7 @@
                 KeyFinding::Unsure => missing = true,
             }
         }
-        further.retain(|name| *name != *self.custody.node());
+        further.retain(|name| *name != *self.ownership.node());
         if missing || (rounds >= ASK_ROUNDS && !further.is_empty()) {
             self.unask(now, key, handed);
             return answer(ResultCode::KeyOwnerYoung, UNSURE_RETRY);
@@ -337,7 +337,7 @@
     pub fn answer(&mut self, now: ClockTime, question: &KeyQuestion) -> KeyAnswer {
         self.expire(now);
         let finding = self.find(now, question);
-        KeyAnswer { version: self.custody.version(), finding }
+        KeyAnswer { version: self.ownership.version(), finding }
     }
 
     /// Keys in the table.
@@ -370,12 +370,12 @@
         if now < self.known_since + self.kept && !self.is_newer(now, &question.key) {
             return KeyFinding::Unsure;
         }
-        let CustodyDuty::Ask(mut also_ask) = self.custody.duty(now, &question.key) else {
+        let OwnershipCheck::Ask(mut also_ask) = self.ownership.duty(now, &question.key) else {
             return KeyFinding::Unsure;
         };
         also_ask.extend(handed.iter().cloned());
-        also_ask.extend(self.custody.owner(&question.key).cloned());
-        also_ask.retain(|name| *name != question.asker && *name != *self.custody.node());
+        also_ask.extend(self.ownership.owner(&question.key).cloned());
+        also_ask.retain(|name| *name != question.asker && *name != *self.ownership.node());
         also_ask.sort_unstable();
         also_ask.dedup();
         if !handed.contains(&question.asker) {
--- a/core/src/custody.rs
+++ b/core/src/ownership.rs
@@ -34,7 +34,7 @@
 
 /// Whom to ask about a key.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) enum CustodyDuty {
+pub(crate) enum OwnershipCheck {
     /// These targets, possibly none.
     Ask(Vec<NodeName>),
     /// It cannot be known until this time.
@@ -43,7 +43,7 @@
 
 /// The targets of a service over time, as one of them sees it.
 #[derive(Debug, Clone)]
-pub(crate) struct KeyCustody {
+pub(crate) struct KeyOwnership {
     node: NodeName,
     window: ClockSpan,
     current: Vec<NodeName>,
@@ -57,10 +57,10 @@
     unsure_until: ClockTime,
 }
 
-impl KeyCustody {
+impl KeyOwnership {
     /// Creates the state of a node that has no configuration yet and owns nothing.
-    pub(crate) fn new(node: NodeName, window: ClockSpan) -> KeyCustody {
-        KeyCustody {
+    pub(crate) fn new(node: NodeName, window: ClockSpan) -> KeyOwnership {
+        KeyOwnership {
             node,
             window,
             current: Vec::new(),
@@ -131,7 +131,7 @@
     }
 
     /// Whom to ask about a key that this node owns.
-    pub(crate) fn duty(&self, now: ClockTime, key: &str) -> CustodyDuty {
+    pub(crate) fn duty(&self, now: ClockTime, key: &str) -> OwnershipCheck {
         let mut asked: Vec<NodeName> = Vec::new();
         let mut moved = false;
         for past in &self.past {
@@ -142,16 +142,16 @@
             moved = true;
             let sure_at = past.replaced_at + self.window;
             if past.skipped && now < sure_at {
-                return CustodyDuty::Unsure(sure_at);
+                return OwnershipCheck::Unsure(sure_at);
             }
             if !self.is_discharged(now, past, owner) && !asked.contains(owner) {
                 asked.push(owner.clone());
             }
         }
         if moved && now < self.unsure_until {
-            return CustodyDuty::Unsure(self.unsure_until);
+            return OwnershipCheck::Unsure(self.unsure_until);
         }
-        CustodyDuty::Ask(asked)
+        OwnershipCheck::Ask(asked)
     }
 
     /// Notes the version that another target stated to have applied. A newer one than this node's
--- a/fescuestack/src/demo.rs
+++ b/fescuestack/src/demo.rs
@@ -1,5 +1,6 @@
 //! A deployment on loopback that is configured, called, changed and partly restarted.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -18,6 +19,7 @@
 use crate::controller::wall_clock;
 use crate::fleet::{DistributionKind, FleetError, LocalFleet};
 use crate::measure::QuantileReport;
+use crate::settings::ListenSettings;
 
 /// The deployment that runs when none is named.
 const DEFAULT_DEPLOYMENT: &str = include_str!("../../deployments/council.yaml");
@@ -28,6 +30,9 @@
 /// Configuration changes under load.
 const CHANGES: u32 = 5;
 
+/// Internal calls for each call from outside.
+const INTERNAL_SHARE: f64 = 0.3;
+
 /// How long the replacement of a VM takes.
 const REPLACEMENT_TIME: Duration = Duration::from_millis(500);
 
@@ -125,17 +130,21 @@
         let times = fleet.wait_for(1, published, count, CONVERGENCE_LIMIT).await?;
         println!("{count} nodes started, version 1 active on all after {} ms", times.slowest_ms());
 
-        let load = self.load_settings(&fleet);
+        let (load, internal) = (self.load_settings(&fleet), self.internal_load_settings(&fleet));
         println!(
             "{} classes of calls, {} calls/s for {} s",
-            load.classes.len(),
+            load.classes.len() + internal.classes.len(),
             self.rate,
             self.seconds
         );
         let sent_before: u64 = fleet.nodes.iter().map(|node| node.usage().sent_bytes()).sum();
         let load_start = Instant::now();
         let load_ledger = ledger.clone();
-        let running = task::spawn(async move { run_load(load, Some(&*load_ledger)).await });
+        let running = task::spawn(async move {
+            let outside = run_load(load, Some(&*load_ledger));
+            let inside = run_load(internal, Some(&*load_ledger));
+            futures_lite::future::zip(outside, inside).await
+        });
 
         let mut convergence = Vec::new();
         let mut artefact = artefact;
@@ -154,7 +163,9 @@
         let sent: u64 = fleet.nodes.iter().map(|node| node.usage().sent_bytes()).sum();
         let cut_off = self.replace_target(&mut fleet, &upstreams).await?;
 
-        let report = running.await;
+        let (mut report, internal) = running.await;
+        report.violations += internal.violations;
+        report.classes.extend(internal.classes);
         let regressions = fleet.regressions();
         fleet.stop().await;
         print_table(&report);
@@ -196,15 +207,35 @@
         UpstreamStandin::start(settings, ledger.clone()).await.context(UpstreamSnafu { name })
     }
 
+    /// Calls from outside, to the caller ports.
     fn load_settings(&self, fleet: &LocalFleet) -> LoadSettings {
-        let mut load = LoadSettings::new(self.seed, self.rate, self.seconds * 1_000);
-        let entry = |index: usize| LoadEntry {
-            service: None,
-            address: fleet.settings(index).listen.caller,
-        };
+        let classes = LoadClass::from_snapshot(fleet.first(), wall_clock(), false);
+        self.load_over(fleet, "caller", self.rate, classes, |listen| listen.caller)
+    }
+
+    /// Calls of upstreams to other services, to the local ports.
+    fn internal_load_settings(&self, fleet: &LocalFleet) -> LoadSettings {
+        let outside = LoadClass::from_snapshot(fleet.first(), wall_clock(), false);
+        let mut classes = LoadClass::from_snapshot(fleet.first(), wall_clock(), true);
+        classes.retain(|class| outside.iter().all(|other| other.label != class.label));
+        let rate = self.rate * INTERNAL_SHARE;
+        self.load_over(fleet, "local", rate, classes, |listen| listen.local)
+    }
+
+    fn load_over(
+        &self,
+        fleet: &LocalFleet,
+        label: &str,
+        rate: f64,
+        classes: Vec<LoadClass>,
+        port: impl Fn(ListenSettings) -> SocketAddr,
+    ) -> LoadSettings {
+        let entry =
+            |index: usize| LoadEntry { service: None, address: port(fleet.settings(index).listen) };
         let entries = (0..fleet.targets.len()).map(entry).collect();
-        load.paths = vec![LoadPath { label: "node".to_owned(), weight: 1.0, entries }];
-        load.classes = LoadClass::from_snapshot(fleet.first(), wall_clock(), false);
+        let mut load = LoadSettings::new(self.seed, rate, self.seconds * 1_000);
+        load.paths = vec![LoadPath { label: label.to_owned(), weight: 1.0, entries }];
+        load.classes = classes;
         load
     }
 
--- a/standins/src/arrivals.rs
+++ b/standins/src/arrivals.rs
@@ -121,7 +121,7 @@
     }
 
     /// The classes that the routes of `snapshot` name, with the patience that applies at `now`.
-    /// Routes for internal callers are left out unless `with_internal` is set.
+    /// Routes and classes of internal callers are left out unless `with_internal` is set.
     pub fn from_snapshot(
         snapshot: &ConfigSnapshot,
         now: ClockTime,
@@ -133,6 +133,9 @@
             {
                 for name in &rule.classes {
                     let Some((tenant, class)) = snapshot.class(name) else { continue };
+                    if class.internal && !with_internal {
+                        continue;
+                    }
                     let Some(patience) = class.patience(tenant.zone, now) else { continue };
                     let label = format!("{} {} {}", view.part.service, rule.prefix, name);
                     let base = LoadClass::new(&label, &view.part.service, rule.kind);
--- a/standins/src/caller.rs
+++ b/standins/src/caller.rs
@@ -118,7 +118,7 @@
         request.insert_header(KEY_HEADER, key);
     }
     if !class.caller_class.is_empty() {
-        request.insert_header("fescuestack-class", class.caller_class.as_str());
+        request.insert_header("fescuestack-caller", class.caller_class.as_str());
     }
     if class.is_poison {
         request.insert_header("poison", "1");
