Close links that are idle

Cause: measure distribution with 200 nodes did not end: the process had its 20,000 file descriptors open and used 6 cores in accept loops. Nodes send a message to a random member every 2 s, and links were never closed, so each node came to hold a link to every member of its data centre (1,150 at full size). Ruled out: a message storm; counters of the nodes were ordinary. Change: a link without a message for 30 s is closed; the operator port pauses after a failed accept. Conclusion: links of a node are bounded by its steady peers and 15 random ones, whatever the size of the fleet.

--- a/fescuestack/src/controller.rs
+++ b/fescuestack/src/controller.rs
@@ -131,6 +131,7 @@
                 if now >= next_tick {
                     next_tick = now + TICK_PERIOD;
                     self.handle(ControlInput::Tick);
+                    self.links.close_idle(now);
                     self.count_traffic();
                 }
                 let wait = next_tick.saturating_duration_since(now);
--- a/operators/src/port.rs
+++ b/operators/src/port.rs
@@ -4,12 +4,16 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task::{self, JoinHandle};
 use futures_lite::StreamExt;
 use http_types::{Method, Request, Response, StatusCode, mime};
 
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
 /// What a node tells its operators. Every answer is text; JSON except for the metrics.
 pub trait OperatorView: Send + Sync + 'static {
     /// Versions, membership and role, as JSON.
@@ -46,7 +50,11 @@
                     Ok(stream) => {
                         task::spawn(serve(stream, view.clone()));
                     }
-                    Err(err) => log::warn!("operator port cannot accept: {err}"),
+                    Err(err) => {
+                        log::warn!("operator port cannot accept: {err}");
+                        // Without a pause, a lack of file descriptors would keep a processor busy.
+                        task::sleep(ACCEPT_PAUSE).await;
+                    }
                 }
             }
         });
--- a/peers/src/lib.rs
+++ b/peers/src/lib.rs
@@ -13,3 +13,5 @@
 pub use link::{LinkEvent, LinkHub};
 pub use listener::LinkListener;
 pub use usage::LinkUsage;
+
+pub use generated::Envelope;
--- a/peers/src/link.rs
+++ b/peers/src/link.rs
@@ -20,6 +20,13 @@
 /// Messages that may wait for a slow peer. Beyond it new ones are dropped; repair makes up for them.
 const QUEUE_LIMIT: usize = 256;
 
+/// A link without messages for this time is closed. Nodes send a message to a random member every few
+/// seconds, so without it each node would come to hold a link to every other one.
+const IDLE_LIMIT: Duration = Duration::from_secs(30);
+
+/// How often idle links are looked for.
+const SWEEP_PERIOD: Duration = Duration::from_secs(1);
+
 /// How long opening a link may take.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -47,6 +54,7 @@
 
 struct OpenLink {
     queue: Sender<QueuedEnvelope>,
+    used_at: Instant,
     delay: Duration,
     /// Dropping it ends the stream's task and closes the connection, also one that has gone silent.
     _running: Sender<()>,
@@ -56,6 +64,7 @@
 pub struct LinkHub {
     node: PeerAddress,
     links: HashMap<PeerAddress, OpenLink>,
+    swept_at: Instant,
     events: Sender<LinkEvent>,
     usage: Arc<LinkUsage>,
     delay: Box<dyn Fn(&PeerAddress) -> Duration + Send>,
@@ -64,7 +73,14 @@
 impl LinkHub {
     /// Creates a hub for `node` that reports lost links to `events`.
     pub fn new(node: PeerAddress, events: Sender<LinkEvent>, usage: Arc<LinkUsage>) -> LinkHub {
-        LinkHub { node, links: HashMap::new(), events, usage, delay: Box::new(|_| Duration::ZERO) }
+        LinkHub {
+            node,
+            links: HashMap::new(),
+            swept_at: Instant::now(),
+            events,
+            usage,
+            delay: Box::new(|_| Duration::ZERO),
+        }
     }
 
     /// Delays messages to each peer by what `delay` returns. Measurements on loopback use it to add
@@ -92,8 +108,10 @@
             let link = self.open(to);
             self.links.insert(to.clone(), link);
         }
-        let Some(link) = self.links.get(to) else { return };
-        let queued = QueuedEnvelope { envelope, due: Instant::now() + link.delay };
+        let now = Instant::now();
+        let Some(link) = self.links.get_mut(to) else { return };
+        link.used_at = now;
+        let queued = QueuedEnvelope { envelope, due: now + link.delay };
         match link.queue.try_send(queued) {
             Ok(()) => {
                 let crosses = to.data_centre != self.node.data_centre;
@@ -104,6 +122,14 @@
         }
     }
 
+    /// Closes links that have not been used for a while. Cheap enough for every tick.
+    pub fn close_idle(&mut self, now: Instant) {
+        if now.duration_since(self.swept_at) >= SWEEP_PERIOD {
+            self.swept_at = now;
+            self.links.retain(|_, link| now.duration_since(link.used_at) < IDLE_LIMIT);
+        }
+    }
+
     /// Closes the link to a peer. The next message opens a new one.
     pub fn reset(&mut self, peer: &PeerAddress) {
         self.links.remove(peer);
@@ -133,7 +159,7 @@
                 let _ = events.send(LinkEvent::Lost { peer }).await;
             }
         });
-        OpenLink { queue, delay, _running: running }
+        OpenLink { queue, used_at: Instant::now(), delay, _running: running }
     }
 }
 
