--- a/core/src/control.rs
+++ b/core/src/control.rs
@@ -50,6 +50,18 @@
     Malformed,
 }
 
+impl PlatformFault {
+    /// The number shown to operators.
+    pub const fn number(self) -> u16 {
+        match self {
+            PlatformFault::Unreachable => 701,
+            PlatformFault::Timeout => 702,
+            PlatformFault::Throttled => 703,
+            PlatformFault::Malformed => 704,
+        }
+    }
+}
+
 /// State of a VM in the platform's list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/fescuestack/src/controller.rs
+++ b/fescuestack/src/controller.rs
@@ -9,7 +9,7 @@
 use fescuestack_callers::CallService;
 use fescuestack_core::{
     ClockTime, ConfigSnapshot, ControlAction, ControlInput, ControlRecorder, HEAD_KEY, MemberState,
-    NodeName, PeerAddress, TargetLiveness,
+    NodeName, PeerAddress, PlatformFault, ReadAnswer, TargetLiveness,
 };
 use fescuestack_operators::NodeMetrics;
 use fescuestack_peers::{LinkEvent, LinkHub, LinkUsage};
@@ -186,20 +186,20 @@
             ControlAction::WatchHead { after } => {
                 let source = self.source.clone();
                 self.spawn_read(async move {
-                    ControlInput::HeadRead { result: source.watch(HEAD_KEY, after).await }
+                    ControlInput::HeadRead { result: noted(source.watch(HEAD_KEY, after).await) }
                 });
             }
             ControlAction::WatchVms { after } => {
                 let source = self.source.clone();
                 let key = self.vms_key.clone();
                 self.spawn_read(async move {
-                    ControlInput::VmsRead { result: source.watch(&key, after).await }
+                    ControlInput::VmsRead { result: noted(source.watch(&key, after).await) }
                 });
             }
             ControlAction::ReadValue { key } => {
                 let source = self.source.clone();
                 self.spawn_read(async move {
-                    let result = source.read(&key).await;
+                    let result = noted(source.read(&key).await);
                     ControlInput::ValueRead { key, result }
                 });
             }
@@ -239,6 +239,14 @@
     }
 }
 
+/// Logs a fault of the platform. Control backs off after each, so that the lines stay few.
+fn noted(result: Result<ReadAnswer, PlatformFault>) -> Result<ReadAnswer, PlatformFault> {
+    if let Err(fault) = &result {
+        log::warn!(code = fault.number(), fault:? = fault; "platform read failed");
+    }
+    result
+}
+
 fn liveness_of(state: MemberState) -> TargetLiveness {
     match state {
         MemberState::Alive => TargetLiveness::Alive,
--- a/peers/src/codec.rs
+++ b/peers/src/codec.rs
@@ -18,31 +18,31 @@
 #[derive(Debug, Snafu)]
 pub enum CodecError {
     /// The payload is not a message.
-    #[snafu(display("message is malformed: {source}"))]
+    #[snafu(display("801 message is malformed: {source}"))]
     Malformed {
         /// The codec's error.
         source: postcard::Error,
     },
     /// The payload could not be compressed or decompressed.
-    #[snafu(display("payload cannot be decompressed: {source}"))]
+    #[snafu(display("802 payload cannot be decompressed: {source}"))]
     Compression {
         /// The codec's error.
         source: std::io::Error,
     },
     /// The message is larger than the limit.
-    #[snafu(display("message of {bytes} bytes exceeds {MESSAGE_LIMIT_BYTES}"))]
+    #[snafu(display("803 message of {bytes} bytes exceeds {MESSAGE_LIMIT_BYTES}"))]
     TooLarge {
         /// Size after decompression, in bytes.
         bytes: usize,
     },
     /// The payload holds a message and further bytes.
-    #[snafu(display("message is followed by {bytes} bytes"))]
+    #[snafu(display("804 message is followed by {bytes} bytes"))]
     Trailing {
         /// Number of bytes left over.
         bytes: usize,
     },
     /// The payload does not state its decompressed size.
-    #[snafu(display("compressed payload does not state its size"))]
+    #[snafu(display("805 compressed payload does not state its size"))]
     UnknownSize,
 }
 
