Share the scoring constants of crashes and the handling of heartbeats

Cause: duplicates showed the scoring rule of crashes written down twice and the start of probe and ack handling as well. Change: control and traffic side use the constants of quarantine.rs; take_heartbeat holds the common part.

--- a/core/src/crashes.rs
+++ b/core/src/crashes.rs
@@ -2,26 +2,14 @@
 
 use std::collections::BTreeMap;
 
-use crate::clock::{ClockSpan, ClockTime};
+use crate::clock::ClockTime;
 use crate::control::ControlAction;
 use crate::events::{CrashReport, SpreadEvent};
+use crate::quarantine::{
+    CRASH_MINIMUM, CRASH_POINTS, POINTS_MINIMUM, QUARANTINE_LIMIT, QUARANTINE_SPAN,
+};
 use crate::state::{ControlState, Turn};
 
-/// Fingerprints that are scored or quarantined at the same time.
-const FINGERPRINT_LIMIT: usize = 256;
-
-/// Points of one crash, divided among the requests that ran.
-const CRASH_POINTS: u32 = 1_000;
-
-/// Points from which a fingerprint is quarantined.
-const QUARANTINE_POINTS: u32 = 1_500;
-
-/// Crashes from which a fingerprint is quarantined.
-const QUARANTINE_CRASHES: u32 = 2;
-
-/// How long a fingerprint is quarantined or its score kept, in milliseconds.
-const QUARANTINE_MS: u64 = 600_000;
-
 #[derive(Debug, Default)]
 struct CrashScore {
     crashes: u32,
@@ -55,8 +43,8 @@
             let score = self.scores.entry(fingerprint).or_default();
             score.crashes += 1;
             score.points += CRASH_POINTS / running;
-            score.until = now + ClockSpan::new(QUARANTINE_MS);
-            let over = score.crashes >= QUARANTINE_CRASHES && score.points >= QUARANTINE_POINTS;
+            score.until = now + QUARANTINE_SPAN;
+            let over = score.crashes >= CRASH_MINIMUM && score.points >= POINTS_MINIMUM;
             changed |= over && !score.quarantined;
             score.quarantined |= over;
         }
@@ -66,7 +54,7 @@
     /// Keeps to the limit by dropping what ends first. True if the quarantine list changed.
     fn drop_oldest(&mut self) -> bool {
         let mut changed = false;
-        while self.scores.len() > FINGERPRINT_LIMIT {
+        while self.scores.len() > QUARANTINE_LIMIT {
             let ends =
                 self.scores.iter().map(|(key, score)| (score.quarantined, score.until, *key));
             let Some((quarantined, _, key)) = ends.min() else { break };
--- a/core/src/probes.rs
+++ b/core/src/probes.rs
@@ -178,11 +178,11 @@
         turn.send(to, message);
     }
 
-    pub(crate) fn on_probe(
+    /// Takes in what a probe and its ack have in common.
+    fn take_heartbeat(
         &mut self,
         turn: &mut Turn<'_>,
         from: &PeerAddress,
-        sequence: u32,
         incarnation: u64,
         heads: Option<VersionHeads>,
         events: Vec<SpreadEvent>,
@@ -192,6 +192,18 @@
         if let Some(heads) = heads {
             self.on_heads(turn, from, heads);
         }
+    }
+
+    pub(crate) fn on_probe(
+        &mut self,
+        turn: &mut Turn<'_>,
+        from: &PeerAddress,
+        sequence: u32,
+        incarnation: u64,
+        heads: Option<VersionHeads>,
+        events: Vec<SpreadEvent>,
+    ) {
+        self.take_heartbeat(turn, from, incarnation, heads, events);
         self.send_heartbeat(turn, from, sequence, false);
     }
 
@@ -204,11 +216,7 @@
         heads: Option<VersionHeads>,
         events: Vec<SpreadEvent>,
     ) {
-        self.learn_peer(turn, from, incarnation);
-        self.on_events(turn, events);
-        if let Some(heads) = heads {
-            self.on_heads(turn, from, heads);
-        }
+        self.take_heartbeat(turn, from, incarnation, heads, events);
         if let Some(index) = self.probes.pending.iter().position(|p| p.sequence == sequence) {
             self.probes.pending.swap_remove(index);
             self.probes.note_outcome(false);
--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -15,13 +15,13 @@
 const COMPLETED_LIMIT: usize = 4096;
 
 /// Crashes that a fingerprint has to take part in.
-const CRASH_MINIMUM: u32 = 2;
+pub(crate) const CRASH_MINIMUM: u32 = 2;
 
 /// Points of a crash, shared by the fingerprints that may have caused it.
-const CRASH_POINTS: u32 = 60_000;
+pub(crate) const CRASH_POINTS: u32 = 60_000;
 
 /// Points from which a fingerprint is quarantined: one and a half crashes.
-const POINTS_MINIMUM: u32 = CRASH_POINTS * 3 / 2;
+pub(crate) const POINTS_MINIMUM: u32 = CRASH_POINTS * 3 / 2;
 
 #[derive(Debug, Clone, Copy)]
 struct CrashScore {
