Measure a wave of changes

Cause: measure distribution waits for each change, so the preference for bytes had nothing to collect. Conclusion: both preferences can be compared where they differ most.

--- a/fescuestack/src/measure.rs
+++ b/fescuestack/src/measure.rs
@@ -58,6 +58,10 @@
     /// One-way delay between data centres, in milliseconds.
     #[arg(long, default_value_t = 5)]
     link_ms: u64,
+    /// Publishes the changes at the interval without waiting for each to be active everywhere, as in a
+    /// deployment wave. Convergence is then that of the last change.
+    #[arg(long)]
+    wave: bool,
     /// The product or a baseline.
     #[arg(long, value_enum, default_value = "trees")]
     kind: DistributionKind,
@@ -200,9 +204,11 @@
             change_bytes += delta_bytes(&artefact);
             let published = fleet.publish(&artefact);
             let number = u64::from(change) + 2;
-            let times = fleet.wait_for(number, published, count, CONVERGENCE_LIMIT).await?;
-            convergence.extend(times.nodes.iter().max());
-            delays.extend(times.nodes);
+            if !self.wave || change + 1 == self.changes {
+                let times = fleet.wait_for(number, published, count, CONVERGENCE_LIMIT).await?;
+                convergence.extend(times.nodes.iter().max());
+                delays.extend(times.nodes);
+            }
             let pause = Duration::from_millis(self.interval_ms);
             task::sleep(pause.saturating_sub(published.elapsed())).await;
         }
