Take over the keys of removed targets

Cause: nothing called TargetGate::note_current, so after a target had been removed and could not be asked, its share of all new keys (1/n) was answered 306 until the new owner restarted. Ruled out: taking membership's word that the target is dead, since a partition looks the same. Change: a node that waits for it reads the platform's head every 10 s and tells the call path when the active version is the newest one known.

--- a/callers/src/service.rs
+++ b/callers/src/service.rs
@@ -152,6 +152,21 @@
         self.balancers.set_liveness(self.clock.now(), name, liveness);
     }
 
+    /// Whether the call path waits to hear that the active version is the newest one that was accepted.
+    pub fn wants_current(&self) -> bool {
+        self.target
+            .with_gate(|state, now| state.gate.as_ref().is_some_and(|gate| gate.wants_current(now)))
+    }
+
+    /// Notes that the platform's head is the active version.
+    pub fn note_current(&self) {
+        self.target.with_gate(|state, now| {
+            if let Some(gate) = &mut state.gate {
+                gate.note_current(now);
+            }
+        });
+    }
+
     /// Replaces the fingerprints that the nodes have quarantined.
     pub fn install_quarantine(&self, fingerprints: &[u64]) {
         let numbers = fingerprints.iter().copied();
--- a/core/src/gate.rs
+++ b/core/src/gate.rs
@@ -148,6 +148,11 @@
         self.keys.update(now, version, service);
     }
 
+    /// Whether keys are waiting for `note_current`.
+    pub fn wants_current(&self, now: ClockTime) -> bool {
+        self.keys.wants_current(now)
+    }
+
     /// Notes that the active version is the newest one that has been accepted, as far as a node in
     /// contact with the platform says. Comes at least every few seconds while that is so.
     pub fn note_current(&mut self, now: ClockTime) {
--- a/core/src/keys.rs
+++ b/core/src/keys.rs
@@ -156,6 +156,11 @@
         self.ownership.update(now, version, targets);
     }
 
+    /// Whether keys are waiting for `note_current`: a target was removed and cannot be asked.
+    pub fn wants_current(&self, now: ClockTime) -> bool {
+        self.ownership.wants_current(now)
+    }
+
     /// Notes that the active version is the newest one that has been accepted. Without it, keys of
     /// targets that were removed and cannot be asked stay unknown.
     pub fn note_current(&mut self, now: ClockTime) {
--- a/core/src/ownership.rs
+++ b/core/src/ownership.rs
@@ -119,6 +119,15 @@
         owner_name(&self.current, key)
     }
 
+    /// Whether `note_current` would end the duty to ask a removed target.
+    pub(crate) fn wants_current(&self, now: ClockTime) -> bool {
+        let span = ClockSpan::new(self.window.millis() * REMOVED_WINDOWS);
+        self.removed.values().any(|removed_at| {
+            let due = *removed_at + span;
+            now >= due && self.current_at < due
+        })
+    }
+
     /// Notes that the active version is the newest one that has been accepted.
     pub(crate) fn note_current(&mut self, now: ClockTime) {
         self.current_at = self.current_at.max(now);
--- a/fescuestack/src/baseline.rs
+++ b/fescuestack/src/baseline.rs
@@ -4,7 +4,7 @@
 
 use fescuestack_core::{
     ClockSpan, ClockTime, ConfigSnapshot, ControlAction, ControlInput, ControlState, HeadRecord,
-    PeerAddress, PeerMessage, ReadAnswer, VersionDelta, delta_key,
+    PeerAddress, PeerMessage, ReadAnswer, VersionDelta, VersionId, delta_key,
 };
 use serde_json::json;
 
@@ -55,6 +55,14 @@
         }
     }
 
+    /// Greatest version heard of, for the product's distribution.
+    pub(crate) fn seen(&self) -> Option<VersionId> {
+        match self {
+            ControlPolicy::Trees(state) => Some(state.status().seen),
+            ControlPolicy::Poll(_) | ControlPolicy::Flood(_) => None,
+        }
+    }
+
     /// The status, as JSON.
     pub(crate) fn status(&self) -> String {
         match self {
--- a/fescuestack/src/controller.rs
+++ b/fescuestack/src/controller.rs
@@ -8,8 +8,8 @@
 use async_std::task;
 use fescuestack_callers::CallService;
 use fescuestack_core::{
-    ClockTime, ConfigSnapshot, ControlAction, ControlInput, ControlRecorder, HEAD_KEY, MemberState,
-    NodeName, PeerAddress, PlatformFault, ReadAnswer, TargetLiveness,
+    ClockTime, ConfigSnapshot, ControlAction, ControlInput, ControlRecorder, HEAD_KEY, HeadRecord,
+    MemberState, NodeName, PeerAddress, PlatformFault, ReadAnswer, TargetLiveness,
 };
 use fescuestack_operators::NodeMetrics;
 use fescuestack_peers::{LinkEvent, LinkHub, LinkUsage};
@@ -20,6 +20,9 @@
 /// How often the control state sees the time pass.
 const TICK_PERIOD: Duration = Duration::from_millis(100);
 
+/// How often a node that waits for it looks whether its version is the newest.
+const CONFIRM_PERIOD: Duration = Duration::from_secs(10);
+
 /// Inputs that may wait. When it is full, links hold their peers back.
 const INPUT_LIMIT: usize = 1_024;
 
@@ -82,6 +85,7 @@
     node: NodeName,
     run: u64,
     counted: (u64, u64),
+    confirm_at: Instant,
 }
 
 /// Creates the channel on which the control thread is asked and told.
@@ -116,6 +120,7 @@
             node,
             run,
             counted: (0, 0),
+            confirm_at: Instant::now() + CONFIRM_PERIOD,
         }
     }
 
@@ -132,6 +137,7 @@
                     next_tick = now + TICK_PERIOD;
                     self.handle(ControlInput::Tick);
                     self.links.close_idle(now);
+                    self.confirm_current(now);
                     self.count_traffic();
                 }
                 let wait = next_tick.saturating_duration_since(now);
@@ -223,6 +229,30 @@
         }
     }
 
+    /// Reads the head when keys of a removed target wait to hear that the active version is the newest.
+    /// That is about one call for each target of a service from which a target was removed.
+    fn confirm_current(&mut self, now: Instant) {
+        if now < self.confirm_at {
+            return;
+        }
+        self.confirm_at = now + CONFIRM_PERIOD;
+        let Some(seen) = self.state.seen() else { return };
+        let (source, shared) = (self.source.clone(), self.shared.clone());
+        // In a task, because the control thread takes no lock of the call path that it can avoid.
+        task::spawn(async move {
+            if !shared.service.wants_current() {
+                return;
+            }
+            let Ok(ReadAnswer::Found(record)) = noted(source.read(HEAD_KEY).await) else { return };
+            let Ok(head) = serde_json::from_str::<HeadRecord>(&record.content) else { return };
+            let active = shared.snapshot.load().as_ref().map(|snapshot| snapshot.version());
+            // A platform that has gone back may name the active version although nodes know a newer one.
+            if active == Some(head.version) && head.version >= seen {
+                shared.service.note_current();
+            }
+        });
+    }
+
     fn spawn_read(&self, read: impl Future<Output = ControlInput> + Send + 'static) {
         let sender = self.sender.clone();
         task::spawn(async move {
