Print what changes for whom when a change is accepted

Cause: accept wrote the artefact and named the version only; operators had to run diff beside it. Figures: the test of separate processes fails without and passes with the sentence on the queue limit. Conclusion: the person who accepts sees what the acceptance means.

--- a/fescuestack/tests/processes.rs
+++ b/fescuestack/tests/processes.rs
@@ -268,7 +268,7 @@
 
     let changed = ANSWERS.replace("queue-limit: 32", "queue-limit: 40");
     trial.write("answers.yaml", &changed);
-    trial.run(&[
+    let accepted = trial.run(&[
         "questionnaire",
         "accept",
         "answers.yaml",
@@ -277,6 +277,7 @@
         "--output",
         "v2.json",
     ]);
+    assert!(accepted.contains("queue limit changes from 32 to 40"), "{accepted}");
     fs::copy(trial.folder.join("v2.json"), trial.folder.join("live.json")).expect("copy");
     trial.wait_for_version(1, 2);
     trial.wait_for_version(2, 2);
--- a/questionnaire/src/command.rs
+++ b/questionnaire/src/command.rs
@@ -154,8 +154,13 @@
     };
     let artefact = accept_after(&answers, base, previous.as_ref())?;
     let Some(output) = output else { return Ok(artefact.to_json()) };
+    let changes = match &previous {
+        Some(previous) => compare(&previous.parts()?, &artefact.parts()?),
+        None => Vec::new(),
+    };
     fs::write(output, artefact.to_json()).map_err(|err| unreadable(output, &err))?;
-    Ok(format!("{} accepted as {}\n", file.display(), artefact.version()?))
+    let changes: String = changes.iter().map(|line| format!("{line}\n")).collect();
+    Ok(format!("{changes}{} accepted as {}\n", file.display(), artefact.version()?))
 }
 
 fn read_file(file: &Path) -> Result<String, AnswerFaults> {
