Use separate ports in the tests of the settings check

Cause: faults_are_named_with_their_code failed in a fresh clone. Two tests run settings check at the same time on the same ports, and the check binds them. Ruled out: a port in use by another program; the message was that of the check itself. Change: the test of an address in use has ports of its own. Conclusion: the checks are unchanged.

--- a/fescuestack/tests/settings.rs
+++ b/fescuestack/tests/settings.rs
@@ -57,10 +57,11 @@
     }
 }
 
-/// Guards against an address in use that shows only when the node starts.
+/// Guards against an address in use that shows only when the node starts. The ports differ from those of
+/// the other tests, which run at the same time and bind theirs for the check.
 #[test]
 fn address_in_use_is_named() {
-    let _taken = TcpListener::bind("127.0.32.1:21515").expect("a free port");
-    let (passed, message) = check("taken", &SETTINGS.replace("21505", "21515"));
+    let _taken = TcpListener::bind("127.0.32.1:21605").expect("a free port");
+    let (passed, message) = check("taken", &SETTINGS.replace("2150", "2160"));
     assert!(!passed && message.contains("604 listen.operator"), "{message}");
 }
