--- a/core/tests/key_dates.rs
+++ b/core/tests/key_dates.rs
@@ -1,9 +1,12 @@
 //! Keys that carry their creation time, at an owner that has just started.
 
+mod key_service;
+
 use fescuestack_core::{
     ClockSpan, ClockTime, KeyFinding, KeyQuestion, KeyTable, KeyVerdict, PartHash,
-    RequestFingerprint, ResultCode, ServicePart, ServiceView, TargetEntry, VersionId, dated_key,
+    RequestFingerprint, ResultCode, ServiceView, VersionId, dated_key,
 };
+use key_service::service_view;
 
 const START: ClockTime = ClockTime::new(1_700_000_000_000);
 const WINDOW: ClockSpan = ClockSpan::new(120_000);
@@ -11,25 +14,7 @@
 const ONE: ClockSpan = ClockSpan::new(1);
 
 fn view(skew: Option<ClockSpan>) -> ServiceView {
-    let address = "127.0.0.1:9000".parse().expect("an address");
-    let target = TargetEntry {
-        name: "register-1".into(),
-        data_centre: "bangor".into(),
-        upstream: address,
-        relay: address,
-        control: address,
-        slots: 6,
-        connections: 120,
-    };
-    let part = ServicePart {
-        service: "register".to_owned(),
-        tenant: "licensing".to_owned(),
-        routes: Vec::new(),
-        queue_limit: 10,
-        key_window_ms: WINDOW.millis(),
-        key_skew_ms: skew.map(ClockSpan::millis),
-    };
-    ServiceView { part, targets: vec![target] }
+    service_view(&["register-1"], WINDOW, skew)
 }
 
 fn verdict(skew: Option<ClockSpan>, now: ClockTime, created: ClockTime) -> KeyVerdict {
--- a/core/tests/key_removal.rs
+++ b/core/tests/key_removal.rs
@@ -1,35 +1,15 @@
 //! Keys of a target that was removed and cannot be asked.
 
+mod key_service;
+
 use fescuestack_core::{
-    ClockSpan, ClockTime, KeyTable, KeyVerdict, PartHash, RequestFingerprint, ServicePart,
-    ServiceView, TargetEntry, VersionId, key_owner,
+    ClockSpan, ClockTime, KeyTable, KeyVerdict, PartHash, RequestFingerprint, VersionId, key_owner,
 };
+use key_service::service_view;
 
 const START: ClockTime = ClockTime::new(1_700_000_000_000);
 const WINDOW: ClockSpan = ClockSpan::new(10_000);
 
-fn view(names: &[&str]) -> ServiceView {
-    let address = "127.0.0.1:9000".parse().expect("an address");
-    let target = |name: &&str| TargetEntry {
-        name: (*name).into(),
-        data_centre: "bangor".into(),
-        upstream: address,
-        relay: address,
-        control: address,
-        slots: 6,
-        connections: 120,
-    };
-    let part = ServicePart {
-        service: "register".to_owned(),
-        tenant: "licensing".to_owned(),
-        routes: Vec::new(),
-        queue_limit: 10,
-        key_window_ms: WINDOW.millis(),
-        key_skew_ms: None,
-    };
-    ServiceView { part, targets: names.iter().map(target).collect() }
-}
-
 fn version(number: u64) -> VersionId {
     VersionId::new(number, PartHash::default())
 }
@@ -38,7 +18,10 @@
 /// while the removed target may still do so.
 #[test]
 fn keys_of_a_removed_target_run_once_the_version_is_known_to_be_newest() {
-    let (both, one) = (view(&["register-1", "register-2"]), view(&["register-1"]));
+    let (both, one) = (
+        service_view(&["register-1", "register-2"], WINDOW, None),
+        service_view(&["register-1"], WINDOW, None),
+    );
     let key = (0..100)
         .map(|index| format!("key-{index}"))
         .find(|key| key_owner(&both, key).is_some_and(|owner| &*owner.name == "register-2"))
