--- a/callers/src/entry.rs
+++ b/callers/src/entry.rs
@@ -11,12 +11,12 @@
 use http_types::{Request, Response};
 
 use crate::balancers::ServiceBalancer;
-use crate::clock::CallClock;
 use crate::content::CallContent;
 use crate::headers::{AnswerNote, IDEMPOTENCY_HEADER, RETRY_HEADER, remove_own_headers, value};
 use crate::record::{CallSide, CallStep, CallTrace};
 use crate::routing::CallRoute;
 use crate::service::CallService;
+use fescuestack_http::CallClock;
 
 /// A call on its way to targets.
 pub(crate) struct EntryCall<'a> {
--- a/callers/src/lib.rs
+++ b/callers/src/lib.rs
@@ -3,7 +3,6 @@
 mod ask;
 mod attempt;
 mod balancers;
-mod clock;
 mod content;
 mod entry;
 mod headers;
--- a/callers/src/routing.rs
+++ b/callers/src/routing.rs
@@ -8,9 +8,9 @@
 };
 use http_types::Request;
 
-use crate::clock::wall_time;
 use crate::headers::{CALLER_HEADER, LEFT_HEADER, value};
 use crate::record::CallSide;
+use fescuestack_http::wall_time;
 
 /// Service and route of a call.
 #[derive(Debug, Clone, Copy)]
--- a/callers/src/service.rs
+++ b/callers/src/service.rs
@@ -16,9 +16,9 @@
 use http_types::Response;
 
 use crate::balancers::{BalancerTable, lock};
-use crate::clock::CallClock;
 use crate::record::{CallObserver, CallSide};
 use crate::target::TargetSide;
+use fescuestack_http::CallClock;
 
 /// Time between two looks at waiting calls.
 const TICK: Duration = Duration::from_millis(100);
--- a/callers/src/target.rs
+++ b/callers/src/target.rs
@@ -17,11 +17,11 @@
 
 use crate::ask::KeyAsker;
 use crate::balancers::{find_target, lock};
-use crate::clock::CallClock;
 use crate::content::CallContent;
 use crate::headers::{CLASS_HEADER, LEFT_HEADER, REQUEST_HEADER, RETRY_HEADER};
 use crate::record::{CallObserver, CallStep, CallTrace};
 use crate::ticket::{AnswerContent, TicketGuard};
+use fescuestack_http::CallClock;
 
 /// Most targets of other versions whose relay ports are remembered for questions about keys.
 const PAST_RELAYS: usize = 256;
--- a/fescuestack/src/cli.rs
+++ b/fescuestack/src/cli.rs
@@ -7,13 +7,14 @@
 use async_std::task;
 use clap::{Parser, Subcommand};
 use fescuestack_questionnaire::QuestionnaireCommand;
+use fescuestack_sidecar::SidecarNode;
 
 use crate::demo::DemoSettings;
-use crate::logging::start_logging;
+use crate::logging::{LogStream, start_logging};
 use crate::measure::MeasureCommand;
 use crate::node::{NodeOptions, NodeProcess};
 use crate::settings::NodeSettings;
-use crate::signals::wait_for_stop;
+use crate::signals::{wait_for_reload, wait_for_stop};
 use crate::standin::StandinCommand;
 
 /// Configuration distribution for a service mesh.
@@ -34,6 +35,15 @@
         #[arg(long)]
         settings: PathBuf,
     },
+    /// Run the process beside one upstream on the users' platform.
+    Sidecar {
+        /// Settings file of the platform. Without it, the platform's variable names the file.
+        #[arg(long)]
+        settings: Option<PathBuf>,
+        /// Log level: error, warn, info, debug or trace.
+        #[arg(long, default_value = "info")]
+        log: String,
+    },
     /// Work with a settings file.
     #[command(subcommand)]
     Settings(SettingsCommand),
@@ -88,6 +98,7 @@
         match self.command {
             MainCommand::Questionnaire(command) => command.run(),
             MainCommand::Node { settings } => run_node(&settings),
+            MainCommand::Sidecar { settings, log } => run_sidecar(settings, &log),
             MainCommand::Settings(SettingsCommand::Check { file }) => check_settings(&file),
             MainCommand::Status { node } => print_answer(node, "/status"),
             MainCommand::Explain { node, request } => {
@@ -107,7 +118,7 @@
         Ok(settings) => settings,
         Err(err) => return fail(&err),
     };
-    let _logger = match start_logging(&settings.log) {
+    let _logger = match start_logging(&settings.log, LogStream::Output) {
         Ok(handle) => handle,
         Err(err) => return fail(&err),
     };
@@ -124,6 +135,26 @@
     })
 }
 
+fn run_sidecar(settings: Option<PathBuf>, level: &str) -> ExitCode {
+    let _logger = match start_logging(level, LogStream::Output) {
+        Ok(handle) => handle,
+        Err(err) => return fail(&err),
+    };
+    let path = settings.unwrap_or_else(fescuestack_platform::machine_path);
+    task::block_on(async {
+        match SidecarNode::start(path).await {
+            Ok(node) => {
+                node.run(wait_for_stop(), wait_for_reload).await;
+                ExitCode::SUCCESS
+            }
+            Err(err) => {
+                log::error!("{err}");
+                fail(&err)
+            }
+        }
+    })
+}
+
 fn check_settings(path: &std::path::Path) -> ExitCode {
     let settings = match NodeSettings::load(path) {
         Ok(settings) => settings,
--- a/fescuestack/src/demo.rs
+++ b/fescuestack/src/demo.rs
@@ -87,10 +87,11 @@
 impl DemoSettings {
     /// Runs the demonstration. The exit code is 1 when a guarantee was broken.
     pub(crate) fn run(self) -> ExitCode {
-        let _logger = match crate::logging::start_logging("error") {
-            Ok(handle) => handle,
-            Err(err) => return fail(&err),
-        };
+        let _logger =
+            match crate::logging::start_logging("error", crate::logging::LogStream::Errors) {
+                Ok(handle) => handle,
+                Err(err) => return fail(&err),
+            };
         match task::block_on(self.demonstrate()) {
             Ok(report) => {
                 println!("{}", serde_json::to_string(&report).unwrap_or_default());
--- a/fescuestack/src/logging.rs
+++ b/fescuestack/src/logging.rs
@@ -1,12 +1,149 @@
-//! Structured logs: JSON lines on standard error.
+//! Structured logs: JSON lines.
+//!
+//! Lines go through a bounded channel to a thread of their own, so that a reader that does not read
+//! never holds up a call. Lines that find the channel full, or that exceed the rate, are counted, and
+//! the count is logged when there is room again.
 
-use flexi_logger::{FlexiLoggerError, Logger, LoggerHandle};
+use std::io::Write;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::time::Instant;
 
-/// Starts logging at `level`. The VMs have no disks, so logs go to standard error only. Keep the
-/// handle until the process ends. Fails when the level is not known or logging runs already.
-pub(crate) fn start_logging(level: &str) -> Result<LoggerHandle, FlexiLoggerError> {
+use flexi_logger::writers::LogWriter;
+use flexi_logger::{DeferredNow, FlexiLoggerError, Logger, LoggerHandle};
+use log::kv::{Error, Key, Value, VisitSource};
+use serde_json::{Map, json};
+
+/// Lines that may wait for the reader of the lines.
+const WAITING_LINES: usize = 4_096;
+
+/// Lines of one second. Warnings and errors are not limited.
+const LINES_PER_SECOND: u64 = 400;
+
+/// Where log lines go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LogStream {
+    /// Standard output.
+    Output,
+    /// Standard error, for commands that print a result.
+    Errors,
+}
+
+/// Starts logging at `level`. Keep the handle until the process ends. Fails when the level is not
+/// known or logging runs already.
+pub(crate) fn start_logging(
+    level: &str,
+    stream: LogStream,
+) -> Result<LoggerHandle, FlexiLoggerError> {
     // The libraries below tonic log every frame at debug level.
-    let specification =
-        format!("{level}, h2=warn, hyper=warn, tower=warn, async_io=warn, polling=warn");
-    Logger::try_with_str(specification)?.log_to_stderr().format(flexi_logger::json_format).start()
+    let specification = format!(
+        "{level}, h2=warn, hyper=warn, tower=warn, async_io=warn, polling=warn, async_std=warn"
+    );
+    let writer = Box::new(LineWriter::new(stream, LINES_PER_SECOND));
+    Logger::try_with_str(specification)?.log_to_writer(writer).start()
+}
+
+/// Formats records and hands them to the writing thread.
+struct LineWriter {
+    lines: SyncSender<String>,
+    rate: Mutex<RateWindow>,
+    limit: u64,
+    dropped: AtomicU64,
+}
+
+struct RateWindow {
+    since: Instant,
+    lines: u64,
+}
+
+impl LineWriter {
+    fn new(stream: LogStream, limit: u64) -> LineWriter {
+        let (lines, receiver) = sync_channel(WAITING_LINES);
+        let thread = std::thread::Builder::new().name("log".to_owned());
+        if let Err(err) = thread.spawn(move || write_lines(stream, &receiver)) {
+            eprintln!("cannot start the log thread: {err}");
+        }
+        let rate = Mutex::new(RateWindow { since: Instant::now(), lines: 0 });
+        LineWriter { lines, rate, limit, dropped: AtomicU64::new(0) }
+    }
+
+    /// Whether another line fits the rate.
+    fn admits(&self, level: log::Level) -> bool {
+        let Ok(mut rate) = self.rate.lock() else { return true };
+        if rate.since.elapsed().as_secs() >= 1 {
+            *rate = RateWindow { since: Instant::now(), lines: 0 };
+        }
+        rate.lines += 1;
+        level <= log::Level::Warn || rate.lines <= self.limit
+    }
+
+    fn send(&self, line: String) {
+        if self.lines.try_send(line).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+impl LogWriter for LineWriter {
+    fn write(&self, now: &mut DeferredNow, record: &log::Record<'_>) -> std::io::Result<()> {
+        if !self.admits(record.level()) {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+            return Ok(());
+        }
+        let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        let time = now.format("%Y-%m-%dT%H:%M:%S%.3fZ").to_string();
+        if dropped > 0 {
+            let text = "log lines left out";
+            self.send(
+                json!({"time": time, "level": "WARN", "text": text, "count": dropped}).to_string(),
+            );
+        }
+        self.send(format_line(&time, record));
+        Ok(())
+    }
+
+    fn flush(&self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// One record as a JSON object, its key-values as fields.
+fn format_line(time: &str, record: &log::Record<'_>) -> String {
+    let mut fields = Map::new();
+    fields.insert("time".to_owned(), time.into());
+    fields.insert("level".to_owned(), record.level().as_str().into());
+    fields.insert("module".to_owned(), record.target().into());
+    fields.insert("text".to_owned(), record.args().to_string().into());
+    // Collecting into a map cannot fail.
+    let _ = record.key_values().visit(&mut FieldVisitor(&mut fields));
+    serde_json::Value::Object(fields).to_string()
+}
+
+struct FieldVisitor<'a>(&'a mut Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for FieldVisitor<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let field = match (value.to_u64(), value.to_f64(), value.to_bool()) {
+            (Some(number), _, _) => number.into(),
+            (_, _, Some(flag)) => flag.into(),
+            (_, Some(number), _) => number.into(),
+            _ => value.to_string().into(),
+        };
+        self.0.insert(key.as_str().to_owned(), field);
+        Ok(())
+    }
+}
+
+fn write_lines(stream: LogStream, lines: &Receiver<String>) {
+    while let Ok(mut line) = lines.recv() {
+        line.push('\n');
+        let written = match stream {
+            LogStream::Output => std::io::stdout().lock().write_all(line.as_bytes()),
+            LogStream::Errors => std::io::stderr().lock().write_all(line.as_bytes()),
+        };
+        if written.is_err() {
+            return;
+        }
+    }
 }
--- a/fescuestack/src/measure.rs
+++ b/fescuestack/src/measure.rs
@@ -120,10 +120,11 @@
 impl MeasureCommand {
     /// Runs the measurement.
     pub(crate) fn run(self) -> ExitCode {
-        let _logger = match crate::logging::start_logging("error") {
-            Ok(handle) => handle,
-            Err(err) => return fail(&err),
-        };
+        let _logger =
+            match crate::logging::start_logging("error", crate::logging::LogStream::Errors) {
+                Ok(handle) => handle,
+                Err(err) => return fail(&err),
+            };
         match self {
             MeasureCommand::Calls(settings) => settings.run(),
             MeasureCommand::Distribution(settings) => match task::block_on(settings.measure()) {
--- a/fescuestack/src/signals.rs
+++ b/fescuestack/src/signals.rs
@@ -12,3 +12,18 @@
         Err(err) => log::error!("cannot listen to signals: {err}"),
     }
 }
+
+/// Waits for SIGHUP, after which the settings are read again. Never returns when signals cannot be
+/// listened to, which is logged.
+pub(crate) async fn wait_for_reload() {
+    match Signals::new([Signal::Hup]) {
+        Ok(mut signals) => {
+            signals.next().await;
+            log::info!("settings are read again");
+        }
+        Err(err) => {
+            log::error!("cannot listen to signals: {err}");
+            std::future::pending::<()>().await;
+        }
+    }
+}
--- a/fescuestack/src/standin.rs
+++ b/fescuestack/src/standin.rs
@@ -56,7 +56,8 @@
 impl StandinCommand {
     /// Runs the stand-in until SIGTERM or SIGINT.
     pub(crate) fn run(self) -> ExitCode {
-        let _logger = match crate::logging::start_logging("warn") {
+        let _logger = match crate::logging::start_logging("warn", crate::logging::LogStream::Errors)
+        {
             Ok(handle) => handle,
             Err(err) => return fail(&err),
         };
--- /dev/null
+++ b/http/src/exchange.rs
@@ -0,0 +1,388 @@
+//! Exchanges with a server that is not trusted to answer well: one at a time on a connection, heads
+//! read by `httparse`, whole bodies.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use async_std::net::TcpStream;
+use bytes::Bytes;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use snafu::Snafu;
+use socket2::SockRef;
+
+use crate::ChunkScanner;
+use crate::ticks::within;
+
+/// Longest head of an answer in bytes.
+const HEAD_BYTES: usize = 64 * 1024;
+
+/// Most headers of an answer.
+const HEADER_COUNT: usize = 128;
+
+/// Longest body of an answer in bytes. It has to fit the memory of a small VM several times.
+const BODY_BYTES: usize = 16 * 1024 * 1024;
+
+/// Most answers to earlier requests that are skipped on a connection.
+const STRAY_LIMIT: usize = 4;
+
+/// Bytes read from a socket at a time.
+const READ_BYTES: usize = 16 * 1024;
+
+/// Time without acknowledgement after which the system gives up a connection whose peer or path is
+/// gone.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
+
+/// Why an exchange has no answer.
+#[derive(Debug, Snafu)]
+pub enum ExchangeError {
+    /// No connection could be opened, or it was found closed before anything was sent.
+    #[snafu(display("no connection: {source}"))]
+    NotSent {
+        /// The reason.
+        source: io::Error,
+    },
+    /// The connection broke after a part of the request was sent.
+    #[snafu(display("connection lost: {source}"))]
+    Broken {
+        /// The reason.
+        source: io::Error,
+    },
+    /// What came back is not an answer to this request.
+    #[snafu(display("not an answer to this request: {reason}"))]
+    Garbled {
+        /// What is wrong with it.
+        reason: &'static str,
+    },
+}
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub struct WholeAnswer {
+    /// Status code.
+    pub status: u16,
+    /// Headers, those of the connection included.
+    pub headers: HeaderMap,
+    /// The body, without any framing.
+    pub body: Bytes,
+}
+
+/// A request as it goes over the wire.
+#[derive(Debug, Clone)]
+pub struct WholeRequest {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub target: String,
+    /// Headers without those of framing.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// How an answer shows that it belongs to the request.
+#[derive(Debug, Clone)]
+pub struct AnswerTag {
+    /// A header that the server echoes.
+    pub name: HeaderName,
+    /// Its value.
+    pub value: HeaderValue,
+}
+
+/// A connection that carries one exchange at a time.
+#[derive(Debug)]
+pub struct ExchangeConnection {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+    reusable: bool,
+    used: Instant,
+    keep: Option<Duration>,
+}
+
+/// Opens a connection whose silent loss is noticed. Fails when it takes longer than `limit`.
+pub async fn connect(address: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
+    let stream =
+        within(limit, TcpStream::connect(address)).await.ok_or(io::ErrorKind::TimedOut)??;
+    prepare_socket(&stream)?;
+    Ok(stream)
+}
+
+/// Sets the options that every socket has: no delay of small writes, and a limit on the time in
+/// which nothing that was sent is acknowledged.
+pub fn prepare_socket(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))
+}
+
+impl ExchangeConnection {
+    /// Opens a connection.
+    pub async fn open(
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<ExchangeConnection, ExchangeError> {
+        let stream =
+            connect(address, limit).await.map_err(|source| ExchangeError::NotSent { source })?;
+        let (buffer, used) = (Vec::new(), Instant::now());
+        Ok(ExchangeConnection { stream, buffer, reusable: true, used, keep: None })
+    }
+
+    /// How long the connection was unused.
+    pub fn idle(&self) -> Duration {
+        self.used.elapsed()
+    }
+
+    /// How long the server keeps the unused connection, if it said so.
+    pub fn keep_alive(&self) -> Option<Duration> {
+        self.keep
+    }
+
+    /// Whether another exchange can start: the last one ended well, the connection is open and
+    /// nothing arrived since.
+    pub async fn is_reusable(&mut self) -> bool {
+        if !self.reusable || !self.buffer.is_empty() {
+            return false;
+        }
+        let mut byte = [0];
+        future::poll_once(self.stream.read(&mut byte)).await.is_none()
+    }
+
+    /// Sends a request and reads its answer. Dropping the future leaves the connection unusable, so
+    /// it has to be dropped as well, which tells the server that nobody waits.
+    pub async fn exchange(
+        &mut self,
+        request: &WholeRequest,
+        tag: Option<&AnswerTag>,
+    ) -> Result<WholeAnswer, ExchangeError> {
+        self.reusable = false;
+        let head = encode_head(request);
+        let mut writer = self.stream.clone();
+        let mut written = false;
+        let sending = async {
+            let sent = async {
+                writer.write_all(&head).await?;
+                writer.write_all(&request.body).await
+            };
+            // A server may answer before it has read a long body and close, so its answer is read
+            // also after a failed write. If there is none, reading fails as well.
+            written = sent.await.is_ok();
+            future::pending().await
+        };
+        let mut reader = AnswerReader { stream: &self.stream, buffer: &mut self.buffer };
+        let (answer, ends) = future::or(reader.read_answer(&request.method, tag), sending).await?;
+        self.used = Instant::now();
+        self.keep = keep_alive(&answer.headers);
+        self.reusable = written && !ends && !is_closing(&answer.headers);
+        Ok(answer)
+    }
+}
+
+struct AnswerReader<'a> {
+    stream: &'a TcpStream,
+    buffer: &'a mut Vec<u8>,
+}
+
+impl AnswerReader<'_> {
+    /// Reads until the answer that bears `tag`. The flag tells whether the connection has ended.
+    async fn read_answer(
+        &mut self,
+        method: &Method,
+        tag: Option<&AnswerTag>,
+    ) -> Result<(WholeAnswer, bool), ExchangeError> {
+        for _ in 0..STRAY_LIMIT {
+            let (status, headers) = self.read_head().await?;
+            if (100..200).contains(&status) {
+                continue;
+            }
+            let (body, ends) = self.read_body(method, status, &headers).await?;
+            let known = |tag: &AnswerTag| headers.get(&tag.name) == Some(&tag.value);
+            if tag.is_none_or(known) {
+                return Ok((WholeAnswer { status, headers, body }, ends));
+            }
+            // A late second answer to an earlier request.
+            if ends || !tag.is_some_and(|tag| headers.contains_key(&tag.name)) {
+                return Err(ExchangeError::Garbled { reason: "it bears another request's id" });
+            }
+        }
+        Err(ExchangeError::Garbled { reason: "too many answers to other requests" })
+    }
+
+    async fn read_head(&mut self) -> Result<(u16, HeaderMap), ExchangeError> {
+        loop {
+            if let Some((length, status, headers)) = parse_head(self.buffer)? {
+                self.buffer.drain(..length);
+                return Ok((status, headers));
+            }
+            if self.buffer.len() >= HEAD_BYTES {
+                return Err(ExchangeError::Garbled { reason: "its head is too long" });
+            }
+            self.fill().await?;
+        }
+    }
+
+    async fn read_body(
+        &mut self,
+        method: &Method,
+        status: u16,
+        headers: &HeaderMap,
+    ) -> Result<(Bytes, bool), ExchangeError> {
+        if *method == Method::HEAD || matches!(status, 204 | 304) {
+            return Ok((Bytes::new(), false));
+        }
+        match framing(headers)? {
+            AnswerFraming::Length(length) => {
+                while self.buffer.len() < length {
+                    self.fill().await?;
+                }
+                let body = self.buffer.drain(..length).collect::<Vec<_>>();
+                Ok((body.into(), false))
+            }
+            AnswerFraming::Chunked => Ok((self.read_chunks().await?, false)),
+            AnswerFraming::UntilEnd => {
+                while self.read_more().await? {
+                    if self.buffer.len() > BODY_BYTES {
+                        return Err(ExchangeError::Garbled { reason: "its body is too long" });
+                    }
+                }
+                Ok((std::mem::take(self.buffer).into(), true))
+            }
+        }
+    }
+
+    async fn read_chunks(&mut self) -> Result<Bytes, ExchangeError> {
+        let mut scanner = ChunkScanner::new();
+        let mut body = Vec::new();
+        loop {
+            let framed = scanner
+                .scan_framing(self.buffer)
+                .map_err(|_| ExchangeError::Garbled { reason: "its chunks cannot be read" })?;
+            self.buffer.drain(..framed);
+            if scanner.is_done() {
+                return Ok(body.into());
+            }
+            let left = usize::try_from(scanner.data_left()).unwrap_or(usize::MAX);
+            let count = left.min(self.buffer.len());
+            if count == 0 {
+                self.fill().await?;
+                continue;
+            }
+            body.extend(self.buffer.drain(..count));
+            scanner.take_data(count as u64);
+            if body.len() > BODY_BYTES {
+                return Err(ExchangeError::Garbled { reason: "its body is too long" });
+            }
+        }
+    }
+
+    /// Reads more bytes. Fails at the end of the connection.
+    async fn fill(&mut self) -> Result<(), ExchangeError> {
+        if self.read_more().await? {
+            return Ok(());
+        }
+        Err(ExchangeError::Broken { source: io::ErrorKind::UnexpectedEof.into() })
+    }
+
+    /// Reads more bytes. False at the end of the connection.
+    async fn read_more(&mut self) -> Result<bool, ExchangeError> {
+        let start = self.buffer.len();
+        self.buffer.resize(start + READ_BYTES, 0);
+        let read = self.stream.read(&mut self.buffer[start..]).await;
+        let count = *read.as_ref().unwrap_or(&0);
+        self.buffer.truncate(start + count);
+        read.map(|count| count > 0).map_err(|source| ExchangeError::Broken { source })
+    }
+}
+
+enum AnswerFraming {
+    Length(usize),
+    Chunked,
+    UntilEnd,
+}
+
+fn framing(headers: &HeaderMap) -> Result<AnswerFraming, ExchangeError> {
+    let garbled = |reason| Err(ExchangeError::Garbled { reason });
+    if let Some(coding) = headers.get(http::header::TRANSFER_ENCODING) {
+        if coding.as_bytes().eq_ignore_ascii_case(b"chunked") {
+            return Ok(AnswerFraming::Chunked);
+        }
+        return garbled("its transfer encoding is not known");
+    }
+    let mut lengths = headers.get_all(http::header::CONTENT_LENGTH).iter();
+    let Some(first) = lengths.next() else { return Ok(AnswerFraming::UntilEnd) };
+    if lengths.any(|other| other != first) {
+        return garbled("it has two lengths");
+    }
+    match crate::scan_decimal(first.as_bytes()).and_then(|length| usize::try_from(length).ok()) {
+        Some(length) if length <= BODY_BYTES => Ok(AnswerFraming::Length(length)),
+        Some(_) => garbled("its body is too long"),
+        None => garbled("its length cannot be read"),
+    }
+}
+
+fn parse_head(bytes: &[u8]) -> Result<Option<(usize, u16, HeaderMap)>, ExchangeError> {
+    let mut storage = [httparse::EMPTY_HEADER; HEADER_COUNT];
+    let mut answer = httparse::Response::new(&mut storage);
+    let length = match answer.parse(bytes) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(_) => return Err(ExchangeError::Garbled { reason: "its head cannot be read" }),
+    };
+    let mut headers = HeaderMap::with_capacity(answer.headers.len());
+    for header in answer.headers.iter() {
+        let name = HeaderName::from_bytes(header.name.as_bytes());
+        let value = HeaderValue::from_bytes(header.value);
+        let (Ok(name), Ok(value)) = (name, value) else {
+            return Err(ExchangeError::Garbled { reason: "a header cannot be read" });
+        };
+        headers.append(name, value);
+    }
+    Ok(Some((length, answer.code.unwrap_or(0), headers)))
+}
+
+fn encode_head(request: &WholeRequest) -> Vec<u8> {
+    let mut head = Vec::with_capacity(512);
+    head.extend_from_slice(request.method.as_str().as_bytes());
+    head.push(b' ');
+    head.extend_from_slice(request.target.as_bytes());
+    head.extend_from_slice(b" HTTP/1.1\r\n");
+    for (name, value) in &request.headers {
+        head.extend_from_slice(name.as_str().as_bytes());
+        head.extend_from_slice(b": ");
+        head.extend_from_slice(value.as_bytes());
+        head.extend_from_slice(b"\r\n");
+    }
+    let bodiless = matches!(request.method, Method::GET | Method::HEAD | Method::DELETE);
+    if !request.body.is_empty() || !bodiless {
+        head.extend_from_slice(format!("content-length: {}\r\n", request.body.len()).as_bytes());
+    }
+    head.extend_from_slice(b"\r\n");
+    head
+}
+
+fn is_closing(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(http::header::CONNECTION).iter();
+    let mut words = values.flat_map(|value| value.as_bytes().split(|byte| *byte == b','));
+    words.any(|word| word.trim_ascii().eq_ignore_ascii_case(b"close"))
+}
+
+/// The time in `Keep-Alive: timeout=N`.
+fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let mut words = value.split(',').filter_map(|word| word.trim().strip_prefix("timeout="));
+    words.next()?.trim().parse().ok().map(Duration::from_secs)
+}
+
+/// Removes the headers that hold for one connection only, and those that `Connection` names.
+pub fn remove_connection_headers(headers: &mut HeaderMap) {
+    let values = headers.get_all(http::header::CONNECTION).iter();
+    let words = values.flat_map(|value| value.as_bytes().split(|byte| *byte == b','));
+    let named: Vec<_> =
+        words.filter_map(|word| HeaderName::from_bytes(word.trim_ascii()).ok()).collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in crate::hops::HOP_HEADERS {
+        headers.remove(name);
+    }
+}
--- a/http/src/hops.rs
+++ b/http/src/hops.rs
@@ -4,7 +4,7 @@
 
 /// Headers that are not passed on. The encoder writes the framing headers itself; a kept one would
 /// give the length in two ways.
-const HOP_HEADERS: [&str; 10] = [
+pub(crate) const HOP_HEADERS: [&str; 10] = [
     "connection",
     "content-length",
     "expect",
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -6,11 +6,14 @@
 mod body;
 mod chunk;
 mod client;
+mod clock;
+mod exchange;
 mod fault;
 mod gather;
 mod hops;
 mod progress;
 mod reader;
+mod runtime;
 mod scan;
 mod server;
 mod ticks;
@@ -18,8 +21,14 @@
 
 pub use chunk::ChunkScanner;
 pub use client::{ClientConnection, LossCause, SendError};
+pub use clock::{CallClock, wall_time};
+pub use exchange::{
+    AnswerTag, ExchangeConnection, ExchangeError, WholeAnswer, WholeRequest, connect,
+    prepare_socket, remove_connection_headers,
+};
 pub use fault::HttpFault;
 pub use gather::{GatheredBody, gather_body};
+pub use runtime::{CloseWatch, ServedStream, TaskExecutor, TaskTimer};
 pub use scan::{
     BodyFraming, HEADER_LIMIT, HeadView, scan_decimal, scan_head, scan_head_end, scan_header,
     scan_host, scan_request_line, scan_status_line,
--- /dev/null
+++ b/http/src/runtime.rs
@@ -0,0 +1,176 @@
+//! The traits through which `hyper` uses the runtime.
+
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll, ready};
+use std::time::{Duration, Instant};
+
+use async_std::net::TcpStream;
+use async_std::task;
+use futures_lite::{AsyncRead, AsyncWrite};
+use hyper::rt::{Executor, ReadBufCursor, Sleep, Timer};
+
+use crate::body::lock;
+
+/// Bytes read from a socket at a time.
+const READ_BYTES: usize = 16 * 1024;
+
+/// Most bytes that are read ahead while a request is served. A client that sends more is no
+/// longer watched for its close.
+const AHEAD_LIMIT_BYTES: usize = 64 * 1024;
+
+/// Runs the tasks of `hyper` on the runtime.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct TaskExecutor;
+
+impl<F> Executor<F> for TaskExecutor
+where
+    F: Future + Send + 'static,
+    F::Output: Send + 'static,
+{
+    fn execute(&self, future: F) {
+        task::spawn(future);
+    }
+}
+
+/// Timers of the runtime.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct TaskTimer;
+
+struct TimerSleep(async_io::Timer);
+
+impl Future for TimerSleep {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        Pin::new(&mut self.0).poll(cx).map(|_| ())
+    }
+}
+
+impl Sleep for TimerSleep {}
+
+impl Timer for TaskTimer {
+    fn sleep(&self, duration: Duration) -> Pin<Box<dyn Sleep>> {
+        Box::pin(TimerSleep(async_io::Timer::after(duration)))
+    }
+
+    fn sleep_until(&self, deadline: Instant) -> Pin<Box<dyn Sleep>> {
+        Box::pin(TimerSleep(async_io::Timer::at(deadline)))
+    }
+}
+
+/// What was read before the server asked for it.
+#[derive(Debug, Default)]
+struct ReadAhead {
+    bytes: Vec<u8>,
+    ended: bool,
+}
+
+/// A socket as `hyper` reads and writes it.
+#[derive(Debug)]
+pub struct ServedStream {
+    stream: TcpStream,
+    ahead: Arc<Mutex<ReadAhead>>,
+}
+
+/// Watches the socket of a request that is being served.
+#[derive(Debug, Clone)]
+pub struct CloseWatch {
+    stream: TcpStream,
+    ahead: Arc<Mutex<ReadAhead>>,
+}
+
+impl ServedStream {
+    /// Wraps a socket.
+    pub fn new(stream: TcpStream) -> ServedStream {
+        ServedStream { stream, ahead: Arc::default() }
+    }
+
+    /// A watch on the peer's side of the connection.
+    pub fn watch(&self) -> CloseWatch {
+        CloseWatch { stream: self.stream.clone(), ahead: self.ahead.clone() }
+    }
+}
+
+impl CloseWatch {
+    /// Completes when the peer closes the connection. Further requests that arrive meanwhile are
+    /// kept for the server. To be awaited only after the body of the request has been read.
+    pub async fn closed(&mut self) {
+        std::future::poll_fn(|cx| self.poll_closed(cx)).await;
+    }
+
+    fn poll_closed(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        loop {
+            let mut ahead = lock(&self.ahead);
+            if ahead.ended {
+                return Poll::Ready(());
+            }
+            if ahead.bytes.len() >= AHEAD_LIMIT_BYTES {
+                return Poll::Pending;
+            }
+            let mut buffer = [0; 4096];
+            match ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buffer)) {
+                Ok(0) | Err(_) => ahead.ended = true,
+                Ok(count) => ahead.bytes.extend_from_slice(&buffer[..count]),
+            }
+        }
+    }
+}
+
+impl hyper::rt::Read for ServedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut target: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let served = &mut *self;
+        let mut ahead = lock(&served.ahead);
+        if !ahead.bytes.is_empty() {
+            let count = ahead.bytes.len().min(target.remaining());
+            target.put_slice(&ahead.bytes[..count]);
+            ahead.bytes.drain(..count);
+            return Poll::Ready(Ok(()));
+        }
+        if ahead.ended {
+            return Poll::Ready(Ok(()));
+        }
+        drop(ahead);
+        let mut buffer = [0; READ_BYTES];
+        let room = target.remaining().min(READ_BYTES);
+        let count = ready!(Pin::new(&mut served.stream).poll_read(cx, &mut buffer[..room]))?;
+        target.put_slice(&buffer[..count]);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl hyper::rt::Write for ServedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bytes)
+    }
+}
--- /dev/null
+++ b/routing/src/admission.rs
@@ -0,0 +1,287 @@
+//! Which call runs next at the target beside a node.
+//!
+//! Only this node reaches the target, so it knows what runs there. Calls beyond the target's slots
+//! wait here, in the order of their urgency, and are refused as soon as they cannot be answered in
+//! time. The load that this answers is a burst or a loss of targets of up to three times the
+//! capacity: what is served is still served within its aim, and the rest learns at once when to
+//! come back.
+
+use std::sync::Arc;
+
+use fescuestack_core::{ClockSpan, ClockTime};
+use rustc_hash::FxHashMap;
+
+/// Weight of the newest service time in the running mean.
+const MEAN_WEIGHT: f64 = 0.15;
+
+/// Service time that is assumed before anything was measured, in ms.
+const FIRST_SERVICE_MS: f64 = 150.0;
+
+/// Shortest time after which a refused caller is asked to come back, in ms. It lets a few calls end.
+const RETRY_AFTER_MIN: ClockSpan = ClockSpan::new(60);
+
+/// Longest time after which a refused caller is asked to come back. Load changes within seconds.
+const RETRY_AFTER_MAX: ClockSpan = ClockSpan::new(2_000);
+
+/// Share of the time between aim and deadline that a call may be expected to use when it joins the
+/// queue. Work that ends later helps few callers and delays the rest.
+const LATE_SHARE: f64 = 0.35;
+
+/// Share of a mean service time that has to be left when a call is started.
+const START_SHARE: f64 = 0.6;
+
+/// Names a call at its target's node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct CallTicket(u64);
+
+/// A call that asks to run.
+#[derive(Debug, Clone)]
+pub struct QueuedCall {
+    /// Route of the call; calls of a route take similar times.
+    pub route: Arc<str>,
+    /// Urgency; lower runs first.
+    pub rank: u8,
+    /// Until when an answer has its full use.
+    pub aim_at: ClockTime,
+    /// When the caller stops waiting.
+    pub deadline: ClockTime,
+    /// Longest wait after which another target is the better choice.
+    pub wait_limit: ClockSpan,
+}
+
+/// What becomes of a call that arrives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AdmissionStep {
+    /// It runs now.
+    Run(CallTicket),
+    /// It waits for an [`AdmissionAction`].
+    Wait(CallTicket),
+    /// It is not run.
+    Refuse {
+        /// When there is likely to be room.
+        retry_after: ClockSpan,
+    },
+}
+
+/// What becomes of a call that waited.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AdmissionAction {
+    /// It runs now.
+    Run(CallTicket),
+    /// It is not run.
+    Refuse {
+        /// The call.
+        ticket: CallTicket,
+        /// When there is likely to be room.
+        retry_after: ClockSpan,
+    },
+}
+
+/// How a call that ran has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallEnd {
+    /// The target answered.
+    Answered,
+    /// The call was given up or broke, so that its time says little.
+    Broken,
+}
+
+/// Load of a target, as its node tells other nodes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct LoadReport {
+    /// Calls that run.
+    pub running: u32,
+    /// Calls that wait.
+    pub queued: u32,
+    /// Mean time that a call takes.
+    pub service: ClockSpan,
+}
+
+#[derive(Debug)]
+struct WaitingCall {
+    ticket: CallTicket,
+    call: QueuedCall,
+}
+
+#[derive(Debug)]
+struct RunningCall {
+    route: Arc<str>,
+    started: ClockTime,
+}
+
+/// The queue in front of one target.
+#[derive(Debug)]
+pub struct AdmissionQueue {
+    slots: u32,
+    open: bool,
+    running: FxHashMap<CallTicket, RunningCall>,
+    waiting: Vec<WaitingCall>,
+    means: FxHashMap<Arc<str>, f64>,
+    mean: f64,
+    last_ticket: u64,
+}
+
+impl AdmissionQueue {
+    /// Creates a queue for a target that runs `slots` calls at the same time.
+    pub fn new(slots: u32) -> AdmissionQueue {
+        AdmissionQueue {
+            slots: slots.max(1),
+            open: true,
+            running: FxHashMap::default(),
+            waiting: Vec::new(),
+            means: FxHashMap::default(),
+            mean: FIRST_SERVICE_MS,
+            last_ticket: 0,
+        }
+    }
+
+    /// Takes over the number of slots.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.slots = slots.max(1);
+    }
+
+    /// Starts anew for another target at the same place. What runs is no longer counted.
+    pub fn restart(&mut self, slots: u32) {
+        self.slots = slots.max(1);
+        self.running.clear();
+        self.means.clear();
+        self.open = true;
+    }
+
+    /// Opens or closes the queue. A closed queue starts no call; those that wait are refused by
+    /// the next poll.
+    pub fn set_open(&mut self, open: bool) {
+        self.open = open;
+    }
+
+    /// Number of calls that run.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// The load to report.
+    pub fn load(&self) -> LoadReport {
+        LoadReport {
+            running: self.running.len() as u32,
+            queued: self.waiting.len() as u32,
+            service: ClockSpan::new(self.mean as u64),
+        }
+    }
+
+    /// Decides on a call that arrives.
+    pub fn arrive(&mut self, now: ClockTime, call: QueuedCall) -> AdmissionStep {
+        if !self.open {
+            return AdmissionStep::Refuse { retry_after: RETRY_AFTER_MIN };
+        }
+        let service = self.service_time(&call.route);
+        if self.has_room() && self.waiting.is_empty() {
+            if now + span(service * START_SHARE) > call.deadline {
+                return AdmissionStep::Refuse { retry_after: RETRY_AFTER_MIN };
+            }
+            return AdmissionStep::Run(self.start(now, &call));
+        }
+        let wait = self.expected_wait(call.rank);
+        let late = call.deadline.since(call.aim_at).millis() as f64 * LATE_SHARE;
+        let latest = (call.aim_at + span(late)).min(call.deadline);
+        if span(wait) > call.wait_limit || now + span(wait + service) > latest {
+            return AdmissionStep::Refuse { retry_after: self.retry_after(wait) };
+        }
+        let ticket = self.next_ticket();
+        self.waiting.push(WaitingCall { ticket, call });
+        AdmissionStep::Wait(ticket)
+    }
+
+    /// Notes the end of a call that ran.
+    pub fn finish(&mut self, now: ClockTime, ticket: CallTicket, end: CallEnd) {
+        let Some(running) = self.running.remove(&ticket) else { return };
+        if end == CallEnd::Broken {
+            return;
+        }
+        let taken = now.since(running.started).millis() as f64;
+        self.mean += (taken - self.mean) * MEAN_WEIGHT;
+        let mean = self.means.entry(running.route).or_insert(taken);
+        *mean += (taken - *mean) * MEAN_WEIGHT;
+    }
+
+    /// Forgets a call whose caller has gone.
+    pub fn cancel(&mut self, ticket: CallTicket) {
+        self.running.remove(&ticket);
+        self.waiting.retain(|waiting| waiting.ticket != ticket);
+    }
+
+    /// Starts the calls for which there is room and refuses those that wait in vain.
+    pub fn poll(&mut self, now: ClockTime, actions: &mut Vec<AdmissionAction>) {
+        self.refuse_late(now, actions);
+        while self.has_room()
+            && let Some(index) = self.next_waiting(now)
+        {
+            let waiting = self.waiting.swap_remove(index);
+            self.running
+                .insert(waiting.ticket, RunningCall { route: waiting.call.route, started: now });
+            actions.push(AdmissionAction::Run(waiting.ticket));
+        }
+    }
+
+    fn refuse_late(&mut self, now: ClockTime, actions: &mut Vec<AdmissionAction>) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let retry_after = self.retry_after(self.expected_wait(u8::MAX));
+        let waiting = std::mem::take(&mut self.waiting);
+        for call in waiting {
+            let needed = span(self.service_time(&call.call.route) * START_SHARE);
+            if self.open && now + needed <= call.call.deadline {
+                self.waiting.push(call);
+            } else {
+                actions.push(AdmissionAction::Refuse { ticket: call.ticket, retry_after });
+            }
+        }
+    }
+
+    /// The call to start next: the most urgent one, of equals one that still meets its aim, of
+    /// those the one whose aim comes first.
+    fn next_waiting(&self, now: ClockTime) -> Option<usize> {
+        let key = |waiting: &WaitingCall| {
+            let done = now + span(self.service_time(&waiting.call.route));
+            (waiting.call.rank, done > waiting.call.aim_at, waiting.call.aim_at, waiting.ticket)
+        };
+        (0..self.waiting.len()).min_by_key(|index| key(&self.waiting[*index]))
+    }
+
+    fn start(&mut self, now: ClockTime, call: &QueuedCall) -> CallTicket {
+        let ticket = self.next_ticket();
+        self.running.insert(ticket, RunningCall { route: call.route.clone(), started: now });
+        ticket
+    }
+
+    fn next_ticket(&mut self) -> CallTicket {
+        self.last_ticket += 1;
+        CallTicket(self.last_ticket)
+    }
+
+    fn has_room(&self) -> bool {
+        self.open && self.running.len() < self.slots as usize
+    }
+
+    /// Expected time in ms until a call of `rank` starts.
+    fn expected_wait(&self, rank: u8) -> f64 {
+        let ahead = self.waiting.iter().filter(|waiting| waiting.call.rank <= rank);
+        let ahead: f64 = ahead.map(|waiting| self.service_time(&waiting.call.route)).sum();
+        let running = self.running.values().map(|call| self.service_time(&call.route));
+        // On average half of what runs is still to do.
+        (ahead + running.sum::<f64>() / 2.0) / f64::from(self.slots)
+    }
+
+    fn retry_after(&self, wait: f64) -> ClockSpan {
+        span(wait).clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX)
+    }
+
+    /// Mean time in ms of the calls of a route.
+    fn service_time(&self, route: &str) -> f64 {
+        self.means.get(route).copied().unwrap_or(self.mean)
+    }
+}
+
+fn span(millis: f64) -> ClockSpan {
+    ClockSpan::new(millis.max(0.0) as u64)
+}
--- /dev/null
+++ b/routing/src/held.rs
@@ -0,0 +1,69 @@
+//! Requests that crash the targets that run them.
+
+use fescuestack_core::{ClockSpan, ClockTime};
+use rustc_hash::FxHashMap;
+
+/// How long a request stays suspected after a crash.
+pub const HELD_SPAN: ClockSpan = ClockSpan::new(120_000);
+
+/// Crashes after which a request is not sent to targets any more.
+const CRASH_LIMIT: u32 = 3;
+
+/// Most suspected requests that are remembered.
+const SUSPECT_LIMIT: usize = 1_024;
+
+#[derive(Debug, Clone, Copy)]
+struct CrashCount {
+    crashes: u32,
+    last: ClockTime,
+}
+
+/// Counts the crashes in which each request took part. Requests are named by a hash of caller,
+/// method, path and body.
+#[derive(Debug, Default)]
+pub struct CrashHistory {
+    counts: FxHashMap<u64, CrashCount>,
+}
+
+impl CrashHistory {
+    /// Creates a history without crashes.
+    pub fn new() -> CrashHistory {
+        CrashHistory::default()
+    }
+
+    /// Notes a target that crashed while it ran the request. Returns the crashes counted so far.
+    pub fn crash(&mut self, now: ClockTime, request: u64) -> u32 {
+        self.counts.retain(|_, count| now.since(count.last) < HELD_SPAN);
+        if self.counts.len() >= SUSPECT_LIMIT
+            && let Some(oldest) = self.counts.iter().min_by_key(|(_, count)| count.last)
+        {
+            let oldest = *oldest.0;
+            self.counts.remove(&oldest);
+        }
+        let count = self.counts.entry(request).or_insert(CrashCount { crashes: 0, last: now });
+        count.crashes += 1;
+        count.last = now;
+        count.crashes
+    }
+
+    /// Takes over the crashes that another node counted.
+    pub fn learn(&mut self, now: ClockTime, request: u64, crashes: u32) {
+        let count = self.counts.entry(request).or_insert(CrashCount { crashes: 0, last: now });
+        count.crashes = count.crashes.max(crashes);
+        count.last = now;
+    }
+
+    /// Notes a run that came to its end, which clears the request.
+    pub fn complete(&mut self, request: u64) {
+        if !self.counts.is_empty() {
+            self.counts.remove(&request);
+        }
+    }
+
+    /// Whether the request has crashed too many targets to be sent to another.
+    pub fn is_held(&self, now: ClockTime, request: u64) -> bool {
+        self.counts
+            .get(&request)
+            .is_some_and(|count| count.crashes >= CRASH_LIMIT && now.since(count.last) < HELD_SPAN)
+    }
+}
--- /dev/null
+++ b/routing/src/lib.rs
@@ -0,0 +1,26 @@
+//! Decisions on calls between VMs: routes, known targets, choice, admission and repeats.
+//!
+//! Nothing here does I/O or reads a clock. Times are handed in, random numbers come from a seeded
+//! generator, so that a test can play any load or fault.
+
+mod admission;
+mod budget;
+mod held;
+mod picker;
+mod plan;
+mod random;
+mod registry;
+mod routes;
+mod view;
+
+pub use admission::{
+    AdmissionAction, AdmissionQueue, AdmissionStep, CallEnd, CallTicket, LoadReport, QueuedCall,
+};
+pub use budget::RepeatBudget;
+pub use held::{CrashHistory, HELD_SPAN};
+pub use picker::{TargetChoice, TargetPicker, TargetSignal};
+pub use plan::{AttemptEnd, CallPlan, PlanCall, PlanStep};
+pub use random::RandomSource;
+pub use registry::{TargetEntry, TargetRegistry, TargetState};
+pub use routes::{ClientLimits, RepeatKind, RouteRule, RouteTable, ServiceRule, SplitPart};
+pub use view::{StoreView, StoredItem, ViewChange};
--- /dev/null
+++ b/routing/src/plan.rs
@@ -0,0 +1,205 @@
+//! What happens to a request from its arrival to its final answer.
+//!
+//! A request is sent again only if it has certainly not run, or if it is idempotent and the budget
+//! has room. A request that is given up is answered at once.
+
+use std::sync::Arc;
+
+use fescuestack_core::{ClockSpan, ClockTime};
+
+use crate::budget::RepeatBudget;
+use crate::picker::{TargetChoice, TargetPicker};
+use crate::routes::RepeatKind;
+
+/// Most nodes that may refuse a request before it is given up.
+const REFUSAL_LIMIT: u32 = 3;
+
+/// When a caller comes back that found no target to send to. Entries and links return within this.
+const NO_TARGET_RETRY: ClockSpan = ClockSpan::new(250);
+
+/// Least time that has to be left for another attempt. A shorter one cannot be answered.
+const LEFT_MIN: ClockSpan = ClockSpan::new(30);
+
+/// A request that is to be served.
+#[derive(Debug, Clone)]
+pub struct PlanCall {
+    /// The service that it goes to.
+    pub service: Arc<str>,
+    /// What may be repeated.
+    pub kind: RepeatKind,
+    /// Most targets that it may be sent to.
+    pub attempts: u32,
+    /// Until when an answer has its full use.
+    pub aim_at: ClockTime,
+    /// When its caller stops waiting.
+    pub deadline: ClockTime,
+    /// Length of its body.
+    pub body_bytes: usize,
+}
+
+/// How an attempt has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// The target answered.
+    Answered {
+        /// Whether its answer is a failure of its own.
+        failed: bool,
+    },
+    /// The node beside the target did not let it run.
+    Refused {
+        /// When there is likely to be room.
+        retry_after: ClockSpan,
+    },
+    /// The target itself said that it did not run it.
+    Rejected,
+    /// Nothing reached the target.
+    NotSent,
+    /// It may have run.
+    Lost,
+}
+
+/// What to do next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PlanStep {
+    /// Send the request.
+    Send {
+        /// Where to.
+        target: TargetChoice,
+        /// Longest wait at the target's node.
+        wait_limit: ClockSpan,
+    },
+    /// Pass on the last answer of a target.
+    Answer,
+    /// Answer that the request has not run.
+    Refuse {
+        /// When the caller should come back.
+        retry_after: ClockSpan,
+    },
+    /// Answer that the outcome is not known.
+    Fail,
+}
+
+/// The progress of one request.
+#[derive(Debug)]
+pub struct CallPlan {
+    call: PlanCall,
+    tried: Vec<Arc<str>>,
+    last: Option<AttemptEnd>,
+    arrivals: u32,
+    refusals: u32,
+    may_have_run: bool,
+    retry_after: Option<ClockSpan>,
+}
+
+impl CallPlan {
+    /// Creates the plan of a request.
+    pub fn new(call: PlanCall) -> CallPlan {
+        CallPlan {
+            call,
+            tried: Vec::new(),
+            last: None,
+            arrivals: 0,
+            refusals: 0,
+            may_have_run: false,
+            retry_after: None,
+        }
+    }
+
+    /// The request.
+    pub fn call(&self) -> &PlanCall {
+        &self.call
+    }
+
+    /// Whether the request may have run at a target.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
+    /// Targets that the request was sent to so far.
+    pub fn arrivals(&self) -> u32 {
+        self.arrivals
+    }
+
+    /// Notes how the attempt that was sent last has ended.
+    pub fn end(&mut self, end: AttemptEnd) {
+        match end {
+            AttemptEnd::Answered { .. } => {
+                self.arrivals += 1;
+                self.may_have_run = true;
+            }
+            AttemptEnd::Lost => {
+                self.arrivals += 1;
+                self.may_have_run = true;
+                self.refusals = 0;
+            }
+            AttemptEnd::Rejected => self.arrivals += 1,
+            AttemptEnd::NotSent => self.refusals += 1,
+            AttemptEnd::Refused { retry_after } => {
+                self.refusals += 1;
+                let known = self.retry_after.unwrap_or(retry_after);
+                self.retry_after = Some(known.min(retry_after));
+            }
+        }
+        self.last = Some(end);
+    }
+
+    /// Decides on the next step.
+    pub fn next(
+        &mut self,
+        now: ClockTime,
+        picker: &mut TargetPicker,
+        budget: &mut RepeatBudget,
+    ) -> PlanStep {
+        let repeats = match self.last {
+            None => false,
+            Some(AttemptEnd::Answered { failed: false }) => return PlanStep::Answer,
+            Some(AttemptEnd::Answered { failed: true } | AttemptEnd::Lost) => true,
+            Some(AttemptEnd::Rejected) => true,
+            Some(AttemptEnd::Refused { .. } | AttemptEnd::NotSent) => self.arrivals > 0,
+        };
+        if self.is_over(now) || (self.may_have_run && !self.call.kind.is_idempotent()) {
+            return self.give_up();
+        }
+        let call = &self.call;
+        let choice = picker.choose(now, &call.service, call.body_bytes, &self.tried);
+        let Some(target) = choice else { return self.give_up() };
+        // A repeat is paid for when it is sent, also if the node beside the target refuses it.
+        if repeats && !budget.take() {
+            return self.give_up();
+        }
+        if self.last.is_none() {
+            budget.count_call();
+        }
+        let others = picker.candidates(&call.service) > self.tried.len() + 1;
+        let wait_limit = self.wait_limit(now, others);
+        self.tried.push(target.id.clone());
+        PlanStep::Send { target, wait_limit }
+    }
+
+    fn is_over(&self, now: ClockTime) -> bool {
+        self.arrivals >= self.call.attempts.max(1)
+            || self.refusals >= REFUSAL_LIMIT
+            || self.call.deadline.since(now) < LEFT_MIN
+    }
+
+    /// The first nodes refuse early, while another target may be better.
+    fn wait_limit(&self, now: ClockTime, others: bool) -> ClockSpan {
+        let left = self.call.aim_at.since(now).millis();
+        match self.refusals {
+            _ if !others => self.call.deadline.since(now),
+            0 => ClockSpan::new(left / 4),
+            1 => ClockSpan::new(left / 2),
+            _ => self.call.deadline.since(now),
+        }
+    }
+
+    fn give_up(&self) -> PlanStep {
+        if matches!(self.last, Some(AttemptEnd::Answered { .. })) {
+            return PlanStep::Answer;
+        }
+        if self.may_have_run {
+            return PlanStep::Fail;
+        }
+        PlanStep::Refuse { retry_after: self.retry_after.unwrap_or(NO_TARGET_RETRY) }
+    }
+}
--- /dev/null
+++ b/sidecar/src/entry.rs
@@ -0,0 +1,312 @@
+//! Requests of the clients on this VM and of the target beside the node.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use fescuestack_core::{ClockSpan, ClockTime};
+use fescuestack_http::{CloseWatch, WholeAnswer, WholeRequest, remove_connection_headers, within};
+use fescuestack_platform::headers::{CALLER_SERVICE, EXPECTED_TARGET, REQUEST_ID, TIME_LEFT};
+use fescuestack_routing::{
+    AttemptEnd, CallPlan, PlanCall, PlanStep, RouteRule, TargetChoice, TargetSignal,
+};
+use futures_lite::future;
+use http::header::{CONNECTION, HOST, RETRY_AFTER};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+
+use crate::guard::lock;
+use crate::node::NodeState;
+use crate::note::{CallNote, ReplyEnd, ReplyNote};
+use crate::peer::send_call;
+
+/// When a client comes back to a node that has no configuration yet.
+const NOT_READY_RETRY: ClockSpan = ClockSpan::new(300);
+
+/// How long an answer is awaited after the deadline. One that is on its way is still delivered.
+const ANSWER_SLACK: Duration = Duration::from_millis(60);
+
+/// An answer to a client.
+pub(crate) type ClientAnswer = Response<Full<Bytes>>;
+
+/// Why a request has no answer of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EntryFault {
+    /// 400: the request lacks something.
+    Invalid,
+    /// 404: no route.
+    NoRoute,
+    /// 408: its body did not arrive.
+    BodyLate,
+    /// 413: its body is too long.
+    TooLong,
+    /// 503: it has not run.
+    NotRun { retry_after: ClockSpan },
+    /// 502: it may have run.
+    Lost,
+    /// 504: its time is over and it may have run.
+    Late,
+}
+
+/// Answers a request. When the client leaves, the request is cancelled.
+pub(crate) async fn serve(
+    state: Arc<NodeState>,
+    request: Request<Incoming>,
+    mut watch: CloseWatch,
+) -> ClientAnswer {
+    let _place = state.begin_call();
+    let id = request.headers().get(&REQUEST_ID).cloned();
+    let arrived = state.clock.now();
+    let outcome = answer_request(&state, request, arrived, &mut watch).await;
+    let mut answer = match outcome {
+        Ok(answer) => pass_on(answer),
+        Err(fault) => {
+            log_fault(&state, id.as_ref(), arrived, fault);
+            refusal(fault, id)
+        }
+    };
+    if state.is_stopping() {
+        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    answer
+}
+
+async fn answer_request(
+    state: &Arc<NodeState>,
+    request: Request<Incoming>,
+    arrived: ClockTime,
+    watch: &mut CloseWatch,
+) -> Result<WholeAnswer, EntryFault> {
+    let Some(routes) = state.routes.load_full() else {
+        return Err(EntryFault::NotRun { retry_after: NOT_READY_RETRY });
+    };
+    let (mut parts, body) = request.into_parts();
+    if !parts.headers.contains_key(&REQUEST_ID) {
+        return Err(EntryFault::Invalid);
+    }
+    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| parts.uri.host()).ok_or(EntryFault::Invalid)?;
+    let route = routes.find(host, parts.uri.path()).ok_or(EntryFault::NoRoute)?.clone();
+    let service = route.next_service(state.split_offset).ok_or(EntryFault::NoRoute)?.clone();
+
+    let left = client_time(&parts.headers).map_or(route.timeout, |left| left.min(route.timeout));
+    let deadline = arrived + left;
+    let limit = Duration::from_millis(left.millis());
+    let limited =
+        Limited::new(body, usize::try_from(routes.limits.body_bytes).unwrap_or(usize::MAX));
+    let body = match within(limit, limited.collect()).await {
+        Some(Ok(body)) => body.to_bytes(),
+        Some(Err(err)) if err.is::<LengthLimitError>() => return Err(EntryFault::TooLong),
+        Some(Err(_)) => return Err(EntryFault::Invalid),
+        None => return Err(EntryFault::BodyLate),
+    };
+    remove_connection_headers(&mut parts.headers);
+    parts.headers.remove(&EXPECTED_TARGET);
+    let caller = HeaderValue::from_str(&state.settings.load().service);
+    parts.headers.insert(CALLER_SERVICE, caller.map_err(|_| EntryFault::Invalid)?);
+    let target = parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
+    let call = EntryCall {
+        route: route.clone(),
+        deadline,
+        request: WholeRequest { method: parts.method, target, headers: parts.headers, body },
+    };
+    let plan = CallPlan::new(PlanCall {
+        service,
+        kind: route.kind,
+        attempts: route.attempts,
+        aim_at: arrived + route.aim,
+        deadline,
+        body_bytes: call.request.body.len(),
+    });
+    let mut progress = EntryProgress { plan, sending: false };
+    let left = deadline.since(state.clock.now());
+    let limit = Duration::from_millis(left.millis()) + ANSWER_SLACK;
+    let gone = async {
+        watch.closed().await;
+        Some(Err(EntryFault::Late))
+    };
+    match future::or(within(limit, call.follow(state, &mut progress)), gone).await {
+        Some(outcome) => outcome,
+        None if progress.sending || progress.plan.may_have_run() => Err(EntryFault::Late),
+        None => Err(EntryFault::NotRun { retry_after: NOT_READY_RETRY }),
+    }
+}
+
+/// A request on its way to targets.
+struct EntryCall {
+    route: Arc<RouteRule>,
+    deadline: ClockTime,
+    request: WholeRequest,
+}
+
+struct EntryProgress {
+    plan: CallPlan,
+    /// Whether an attempt is under way.
+    sending: bool,
+}
+
+impl EntryCall {
+    /// Follows the plan of the request to its end.
+    async fn follow(
+        &self,
+        state: &Arc<NodeState>,
+        progress: &mut EntryProgress,
+    ) -> Result<WholeAnswer, EntryFault> {
+        let mut answer = None;
+        loop {
+            let step = {
+                let mut routing = lock(&state.routing);
+                let (picker, budget) = routing.parts(&progress.plan.call().service.clone());
+                let step = progress.plan.next(state.clock.now(), picker, budget);
+                if let PlanStep::Send { target, .. } = &step {
+                    picker.sent(&target.id);
+                }
+                step
+            };
+            let (target, wait_limit) = match step {
+                PlanStep::Send { target, wait_limit } => (target, wait_limit),
+                PlanStep::Answer => return answer.ok_or(EntryFault::Lost),
+                PlanStep::Refuse { retry_after } => {
+                    return Err(EntryFault::NotRun { retry_after });
+                }
+                PlanStep::Fail => return Err(EntryFault::Lost),
+            };
+            progress.sending = true;
+            let (end, latest) = self.attempt(state, progress, &target, wait_limit).await;
+            progress.sending = false;
+            log::debug!(request = self.id(), target = &*target.id, end = format!("{end:?}").as_str();
+                "attempt ended");
+            progress.plan.end(end);
+            answer = latest.or(answer);
+        }
+    }
+
+    async fn attempt(
+        &self,
+        state: &Arc<NodeState>,
+        progress: &EntryProgress,
+        target: &TargetChoice,
+        wait_limit: ClockSpan,
+    ) -> (AttemptEnd, Option<WholeAnswer>) {
+        let now = state.clock.now();
+        let mut account = AttemptAccount { state, target, signal: TargetSignal::Abandoned };
+        let note = CallNote {
+            target: target.id.clone(),
+            slots: target.slots,
+            route: self.route.name.clone(),
+            rank: self.route.priority,
+            idempotent: self.route.kind.is_idempotent(),
+            left: self.deadline.since(now).millis(),
+            aim_left: progress.plan.call().aim_at.since(now).millis(),
+            wait_limit: wait_limit.millis(),
+        };
+        let (reply, answer) = if state.is_own(target.vm) {
+            let reply = state.target.run(&note, self.request.clone()).await;
+            (Some(reply.note), reply.answer)
+        } else {
+            match send_call(state, target.vm, &note, &self.request).await {
+                Ok((reply, answer)) => (Some(reply), answer),
+                Err(not_sent) => {
+                    account.signal = TargetSignal::Refused;
+                    return (if not_sent { AttemptEnd::NotSent } else { AttemptEnd::Lost }, None);
+                }
+            }
+        };
+        let Some(reply) = reply else { return (AttemptEnd::Lost, None) };
+        account.report(&reply);
+        let (end, signal) = attempt_end(&reply, answer.as_ref());
+        account.signal = signal;
+        (end, answer)
+    }
+
+    fn id(&self) -> &str {
+        self.request.headers.get(&REQUEST_ID).and_then(|id| id.to_str().ok()).unwrap_or("")
+    }
+}
+
+/// What the reply of a target's node says of the attempt and of the target.
+fn attempt_end(reply: &ReplyNote, answer: Option<&WholeAnswer>) -> (AttemptEnd, TargetSignal) {
+    match (reply.end, answer) {
+        (ReplyEnd::Answered, Some(answer)) => {
+            let failed = answer.status >= 500;
+            let signal = if failed { TargetSignal::Failed } else { TargetSignal::Served };
+            (AttemptEnd::Answered { failed }, signal)
+        }
+        (ReplyEnd::Answered | ReplyEnd::Lost, _) => (AttemptEnd::Lost, TargetSignal::Failed),
+        (ReplyEnd::Refused, _) => {
+            let retry_after = ClockSpan::new(reply.retry_after);
+            (AttemptEnd::Refused { retry_after }, TargetSignal::Refused)
+        }
+        (ReplyEnd::Rejected, _) => (AttemptEnd::Rejected, TargetSignal::Failed),
+        (ReplyEnd::NotSent, _) => (AttemptEnd::NotSent, TargetSignal::Failed),
+    }
+}
+
+/// Keeps the count of calls at a target, also when the attempt is dropped.
+struct AttemptAccount<'a> {
+    state: &'a Arc<NodeState>,
+    target: &'a TargetChoice,
+    signal: TargetSignal,
+}
+
+impl AttemptAccount<'_> {
+    fn report(&self, reply: &ReplyNote) {
+        let now = self.state.clock.now();
+        lock(&self.state.routing).picker.report(now, &self.target.id, reply.load());
+    }
+}
+
+impl Drop for AttemptAccount<'_> {
+    fn drop(&mut self) {
+        let now = self.state.clock.now();
+        lock(&self.state.routing).picker.ended(now, &self.target.id, self.signal);
+    }
+}
+
+/// The time that the client waits, if it says so.
+fn client_time(headers: &HeaderMap) -> Option<ClockSpan> {
+    let millis: f64 = headers.get(&TIME_LEFT)?.to_str().ok()?.trim().parse().ok()?;
+    Some(ClockSpan::new(millis.max(0.0) as u64))
+}
+
+fn pass_on(answer: WholeAnswer) -> ClientAnswer {
+    let mut response = Response::new(Full::new(answer.body));
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    *response.headers_mut() = answer.headers;
+    remove_connection_headers(response.headers_mut());
+    response
+}
+
+fn refusal(fault: EntryFault, id: Option<HeaderValue>) -> ClientAnswer {
+    let status = match fault {
+        EntryFault::Invalid => StatusCode::BAD_REQUEST,
+        EntryFault::NoRoute => StatusCode::NOT_FOUND,
+        EntryFault::BodyLate => StatusCode::REQUEST_TIMEOUT,
+        EntryFault::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+        EntryFault::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
+        EntryFault::Lost => StatusCode::BAD_GATEWAY,
+        EntryFault::Late => StatusCode::GATEWAY_TIMEOUT,
+    };
+    let mut response = Response::new(Full::new(Bytes::new()));
+    *response.status_mut() = status;
+    if let EntryFault::NotRun { retry_after } = fault {
+        let seconds = format!("{:.3}", retry_after.millis() as f64 / 1000.0);
+        if let Ok(value) = HeaderValue::try_from(seconds) {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+    if let Some(id) = id {
+        response.headers_mut().insert(REQUEST_ID, id);
+    }
+    response
+}
+
+fn log_fault(state: &NodeState, id: Option<&HeaderValue>, arrived: ClockTime, fault: EntryFault) {
+    let id = id.and_then(|id| id.to_str().ok()).unwrap_or("");
+    let held = state.clock.now().since(arrived).millis();
+    let version = state.routes.load().as_ref().map_or(0, |routes| routes.version);
+    let fault = format!("{fault:?}");
+    log::info!(request = id, fault = fault.as_str(), held_ms = held, version = version;
+        "request not served");
+}
--- /dev/null
+++ b/sidecar/src/follower.rs
@@ -0,0 +1,305 @@
+//! Follows the platform's store and puts what it holds into effect.
+
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task;
+use fescuestack_core::{ClockSpan, ClockTime};
+use fescuestack_platform::{
+    CONFIG_KEY, StoreClient, StoreError, StoreEvent, TARGET_PREFIX, decode_config, decode_target,
+    target_id,
+};
+use fescuestack_routing::{RandomSource, TargetRegistry, ViewChange};
+
+use crate::guard::lock;
+use crate::node::NodeState;
+use crate::peer::{SyncAnswer, ask_sync};
+
+/// How long a watch waits. A connection that has gone silent is noticed after it, or sooner by the
+/// system's probes.
+const WATCH_WAIT: ClockSpan = ClockSpan::new(8_000);
+
+/// First pause after a failed read.
+const RETRY_FIRST: Duration = Duration::from_millis(100);
+
+/// Longest pause after a failed read. The configuration has to be in force within 2 s of its
+/// acknowledgement once the store can be reached.
+const RETRY_LAST: Duration = Duration::from_millis(800);
+
+/// How long the store may be out of reach before other nodes are asked.
+const ASK_AFTER: ClockSpan = ClockSpan::new(400);
+
+/// How often other nodes are asked.
+const ASK_PERIOD: Duration = Duration::from_millis(500);
+
+/// How long entries that vanished while the store was away may take to come back.
+const LAPSE_SPAN: ClockSpan = ClockSpan::new(2_000);
+
+/// How long the store has to be out of reach for its entries to lapse.
+const AWAY_MIN: ClockSpan = ClockSpan::new(1_000);
+
+/// All keys of the store: the operators' configuration and the targets.
+const ALL_KEYS: &str = "";
+
+/// Follows the store.
+pub(crate) struct StoreFollower {
+    state: Arc<NodeState>,
+    client: StoreClient,
+    registry: TargetRegistry,
+    random: RandomSource,
+    /// When the store answered last.
+    answered: Option<ClockTime>,
+    /// Until when missing entries may come back.
+    lapse_until: ClockTime,
+    /// Whether the store is known to be out of reach.
+    away: bool,
+}
+
+impl StoreFollower {
+    pub(crate) fn new(state: Arc<NodeState>) -> StoreFollower {
+        let client = StoreClient::new(state.settings.load().store);
+        StoreFollower {
+            random: RandomSource::new(u64::from(state.split_offset)),
+            client,
+            registry: TargetRegistry::new(),
+            answered: None,
+            lapse_until: ClockTime::ZERO,
+            away: false,
+            state,
+        }
+    }
+
+    /// Follows the store until the future is dropped.
+    pub(crate) async fn run(mut self) {
+        let mut listed = false;
+        let mut pause = RETRY_FIRST;
+        loop {
+            let result = if listed { self.watch().await } else { self.list().await };
+            self.sweep();
+            match result {
+                Ok(()) => {
+                    listed = true;
+                    pause = RETRY_FIRST;
+                }
+                Err(StoreError::HistoryGone) => {
+                    log::info!("702 the store has dropped its history, reading it anew");
+                    self.note_answer();
+                    listed = false;
+                }
+                Err(err) => {
+                    self.note_failure(&err);
+                    self.bridge(pause).await;
+                    pause = (pause * 2).min(RETRY_LAST);
+                }
+            }
+        }
+    }
+
+    async fn list(&mut self) -> Result<(), StoreError> {
+        let listing = self.client.list(ALL_KEYS).await?;
+        self.note_answer();
+        let changes = {
+            let mut view = lock(&self.state.view);
+            let changes = view.replace(ALL_KEYS, listing.at, listing.items);
+            view.advance(listing.at);
+            changes
+        };
+        self.apply(changes);
+        Ok(())
+    }
+
+    async fn watch(&mut self) -> Result<(), StoreError> {
+        let after = lock(&self.state.view).at();
+        let (events, at) = self.client.watch(ALL_KEYS, after, WATCH_WAIT).await?;
+        self.note_answer();
+        let changes = {
+            let mut view = lock(&self.state.view);
+            let mut changes = Vec::new();
+            for event in events {
+                changes.extend(match event {
+                    StoreEvent::Written(key, item) => view.write(&key, item),
+                    StoreEvent::Removed(key, revision) => view.remove(&key, revision),
+                });
+            }
+            view.advance(at);
+            changes
+        };
+        self.apply(changes);
+        Ok(())
+    }
+
+    fn note_answer(&mut self) {
+        let now = self.state.clock.now();
+        if self.away {
+            self.away = false;
+            let away = self.answered.map_or(ClockSpan::ZERO, |answered| now.since(answered));
+            if away >= AWAY_MIN {
+                self.lapse_until = now + LAPSE_SPAN;
+            }
+            log::info!(away_ms = away.millis(); "store regained");
+        }
+        self.answered = Some(now);
+    }
+
+    fn note_failure(&mut self, err: &StoreError) {
+        if !self.away {
+            self.away = true;
+            log::warn!("store lost: {err}");
+            // A watch may have waited long without an answer, which is not an absence.
+            self.answered = Some(self.state.clock.now());
+        }
+    }
+
+    /// Waits before the next read. Meanwhile other nodes may know more.
+    async fn bridge(&mut self, pause: Duration) {
+        let jitter = 0.75 + self.random.next_share() / 2.0;
+        task::sleep(pause.mul_f64(jitter)).await;
+        let now = self.state.clock.now();
+        if self.answered.is_some_and(|answered| now.since(answered) < ASK_AFTER) {
+            return;
+        }
+        let Some(vm) = self.random_node() else { return };
+        let after = lock(&self.state.view).at();
+        let asked = fescuestack_http::within(ASK_PERIOD, ask_sync(&self.state, vm, after)).await;
+        if let Some(Some(answer)) = asked {
+            self.take_over(answer);
+        }
+    }
+
+    fn take_over(&mut self, answer: SyncAnswer) {
+        let (at, changes) = {
+            let mut view = lock(&self.state.view);
+            if answer.at <= view.at() {
+                return;
+            }
+            let at = answer.at;
+            let keys: Vec<_> = answer.items.iter().map(|item| item.key.clone()).collect();
+            let missing: Vec<_> =
+                view.iter().map(|(key, _)| key.clone()).filter(|key| !keys.contains(key)).collect();
+            let mut changes: Vec<_> =
+                missing.iter().filter_map(|key| view.remove(key, at)).collect();
+            let items = answer.items.into_iter().filter_map(|item| item.into_item());
+            changes.extend(items.filter_map(|(key, item)| view.write(&key, item)));
+            view.advance(at);
+            (at, changes)
+        };
+        log::info!(revision = at, changes = changes.len(); "store content learned from a node");
+        self.apply(changes);
+    }
+
+    /// A node that may know more: of the own data centre in three of four cases.
+    fn random_node(&mut self) -> Option<IpAddr> {
+        let settings = self.state.settings.load();
+        let near = self.random.next_share() < 0.75;
+        let own = settings.target.ip();
+        let listed = |near: bool| {
+            let entries = self.registry.iter().filter(|entry| entry.address.ip() != own);
+            let entries =
+                entries.filter(|entry| !near || *entry.data_centre == *settings.data_centre);
+            entries.map(|entry| entry.address.ip()).collect::<Vec<_>>()
+        };
+        let mut nodes = listed(near);
+        if nodes.is_empty() {
+            nodes = listed(false);
+        }
+        if nodes.is_empty() {
+            nodes = settings.seeds.iter().copied().filter(|seed| *seed != own).collect();
+        }
+        let index = (self.random.next_share() * nodes.len() as f64) as usize;
+        nodes.get(index).copied()
+    }
+
+    fn apply(&mut self, changes: Vec<ViewChange>) {
+        if changes.is_empty() {
+            return;
+        }
+        for change in changes {
+            match change {
+                ViewChange::Written(key) if *key == *CONFIG_KEY => self.apply_config(),
+                ViewChange::Written(key) if key.starts_with(TARGET_PREFIX) => {
+                    self.apply_target(&key);
+                }
+                ViewChange::Removed(key) if key.starts_with(TARGET_PREFIX) => {
+                    self.remove_target(&key);
+                }
+                ViewChange::Written(key) | ViewChange::Removed(key) => {
+                    log::debug!(key = &*key; "key without a meaning here");
+                }
+            }
+        }
+        self.update_target();
+    }
+
+    fn apply_config(&self) {
+        let Some(item) = lock(&self.state.view).get(CONFIG_KEY).cloned() else { return };
+        let routes = match decode_config(&item.value) {
+            Ok(routes) => routes,
+            Err(err) => {
+                log::warn!(revision = item.revision; "configuration refused: {err}");
+                return;
+            }
+        };
+        let active = self.state.routes.load().as_ref().map_or(0, |routes| routes.version);
+        if routes.version <= active {
+            log::warn!(version = routes.version, active = active; "older configuration ignored");
+            return;
+        }
+        log::info!(version = routes.version, routes = routes.route_count(),
+            revision = item.revision; "configuration in force");
+        self.state.routes.store(Some(Arc::new(routes)));
+    }
+
+    fn apply_target(&mut self, key: &str) {
+        let Some(id) = target_id(key) else { return };
+        let Some(item) = lock(&self.state.view).get(key).cloned() else { return };
+        let entry = match decode_target(id, item.revision, &item.value) {
+            Ok(entry) => entry,
+            Err(err) => {
+                log::warn!(target = id, revision = item.revision; "entry ignored: {err}");
+                return;
+            }
+        };
+        let now = self.state.clock.now();
+        if self.registry.insert(entry.clone()) {
+            log::info!(target = id, service = &*entry.service, state = format!("{:?}", entry.state).as_str(),
+                revision = item.revision; "target listed");
+            lock(&self.state.routing).picker.insert(now, &entry);
+        }
+    }
+
+    fn remove_target(&mut self, key: &str) {
+        let Some(id) = target_id(key) else { return };
+        if self.state.clock.now() < self.lapse_until {
+            self.registry.lapse(id, self.lapse_until);
+            return;
+        }
+        if self.registry.remove(id).is_some() {
+            self.forget(id);
+        }
+    }
+
+    fn sweep(&mut self) {
+        let now = self.state.clock.now();
+        let gone = self.registry.sweep(now);
+        for entry in &gone {
+            self.forget(&entry.id);
+        }
+        if !gone.is_empty() {
+            self.update_target();
+        }
+    }
+
+    fn forget(&self, id: &str) {
+        log::info!(target = id; "target gone");
+        lock(&self.state.routing).picker.remove(id);
+    }
+
+    /// Tells the target's side what is listed at its address.
+    fn update_target(&self) {
+        let settings = self.state.settings.load();
+        let entry = self.registry.at(settings.target);
+        let entry = entry.filter(|entry| *entry.service == *settings.service);
+        self.state.target.update(settings.target, entry);
+    }
+}
--- /dev/null
+++ b/sidecar/src/links.rs
@@ -0,0 +1,232 @@
+//! Connections to other nodes: one for each, shared by all calls to it.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_std::task;
+use bytes::Bytes;
+use fescuestack_http::{ServedStream, TaskExecutor, TaskTimer, connect, within};
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http2;
+use rustc_hash::FxHashMap;
+use snafu::Snafu;
+
+use crate::guard::lock;
+
+/// How long a connection may take to open. Data centres are some ms apart.
+const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+
+/// How long a connection with open calls may be silent before it is asked for a sign of life.
+const PING_INTERVAL: Duration = Duration::from_millis(400);
+
+/// How long that sign may take. A lost packet is sent again after 200 ms or more.
+const PING_LIMIT: Duration = Duration::from_millis(700);
+
+/// First pause before a lost connection is opened again.
+const REOPEN_FIRST: Duration = Duration::from_millis(100);
+
+/// Longest pause before a lost connection is opened again.
+const REOPEN_LAST: Duration = Duration::from_millis(800);
+
+/// Longest answer of a node in bytes. Answers of targets and copies of the store fit.
+const ANSWER_BYTES: usize = 32 * 1024 * 1024;
+
+/// Bytes of a body that may be under way in one call, so that uploads go out without a round trip
+/// for each piece.
+const STREAM_WINDOW: u32 = 1 << 20;
+
+/// Bytes that may be under way in all calls of a connection.
+const CONNECTION_WINDOW: u32 = 4 << 20;
+
+/// Why a call to another node has no answer.
+#[derive(Debug, Snafu)]
+pub(crate) enum LinkError {
+    /// Nothing was sent.
+    #[snafu(display("no connection to the node"))]
+    NotSent,
+    /// The request may have reached the node.
+    #[snafu(display("connection to the node lost: {reason}"))]
+    Lost { reason: String },
+}
+
+type LinkSender = http2::SendRequest<Full<Bytes>>;
+
+#[derive(Debug)]
+enum LinkState {
+    Closed,
+    Open(LinkSender),
+    /// Being opened again in the background.
+    Lost,
+}
+
+#[derive(Debug)]
+struct NodeLink {
+    address: SocketAddr,
+    state: Mutex<LinkState>,
+    opening: async_std::sync::Mutex<()>,
+}
+
+/// Told when a node can be reached or not any more.
+pub(crate) trait LinkObserver: Send + Sync + 'static {
+    fn reachable(&self, vm: IpAddr, reachable: bool);
+}
+
+/// The connections of this node to others.
+pub(crate) struct LinkTable {
+    links: Mutex<FxHashMap<SocketAddr, Arc<NodeLink>>>,
+    observer: Mutex<Option<std::sync::Weak<dyn LinkObserver>>>,
+}
+
+impl LinkTable {
+    pub(crate) fn new() -> Arc<LinkTable> {
+        Arc::new(LinkTable { links: Mutex::default(), observer: Mutex::new(None) })
+    }
+
+    pub(crate) fn set_observer(&self, observer: std::sync::Weak<dyn LinkObserver>) {
+        *lock(&self.observer) = Some(observer);
+    }
+
+    /// Sends a request to a node and reads its answer. Dropping the future cancels the request.
+    pub(crate) async fn send(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, LinkError> {
+        let link = self.link(address);
+        let mut sender = self.sender(&link).await?;
+        let answer = match sender.try_send_request(request).await {
+            Ok(answer) => answer,
+            Err(mut err) => {
+                let unsent = err.take_message().is_some();
+                let reason = describe(err.error());
+                if sender.is_closed() {
+                    self.lose(&link, &reason);
+                }
+                return Err(if unsent { LinkError::NotSent } else { LinkError::Lost { reason } });
+            }
+        };
+        let (parts, body) = answer.into_parts();
+        match Limited::new(body, ANSWER_BYTES).collect().await {
+            Ok(body) => Ok(Response::from_parts(parts, body.to_bytes())),
+            Err(err) => Err(LinkError::Lost { reason: err.to_string() }),
+        }
+    }
+
+    /// Forgets the connections to nodes that are no longer needed.
+    pub(crate) fn retain(&self, keep: impl Fn(IpAddr) -> bool) {
+        lock(&self.links).retain(|address, _| keep(address.ip()));
+    }
+
+    fn link(&self, address: SocketAddr) -> Arc<NodeLink> {
+        let mut links = lock(&self.links);
+        let link = links.entry(address).or_insert_with(|| {
+            let (state, opening) = (Mutex::new(LinkState::Closed), async_std::sync::Mutex::new(()));
+            Arc::new(NodeLink { address, state, opening })
+        });
+        link.clone()
+    }
+
+    async fn sender(self: &Arc<Self>, link: &Arc<NodeLink>) -> Result<LinkSender, LinkError> {
+        if let Some(sender) = link.open_sender()? {
+            return Ok(sender);
+        }
+        let _guard = link.opening.lock().await;
+        if let Some(sender) = link.open_sender()? {
+            return Ok(sender);
+        }
+        match open(link.address).await {
+            Ok(sender) => {
+                *lock(&link.state) = LinkState::Open(sender.clone());
+                Ok(sender)
+            }
+            Err(reason) => {
+                self.lose(link, &reason);
+                Err(LinkError::NotSent)
+            }
+        }
+    }
+
+    /// Notes that a node cannot be reached, and opens its connection again in the background.
+    fn lose(self: &Arc<Self>, link: &Arc<NodeLink>, reason: &str) {
+        let former = std::mem::replace(&mut *lock(&link.state), LinkState::Lost);
+        if matches!(former, LinkState::Lost) {
+            return;
+        }
+        log::info!(node = link.address.to_string().as_str(), reason = reason; "node lost");
+        self.notify(link.address.ip(), false);
+        let (table, link) = (Arc::downgrade(self), link.clone());
+        task::spawn(async move {
+            let mut pause = REOPEN_FIRST;
+            loop {
+                task::sleep(pause).await;
+                pause = (pause * 2).min(REOPEN_LAST);
+                let Some(table) = table.upgrade() else { return };
+                if !table.holds(&link) {
+                    return;
+                }
+                let Ok(sender) = open(link.address).await else { continue };
+                *lock(&link.state) = LinkState::Open(sender);
+                log::info!(node = link.address.to_string().as_str(); "node regained");
+                table.notify(link.address.ip(), true);
+                return;
+            }
+        });
+    }
+
+    fn holds(&self, link: &Arc<NodeLink>) -> bool {
+        lock(&self.links).get(&link.address).is_some_and(|known| Arc::ptr_eq(known, link))
+    }
+
+    fn notify(&self, vm: IpAddr, reachable: bool) {
+        let observer = lock(&self.observer).as_ref().and_then(std::sync::Weak::upgrade);
+        if let Some(observer) = observer {
+            observer.reachable(vm, reachable);
+        }
+    }
+}
+
+impl NodeLink {
+    /// The open connection. Fails at once while the node is known to be out of reach.
+    fn open_sender(&self) -> Result<Option<LinkSender>, LinkError> {
+        let mut state = lock(&self.state);
+        match &*state {
+            LinkState::Open(sender) if !sender.is_closed() => Ok(Some(sender.clone())),
+            LinkState::Open(_) => {
+                *state = LinkState::Closed;
+                Ok(None)
+            }
+            LinkState::Closed => Ok(None),
+            LinkState::Lost => Err(LinkError::NotSent),
+        }
+    }
+}
+
+async fn open(address: SocketAddr) -> Result<LinkSender, String> {
+    let stream = connect(address, CONNECT_LIMIT).await.map_err(|err| err.to_string())?;
+    let mut builder = http2::Builder::new(TaskExecutor);
+    builder
+        .timer(TaskTimer)
+        .keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(PING_LIMIT)
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW);
+    let handshake = builder.handshake(ServedStream::new(stream));
+    let opened = within(CONNECT_LIMIT, handshake).await.ok_or("handshake timed out")?;
+    let (sender, connection) = opened.map_err(|err| err.to_string())?;
+    task::spawn(async move {
+        if let Err(err) = connection.await {
+            log::debug!(node = address.to_string().as_str(); "link closed: {err}");
+        }
+    });
+    Ok(sender)
+}
+
+fn describe(err: &hyper::Error) -> String {
+    use std::error::Error;
+    match err.source() {
+        Some(source) => format!("{err}: {source}"),
+        None => err.to_string(),
+    }
+}
--- /dev/null
+++ b/sidecar/src/node.rs
@@ -0,0 +1,143 @@
+//! What the parts of a node share.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use async_channel::{Receiver, Sender};
+use fescuestack_http::CallClock;
+use fescuestack_platform::MachineSettings;
+use fescuestack_routing::{RepeatBudget, RouteTable, StoreView, TargetPicker};
+use rustc_hash::FxHashMap;
+
+use crate::guard::lock;
+use crate::links::{LinkObserver, LinkTable};
+use crate::target::TargetSide;
+
+/// The state of a node that runs on the users' platform.
+pub(crate) struct NodeState {
+    pub(crate) settings: ArcSwap<MachineSettings>,
+    pub(crate) clock: CallClock,
+    /// The configuration in force.
+    pub(crate) routes: ArcSwapOption<RouteTable>,
+    pub(crate) routing: Mutex<RoutingState>,
+    pub(crate) target: Arc<TargetSide>,
+    pub(crate) links: Arc<LinkTable>,
+    /// A copy of the store, for this node and for others that cannot reach it.
+    pub(crate) view: Mutex<StoreView>,
+    /// Start of this node's splits, so that nodes do not split in step.
+    pub(crate) split_offset: u32,
+    stopping: AtomicBool,
+    calls: AtomicUsize,
+    /// Closed when connections are to end after their present request.
+    closing: (Sender<()>, Receiver<()>),
+}
+
+/// What the choice of targets is based on.
+pub(crate) struct RoutingState {
+    pub(crate) picker: TargetPicker,
+    budgets: FxHashMap<Arc<str>, RepeatBudget>,
+}
+
+impl RoutingState {
+    /// The picker, and the budget of a service.
+    pub(crate) fn parts(&mut self, service: &Arc<str>) -> (&mut TargetPicker, &mut RepeatBudget) {
+        let budget = self.budgets.entry(service.clone()).or_default();
+        (&mut self.picker, budget)
+    }
+}
+
+impl NodeState {
+    pub(crate) fn new(settings: MachineSettings) -> Arc<NodeState> {
+        let clock = CallClock::new();
+        let seed = seed(&settings.node, clock.now().millis());
+        let picker = TargetPicker::new(settings.data_centre.as_str().into(), seed);
+        let routing = RoutingState { picker, budgets: FxHashMap::default() };
+        let target = TargetSide::new(settings.target, clock);
+        let state = Arc::new(NodeState {
+            settings: ArcSwap::from_pointee(settings),
+            clock,
+            routes: ArcSwapOption::empty(),
+            routing: Mutex::new(routing),
+            target,
+            links: LinkTable::new(),
+            view: Mutex::default(),
+            split_offset: seed as u32,
+            stopping: AtomicBool::new(false),
+            calls: AtomicUsize::new(0),
+            closing: async_channel::bounded(1),
+        });
+        let observer: Arc<dyn LinkObserver> = state.clone();
+        state.links.set_observer(Arc::downgrade(&observer));
+        state
+    }
+
+    /// Where the node on a VM takes calls from other nodes.
+    pub(crate) fn node_address(&self, vm: IpAddr) -> SocketAddr {
+        SocketAddr::new(vm, self.settings.load().inbound.port())
+    }
+
+    /// Whether a VM is this node's own.
+    pub(crate) fn is_own(&self, vm: IpAddr) -> bool {
+        self.settings.load().target.ip() == vm
+    }
+
+    /// Whether clients should send requests here.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.routes.load().is_some()
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Tells clients and other nodes to go elsewhere.
+    pub(crate) fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Release);
+    }
+
+    /// Ends the connections of clients after their present requests.
+    pub(crate) fn close_connections(&self) {
+        self.closing.0.close();
+    }
+
+    /// Completes when connections are to end.
+    pub(crate) fn closing(&self) -> Receiver<()> {
+        self.closing.1.clone()
+    }
+
+    /// Calls that are being served.
+    pub(crate) fn calls(&self) -> usize {
+        self.calls.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn begin_call(self: &Arc<Self>) -> CallPlace {
+        self.calls.fetch_add(1, Ordering::AcqRel);
+        CallPlace(self.clone())
+    }
+}
+
+impl LinkObserver for NodeState {
+    fn reachable(&self, vm: IpAddr, reachable: bool) {
+        lock(&self.routing).picker.set_reachable(vm, reachable);
+    }
+}
+
+/// A call that is being served.
+pub(crate) struct CallPlace(Arc<NodeState>);
+
+impl Drop for CallPlace {
+    fn drop(&mut self) {
+        self.0.calls.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// A seed that differs between nodes and between their starts.
+fn seed(node: &str, now: u64) -> u64 {
+    let mut hash = 0xcbf2_9ce4_8422_2325u64 ^ now;
+    for byte in node.bytes() {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    }
+    hash
+}
--- /dev/null
+++ b/sidecar/src/note.rs
@@ -0,0 +1,126 @@
+//! What nodes tell each other about a call, beside the request and the answer themselves.
+
+use std::sync::Arc;
+
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD_NO_PAD;
+use fescuestack_routing::LoadReport;
+use http::{HeaderMap, HeaderName, HeaderValue};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+/// Header of a request to another node.
+const CALL_HEADER: HeaderName = HeaderName::from_static("fescuestack-call");
+
+/// Header of its answer.
+const REPLY_HEADER: HeaderName = HeaderName::from_static("fescuestack-reply");
+
+/// Header of a question for the store's content.
+const SYNC_HEADER: HeaderName = HeaderName::from_static("fescuestack-sync");
+
+/// What the node where a call began tells the node beside the target. Times are in ms.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct CallNote {
+    /// The target that the call is meant for.
+    pub(crate) target: Arc<str>,
+    /// Slots of the target.
+    pub(crate) slots: u32,
+    /// Route of the call.
+    pub(crate) route: Arc<str>,
+    /// Urgency; lower is more urgent.
+    pub(crate) rank: u8,
+    /// Whether the call may run twice.
+    pub(crate) idempotent: bool,
+    /// Time until its caller stops waiting.
+    pub(crate) left: u64,
+    /// Time until its aim is missed.
+    pub(crate) aim_left: u64,
+    /// Longest wait in the queue.
+    pub(crate) wait_limit: u64,
+}
+
+/// How a call ended at its target's node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum ReplyEnd {
+    /// The target answered; the answer follows.
+    Answered,
+    /// The node did not let it run.
+    Refused,
+    /// The target said that it did not run it.
+    Rejected,
+    /// Nothing reached the target.
+    NotSent,
+    /// It may have run.
+    Lost,
+}
+
+/// What the node beside a target tells about a call and its own load. Times are in ms.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(crate) struct ReplyNote {
+    /// How the call ended.
+    pub(crate) end: ReplyEnd,
+    /// Calls that run at the target.
+    pub(crate) running: u32,
+    /// Calls that wait for it.
+    pub(crate) queued: u32,
+    /// Mean time of a call.
+    pub(crate) service: u64,
+    /// After a refusal, when there is likely to be room.
+    pub(crate) retry_after: u64,
+}
+
+impl ReplyNote {
+    pub(crate) fn load(&self) -> LoadReport {
+        LoadReport {
+            running: self.running,
+            queued: self.queued,
+            service: fescuestack_core::ClockSpan::new(self.service),
+        }
+    }
+}
+
+impl CallNote {
+    pub(crate) fn write(&self, headers: &mut HeaderMap) {
+        write_note(headers, CALL_HEADER, self);
+    }
+
+    /// Takes the note out of the headers of a request.
+    pub(crate) fn take(headers: &mut HeaderMap) -> Option<CallNote> {
+        take_note(headers, &CALL_HEADER)
+    }
+}
+
+impl ReplyNote {
+    pub(crate) fn write(&self, headers: &mut HeaderMap) {
+        write_note(headers, REPLY_HEADER, self);
+    }
+
+    /// Takes the note out of the headers of an answer.
+    pub(crate) fn take(headers: &mut HeaderMap) -> Option<ReplyNote> {
+        take_note(headers, &REPLY_HEADER)
+    }
+}
+
+/// Marks a request as a question for what the store holds after a revision.
+pub(crate) fn write_sync(headers: &mut HeaderMap, after: u64) {
+    headers.insert(SYNC_HEADER, HeaderValue::from(after));
+}
+
+/// The revision of a question for the store's content.
+pub(crate) fn scan_sync(headers: &HeaderMap) -> Option<u64> {
+    headers.get(&SYNC_HEADER)?.to_str().ok()?.parse().ok()
+}
+
+fn write_note(headers: &mut HeaderMap, name: HeaderName, note: &impl Serialize) {
+    // Plain structures always encode, and the text holds header characters only.
+    let Ok(bytes) = postcard::to_stdvec(note) else { return };
+    if let Ok(value) = HeaderValue::try_from(BASE64_STANDARD_NO_PAD.encode(bytes)) {
+        headers.insert(name, value);
+    }
+}
+
+fn take_note<T: DeserializeOwned>(headers: &mut HeaderMap, name: &HeaderName) -> Option<T> {
+    let value = headers.remove(name)?;
+    let bytes = BASE64_STANDARD_NO_PAD.decode(value.as_bytes()).ok()?;
+    postcard::from_bytes(&bytes).ok()
+}
--- /dev/null
+++ b/sidecar/src/run.rs
@@ -0,0 +1,273 @@
+//! A node on the users' platform, from its start to its graceful stop.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use bytes::Bytes;
+use fescuestack_http::{ServedStream, TaskExecutor, TaskTimer, prepare_socket};
+use fescuestack_platform::headers::READY_PATH;
+use fescuestack_platform::{MachineError, MachineSettings};
+use futures_lite::future;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::{http1, http2};
+use hyper::service::service_fn;
+use snafu::{ResultExt, Snafu};
+
+use crate::follower::StoreFollower;
+use crate::node::NodeState;
+use crate::{entry, peer};
+
+/// Pause after a failed accept, which usually means that file descriptors ran out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// How often the queue looks for calls that wait in vain.
+const TICK: Duration = Duration::from_millis(25);
+
+/// How often the settings file is looked at, since it may change without a signal.
+const SETTINGS_PERIOD: Duration = Duration::from_millis(1_000);
+
+/// How long clients may take to notice that a stopping node is not ready: two questions, one second
+/// apart, and the requests under way meanwhile.
+const NOTICE_SPAN: Duration = Duration::from_millis(2_600);
+
+/// Time before the platform kills the process that is kept for the end of the stop.
+const GRACE_MARGIN: Duration = Duration::from_millis(300);
+
+/// Idle time of clients' connections before a configuration sets it.
+const FIRST_IDLE: Duration = Duration::from_secs(15);
+
+/// Longest head before a configuration sets it, in bytes.
+const FIRST_HEAD_BYTES: usize = 16 * 1024;
+
+/// Room in the read buffer beyond the longest head, in bytes, for the start of a body.
+const BUFFER_SLACK_BYTES: usize = 8 * 1024;
+
+/// Calls of one other node at a time.
+const STREAM_LIMIT: u32 = 4_096;
+
+/// Cancelled calls of a connection that were not yet looked at. Many clients may leave at once.
+const RESET_LIMIT: usize = 4_096;
+
+/// Bytes of a body under way in one call, and in all calls of a connection.
+const WINDOWS: (u32, u32) = (1 << 20, 4 << 20);
+
+/// Why a node cannot start.
+#[derive(Debug, Snafu)]
+pub enum SidecarError {
+    /// The settings cannot be used.
+    #[snafu(display("{source}"))]
+    Settings {
+        /// The reason.
+        source: MachineError,
+    },
+    /// An address is in use or does not belong to this VM.
+    #[snafu(display("604 {port}: cannot listen on {address}: {source}"))]
+    Listen {
+        /// Name of the setting.
+        port: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// The reason.
+        source: std::io::Error,
+    },
+}
+
+/// A node on the users' platform.
+pub struct SidecarNode {
+    path: PathBuf,
+    state: Arc<NodeState>,
+    started: Instant,
+}
+
+impl SidecarNode {
+    /// Reads the settings at `path` and starts to serve. Fails with 604, 607 and 608.
+    pub async fn start(path: PathBuf) -> Result<SidecarNode, SidecarError> {
+        let settings = MachineSettings::load(&path).context(SettingsSnafu)?;
+        let (ready, outbound, inbound) = (settings.ready, settings.outbound, settings.inbound);
+        let name = settings.node.clone();
+        let state = NodeState::new(settings);
+        let ready = bind("ready", ready).await?;
+        let outbound = bind("outbound", outbound).await?;
+        let inbound = bind("inbound", inbound).await?;
+        task::spawn(accept(ready, state.clone(), serve_ready));
+        task::spawn(accept(outbound, state.clone(), serve_client));
+        task::spawn(accept(inbound, state.clone(), serve_node));
+        task::spawn(tick(state.clone()));
+        log::info!(node = name.as_str(); "node started");
+        Ok(SidecarNode { path, state, started: Instant::now() })
+    }
+
+    /// Follows the platform until `stop` completes, then stops gracefully.
+    pub async fn run(self, stop: impl Future<Output = ()>, reload: impl AsyncFn()) {
+        let follower = StoreFollower::new(self.state.clone()).run();
+        let settings = follow_settings(self.path.clone(), self.state.clone(), reload);
+        let stopping = async {
+            stop.await;
+            self.stop().await;
+        };
+        future::or(stopping, future::or(follower, settings)).await;
+    }
+
+    /// Lets clients go elsewhere and calls in flight end.
+    async fn stop(&self) {
+        let begun = Instant::now();
+        let grace = Duration::from_millis(self.state.settings.load().grace.millis());
+        let bound = grace.saturating_sub(GRACE_MARGIN);
+        self.state.begin_stop();
+        let uptime = self.started.elapsed().as_millis() as u64;
+        log::info!(uptime_ms = uptime, calls = self.state.calls(); "graceful stop begins");
+        task::sleep(NOTICE_SPAN.min(bound)).await;
+        self.state.close_connections();
+        while self.state.calls() > 0 && begun.elapsed() < bound {
+            task::sleep(TICK).await;
+        }
+        // Answers that were just written leave the process before it ends.
+        task::sleep(TICK).await;
+        log::info!(cut_off = self.state.calls(); "node stopped");
+    }
+}
+
+async fn bind(port: &'static str, address: SocketAddr) -> Result<TcpListener, SidecarError> {
+    TcpListener::bind(address).await.context(ListenSnafu { port, address })
+}
+
+async fn accept<F, Fut>(listener: TcpListener, state: Arc<NodeState>, serve: F)
+where
+    F: Fn(Arc<NodeState>, TcpStream) -> Fut + Send + 'static,
+    Fut: Future<Output = ()> + Send + 'static,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                if let Err(err) = prepare_socket(&stream) {
+                    log::debug!("socket option refused: {err}");
+                }
+                task::spawn(serve(state.clone(), stream));
+            }
+            Err(err) => {
+                log::warn!("cannot accept: {err}");
+                task::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_ready(state: Arc<NodeState>, stream: TcpStream) {
+    let service = service_fn(move |request: Request<Incoming>| {
+        let status = match request.uri().path() {
+            READY_PATH if state.is_ready() => StatusCode::OK,
+            READY_PATH => StatusCode::SERVICE_UNAVAILABLE,
+            _ => StatusCode::NOT_FOUND,
+        };
+        let mut answer = Response::new(Full::new(Bytes::new()));
+        *answer.status_mut() = status;
+        async { Ok::<_, Infallible>(answer) }
+    });
+    let stream = ServedStream::new(stream);
+    let mut builder = http1::Builder::new();
+    let connection = builder.timer(TaskTimer).serve_connection(stream, service);
+    note_end("ready", connection.await);
+}
+
+async fn serve_client(state: Arc<NodeState>, stream: TcpStream) {
+    let stream = ServedStream::new(stream);
+    let (idle, head_bytes) = match &*state.routes.load() {
+        Some(routes) => {
+            let idle = Duration::from_millis(routes.limits.idle_time.millis());
+            (idle, routes.limits.head_bytes)
+        }
+        None => (FIRST_IDLE, FIRST_HEAD_BYTES),
+    };
+    let (watch, closing) = (stream.watch(), state.closing());
+    let service = service_fn(move |request| {
+        let answer = entry::serve(state.clone(), request, watch.clone());
+        async { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TaskTimer)
+        .header_read_timeout(idle)
+        .max_buf_size(head_bytes + BUFFER_SLACK_BYTES);
+    let mut connection = std::pin::pin!(builder.serve_connection(stream, service));
+    let closed = async {
+        let _ = closing.recv().await;
+        None
+    };
+    let ended = future::or(async { Some(connection.as_mut().await) }, closed).await;
+    match ended {
+        Some(ended) => note_end("client", ended),
+        None => {
+            connection.as_mut().graceful_shutdown();
+            note_end("client", connection.await);
+        }
+    }
+}
+
+async fn serve_node(state: Arc<NodeState>, stream: TcpStream) {
+    let closing = state.closing();
+    let service = service_fn(move |request| {
+        let answer = peer::serve(state.clone(), request);
+        async { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut builder = http2::Builder::new(TaskExecutor);
+    builder
+        .timer(TaskTimer)
+        .max_concurrent_streams(STREAM_LIMIT)
+        .max_pending_accept_reset_streams(RESET_LIMIT)
+        .initial_stream_window_size(WINDOWS.0)
+        .initial_connection_window_size(WINDOWS.1);
+    let stream = ServedStream::new(stream);
+    let mut connection = std::pin::pin!(builder.serve_connection(stream, service));
+    let closed = async {
+        let _ = closing.recv().await;
+        None
+    };
+    let ended = future::or(async { Some(connection.as_mut().await) }, closed).await;
+    match ended {
+        Some(ended) => note_end("node", ended),
+        None => {
+            connection.as_mut().graceful_shutdown();
+            note_end("node", connection.await);
+        }
+    }
+}
+
+fn note_end(peer: &'static str, ended: hyper::Result<()>) {
+    if let Err(err) = ended {
+        log::debug!(peer = peer; "connection ended: {err}");
+    }
+}
+
+async fn tick(state: Arc<NodeState>) {
+    loop {
+        task::sleep(TICK).await;
+        state.target.tick();
+    }
+}
+
+/// Takes over changed settings: the service and the target beside the node, for example. Addresses
+/// that the node listens on stay as they are until it starts again.
+async fn follow_settings(path: PathBuf, state: Arc<NodeState>, reload: impl AsyncFn()) {
+    loop {
+        future::or(task::sleep(SETTINGS_PERIOD), reload()).await;
+        let settings = match MachineSettings::load(&path) {
+            Ok(settings) => settings,
+            Err(err) => {
+                log::warn!("settings kept as they were: {err}");
+                continue;
+            }
+        };
+        if settings != **state.settings.load() {
+            log::info!(service = settings.service.as_str(),
+                target = settings.target.to_string().as_str(); "settings changed");
+            state.settings.store(Arc::new(settings));
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/target.rs
@@ -0,0 +1,312 @@
+//! The target beside this node: its queue, its connections and its answers.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use fescuestack_core::{ClockSpan, ClockTime};
+use fescuestack_http::{
+    AnswerTag, CallClock, ExchangeConnection, ExchangeError, WholeAnswer, WholeRequest, within,
+};
+use fescuestack_platform::headers::{
+    EXPECTED_TARGET, NOT_RUN, REQUEST_ID, SIGNATURE, TARGET_ID, TIME_LEFT,
+};
+use fescuestack_routing::{
+    AdmissionAction, AdmissionQueue, AdmissionStep, CallEnd, CallTicket, LoadReport, QueuedCall,
+    TargetEntry, TargetState,
+};
+use http::HeaderValue;
+use rustc_hash::FxHashMap;
+
+use crate::guard::lock;
+use crate::note::{CallNote, ReplyEnd, ReplyNote};
+
+/// How long a connection to the target may take. It is on the same VM.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+
+/// How long an unused connection serves requests that must not run twice. The target may close an
+/// older one just when the request arrives, which leaves its outcome unknown.
+const FRESH: Duration = Duration::from_millis(800);
+
+/// How long an unused connection serves idempotent requests when the target does not say.
+const KEEP: Duration = Duration::from_secs(4);
+
+/// How much earlier than the target says a connection is given up.
+const KEEP_MARGIN: Duration = Duration::from_millis(1_000);
+
+/// How long an answer is awaited after the deadline, at which a target answers by itself.
+const ANSWER_SLACK: Duration = Duration::from_millis(30);
+
+/// Unused connections that are kept.
+const IDLE_LIMIT: usize = 16;
+
+/// A call's result at the target.
+#[derive(Debug)]
+pub(crate) struct TargetReply {
+    pub(crate) note: ReplyNote,
+    /// The target's answer if the call ended with one.
+    pub(crate) answer: Option<WholeAnswer>,
+}
+
+/// The target beside this node.
+pub(crate) struct TargetSide {
+    clock: CallClock,
+    state: Mutex<SideState>,
+}
+
+struct SideState {
+    address: SocketAddr,
+    queue: AdmissionQueue,
+    known: Option<Arc<str>>,
+    idle: Vec<ExchangeConnection>,
+    waiters: FxHashMap<CallTicket, Sender<Result<(), ClockSpan>>>,
+}
+
+impl TargetSide {
+    pub(crate) fn new(address: SocketAddr, clock: CallClock) -> Arc<TargetSide> {
+        let state = SideState {
+            address,
+            queue: AdmissionQueue::new(1),
+            known: None,
+            idle: Vec::new(),
+            waiters: FxHashMap::default(),
+        };
+        Arc::new(TargetSide { clock, state: Mutex::new(state) })
+    }
+
+    /// Takes over what the platform lists at the target's address. Without an entry, a target that
+    /// was listed before has left.
+    pub(crate) fn update(&self, address: SocketAddr, entry: Option<&TargetEntry>) {
+        let now = self.clock.now();
+        let mut state = lock(&self.state);
+        if state.address != address {
+            state.address = address;
+            state.idle.clear();
+        }
+        match entry {
+            Some(entry) => {
+                if state.known.as_ref() != Some(&entry.id) {
+                    state.known = Some(entry.id.clone());
+                    state.idle.clear();
+                    state.queue.restart(entry.slots);
+                }
+                state.queue.set_slots(entry.slots);
+                state.queue.set_open(entry.state == TargetState::Ready);
+            }
+            None if state.known.is_some() => state.queue.set_open(false),
+            None => (),
+        }
+        state.poll(now);
+    }
+
+    pub(crate) fn load(&self) -> LoadReport {
+        lock(&self.state).queue.load()
+    }
+
+    /// Refuses calls that wait in vain. Comes every few milliseconds.
+    pub(crate) fn tick(&self) {
+        lock(&self.state).poll(self.clock.now());
+    }
+
+    /// Runs a call as soon as the queue lets it.
+    pub(crate) async fn run(
+        self: &Arc<Self>,
+        note: &CallNote,
+        mut request: WholeRequest,
+    ) -> TargetReply {
+        let now = self.clock.now();
+        let deadline = now + ClockSpan::new(note.left);
+        let ticket = match self.admit(now, note).await {
+            Ok(ticket) => ticket,
+            Err(retry_after) => return self.reply(ReplyEnd::Refused, retry_after),
+        };
+        let left = deadline.since(self.clock.now());
+        if left.is_zero() {
+            return self.reply(ReplyEnd::Refused, ClockSpan::ZERO);
+        }
+        let headers = &mut request.headers;
+        headers.insert(TIME_LEFT, HeaderValue::from(left.millis()));
+        if let Ok(id) = HeaderValue::from_str(&note.target) {
+            headers.insert(EXPECTED_TARGET, id);
+        }
+        let limit = Duration::from_millis(left.millis()) + ANSWER_SLACK;
+        let Some(outcome) = within(limit, self.exchange(note, &request)).await else {
+            // The answer would come too late. The target learns of it by the closed connection.
+            return self.reply(ReplyEnd::Lost, ClockSpan::ZERO);
+        };
+        let (end, answer) = match outcome {
+            Ok(answer) => judge(note, answer),
+            Err(ExchangeError::NotSent { source }) => {
+                log::info!(target = &*note.target, reason = source.to_string().as_str();
+                    "target cannot be reached");
+                (ReplyEnd::NotSent, None)
+            }
+            Err(err) => {
+                log::info!(target = &*note.target, request = request_id(&request),
+                    reason = err.to_string().as_str(); "answer lost");
+                (ReplyEnd::Lost, None)
+            }
+        };
+        let measured = matches!(end, ReplyEnd::Answered);
+        ticket.end(if measured { CallEnd::Answered } else { CallEnd::Broken });
+        TargetReply { answer, ..self.reply(end, ClockSpan::ZERO) }
+    }
+
+    /// Waits for a slot. Fails with the time after which there is likely to be room.
+    async fn admit(
+        self: &Arc<Self>,
+        now: ClockTime,
+        note: &CallNote,
+    ) -> Result<SlotGuard, ClockSpan> {
+        let call = QueuedCall {
+            route: note.route.clone(),
+            rank: note.rank,
+            aim_at: now + ClockSpan::new(note.aim_left),
+            deadline: now + ClockSpan::new(note.left),
+            wait_limit: ClockSpan::new(note.wait_limit),
+        };
+        let (ticket, waiter) = {
+            let mut state = lock(&self.state);
+            if state.known.is_none() {
+                state.queue.set_slots(note.slots);
+            }
+            match state.queue.arrive(now, call) {
+                AdmissionStep::Run(ticket) => (ticket, None),
+                AdmissionStep::Wait(ticket) => (ticket, Some(state.wait(ticket))),
+                AdmissionStep::Refuse { retry_after } => return Err(retry_after),
+            }
+        };
+        let guard = SlotGuard { side: self.clone(), ticket, ended: false };
+        if let Some(waiter) = waiter {
+            // The sender stays until it has sent.
+            waiter.recv().await.unwrap_or(Err(ClockSpan::ZERO))?;
+        }
+        Ok(guard)
+    }
+
+    async fn exchange(
+        &self,
+        note: &CallNote,
+        request: &WholeRequest,
+    ) -> Result<WholeAnswer, ExchangeError> {
+        let tag = request
+            .headers
+            .get(&REQUEST_ID)
+            .map(|value| AnswerTag { name: REQUEST_ID, value: value.clone() });
+        let mut connection = self.connection(note.idempotent).await?;
+        let answer = connection.exchange(request, tag.as_ref()).await?;
+        let mut state = lock(&self.state);
+        if state.idle.len() < IDLE_LIMIT {
+            state.idle.push(connection);
+        }
+        Ok(answer)
+    }
+
+    /// An unused connection, the one used last if there are several, or a new one.
+    async fn connection(&self, idempotent: bool) -> Result<ExchangeConnection, ExchangeError> {
+        loop {
+            let (address, idle) = {
+                let mut state = lock(&self.state);
+                (state.address, state.idle.pop())
+            };
+            let Some(mut connection) = idle else {
+                return ExchangeConnection::open(address, CONNECT_LIMIT).await;
+            };
+            let told = connection.keep_alive().map(|keep| keep.saturating_sub(KEEP_MARGIN));
+            let limit = told.unwrap_or(KEEP).min(if idempotent { KEEP } else { FRESH });
+            if connection.idle() < limit && connection.is_reusable().await {
+                return Ok(connection);
+            }
+        }
+    }
+
+    fn reply(&self, end: ReplyEnd, retry_after: ClockSpan) -> TargetReply {
+        let load = self.load();
+        let note = ReplyNote {
+            end,
+            running: load.running,
+            queued: load.queued,
+            service: load.service.millis(),
+            retry_after: retry_after.millis(),
+        };
+        TargetReply { note, answer: None }
+    }
+}
+
+/// What an answer of the target says of the call.
+fn judge(note: &CallNote, answer: WholeAnswer) -> (ReplyEnd, Option<WholeAnswer>) {
+    if answer.status == 421 {
+        let actual = answer.headers.get(&TARGET_ID).and_then(|id| id.to_str().ok());
+        log::info!(target = &*note.target, actual = actual.unwrap_or("unknown");
+            "another target has the address");
+        return (ReplyEnd::Rejected, None);
+    }
+    if answer.headers.contains_key(&NOT_RUN) {
+        return (ReplyEnd::Rejected, None);
+    }
+    if answer.status < 400 && !answer.headers.contains_key(&SIGNATURE) {
+        log::info!(target = &*note.target; "answer without the target's signature");
+        return (ReplyEnd::Lost, None);
+    }
+    (ReplyEnd::Answered, Some(answer))
+}
+
+fn request_id(request: &WholeRequest) -> &str {
+    request.headers.get(&REQUEST_ID).and_then(|id| id.to_str().ok()).unwrap_or("")
+}
+
+impl SideState {
+    fn wait(&mut self, ticket: CallTicket) -> Receiver<Result<(), ClockSpan>> {
+        let (sender, receiver) = async_channel::bounded(1);
+        self.waiters.insert(ticket, sender);
+        receiver
+    }
+
+    /// Wakes the calls that the queue names.
+    fn poll(&mut self, now: ClockTime) {
+        let mut actions = Vec::new();
+        self.queue.poll(now, &mut actions);
+        for action in actions {
+            let (ticket, result) = match action {
+                AdmissionAction::Run(ticket) => (ticket, Ok(())),
+                AdmissionAction::Refuse { ticket, retry_after } => (ticket, Err(retry_after)),
+            };
+            if let Some(waiter) = self.waiters.remove(&ticket) {
+                // The channel has room for the one result. A call that has gone frees its slot itself.
+                let _ = waiter.try_send(result);
+            }
+        }
+    }
+}
+
+/// A place in the queue or at the target. Freed when the call ends, however that happens.
+struct SlotGuard {
+    side: Arc<TargetSide>,
+    ticket: CallTicket,
+    ended: bool,
+}
+
+impl SlotGuard {
+    fn end(mut self, end: CallEnd) {
+        self.free(end);
+    }
+
+    fn free(&mut self, end: CallEnd) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        let now = self.side.clock.now();
+        let mut state = lock(&self.side.state);
+        state.waiters.remove(&self.ticket);
+        state.queue.finish(now, self.ticket, end);
+        state.queue.cancel(self.ticket);
+        state.poll(now);
+    }
+}
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        self.free(CallEnd::Broken);
+    }
+}
