Refuse new requests late in a stop and keep calls in their data centre

After the time in which clients notice, it now answers 503 with the time to come back, and ends as soon as its calls have ended.

--- a/routing/src/picker.rs
+++ b/routing/src/picker.rs
@@ -18,10 +18,10 @@
 
 /// Surcharge in ms for a target in another data centre. Traffic between data centres is costly, and
 /// the links have delays of several ms each way.
-const CROSSING_MS: f64 = 60.0;
+const CROSSING_MS: f64 = 150.0;
 
 /// Further surcharge in ms for each KB of a body that crosses.
-const CROSSING_MS_PER_KB: f64 = 4.0;
+const CROSSING_MS_PER_KB: f64 = 12.0;
 
 /// Surcharge in ms for a target that fails all calls. It is weighed with the share of failures.
 const FAILURE_MS: f64 = 1_500.0;
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -24,6 +24,9 @@
 /// When a client comes back to a node that has no configuration yet.
 const NOT_READY_RETRY: ClockSpan = ClockSpan::new(300);
 
+/// When a client comes back to a node that is about to end. Its successor starts within a second.
+const STOPPING_RETRY: ClockSpan = ClockSpan::new(800);
+
 /// How long an answer is awaited after the deadline. One that is on its way is still delivered.
 const ANSWER_SLACK: Duration = Duration::from_millis(60);
 
@@ -78,6 +81,9 @@
     arrived: ClockTime,
     watch: &mut CloseWatch,
 ) -> Result<WholeAnswer, EntryFault> {
+    if state.is_refusing() {
+        return Err(EntryFault::NotRun { retry_after: STOPPING_RETRY });
+    }
     let Some(routes) = state.routes.load_full() else {
         return Err(EntryFault::NotRun { retry_after: NOT_READY_RETRY });
     };
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -29,6 +29,8 @@
     /// Start of this node's splits, so that nodes do not split in step.
     pub(crate) split_offset: u32,
     stopping: AtomicBool,
+    /// Set when the stop has come so far that new requests are refused.
+    refusing: AtomicBool,
     calls: AtomicUsize,
     /// Closed when connections are to end after their present request.
     closing: (Sender<()>, Receiver<()>),
@@ -65,6 +67,7 @@
             view: Mutex::default(),
             split_offset: seed as u32,
             stopping: AtomicBool::new(false),
+            refusing: AtomicBool::new(false),
             calls: AtomicUsize::new(0),
             closing: async_channel::bounded(1),
         });
@@ -97,8 +100,14 @@
         self.stopping.store(true, Ordering::Release);
     }
 
-    /// Ends the connections of clients after their present requests.
+    /// Whether new requests are refused, because the process is about to end.
+    pub(crate) fn is_refusing(&self) -> bool {
+        self.refusing.load(Ordering::Acquire)
+    }
+
+    /// Refuses new requests and ends the connections of clients after their present ones.
     pub(crate) fn close_connections(&self) {
+        self.refusing.store(true, Ordering::Release);
         self.closing.0.close();
     }
 
--- a/sidecar/src/run.rs
+++ b/sidecar/src/run.rs
@@ -219,6 +219,7 @@
     let mut builder = http2::Builder::new(TaskExecutor);
     builder
         .timer(TaskTimer)
+        .auto_date_header(false)
         .max_concurrent_streams(STREAM_LIMIT)
         .max_pending_accept_reset_streams(RESET_LIMIT)
         .initial_stream_window_size(WINDOWS.0)
