Estimate the wait for a slot by the first one that becomes free

Calls that others overtook were held until near their deadline. A failure that a target answered was replaced by 502 when its repeat found no room. The wait is now the mean of what runs divided by the slots; calls that are no longer expected to end in time are refused while they wait; the target's failure is passed on. The allowance of repeats follows from the operators' bounds and the number of targets. Watches of the store wait at most 3 s, 0.5 s after a failure.

--- a/http/src/exchange.rs
+++ b/http/src/exchange.rs
@@ -10,7 +10,7 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use snafu::Snafu;
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 
 use crate::ChunkScanner;
 use crate::ticks::within;
@@ -34,6 +34,10 @@
 /// gone.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
 
+/// Time after which the system asks whether the other end of an unused connection is still there,
+/// and pause between such questions.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+
 /// Why an exchange has no answer.
 #[derive(Debug, Snafu)]
 pub enum ExchangeError {
@@ -113,6 +117,9 @@
 pub fn prepare_socket(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
+    let probes =
+        TcpKeepalive::new().with_time(PROBE_AFTER).with_interval(PROBE_AFTER).with_retries(2);
+    socket.set_tcp_keepalive(&probes)?;
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))
 }
 
--- a/routing/src/admission.rs
+++ b/routing/src/admission.rs
@@ -181,9 +181,7 @@
             return AdmissionStep::Run(self.start(now, &call));
         }
         let wait = self.expected_wait(call.rank);
-        let late = call.deadline.since(call.aim_at).millis() as f64 * LATE_SHARE;
-        let latest = (call.aim_at + span(late)).min(call.deadline);
-        if span(wait) > call.wait_limit || now + span(wait + service) > latest {
+        if span(wait) > call.wait_limit || now + span(wait + service) > latest_end(&call) {
             return AdmissionStep::Refuse { retry_after: self.retry_after(wait) };
         }
         let ticket = self.next_ticket();
@@ -222,30 +220,39 @@
         }
     }
 
+    /// Refuses the calls that are no longer expected to end in time, because more urgent ones came
+    /// or the target became slower.
     fn refuse_late(&mut self, now: ClockTime, actions: &mut Vec<AdmissionAction>) {
         if self.waiting.is_empty() {
             return;
         }
-        let retry_after = self.retry_after(self.expected_wait(u8::MAX));
-        let waiting = std::mem::take(&mut self.waiting);
+        let mut waiting = std::mem::take(&mut self.waiting);
+        waiting.sort_by_key(|waiting| self.order(now, waiting));
+        let slots = f64::from(self.slots);
+        let mut wait = if self.has_room() { 0.0 } else { self.running_mean() / slots };
         for call in waiting {
-            let needed = span(self.service_time(&call.call.route) * START_SHARE);
-            if self.open && now + needed <= call.call.deadline {
+            let service = self.service_time(&call.call.route);
+            if self.open && now + span(wait + service * START_SHARE) <= latest_end(&call.call) {
+                wait += service / slots;
                 self.waiting.push(call);
             } else {
+                let retry_after = self.retry_after(wait);
                 actions.push(AdmissionAction::Refuse { ticket: call.ticket, retry_after });
             }
         }
     }
 
-    /// The call to start next: the most urgent one, of equals one that still meets its aim, of
-    /// those the one whose aim comes first.
+    /// The call to start next.
     fn next_waiting(&self, now: ClockTime) -> Option<usize> {
-        let key = |waiting: &WaitingCall| {
-            let done = now + span(self.service_time(&waiting.call.route));
-            (waiting.call.rank, done > waiting.call.aim_at, waiting.call.aim_at, waiting.ticket)
-        };
-        (0..self.waiting.len()).min_by_key(|index| key(&self.waiting[*index]))
+        (0..self.waiting.len()).min_by_key(|index| self.order(now, &self.waiting[*index]))
+    }
+
+    /// The most urgent call comes first, of equals one that still meets its aim, of those the one
+    /// whose aim comes first.
+    fn order(&self, now: ClockTime, waiting: &WaitingCall) -> (u8, bool, ClockTime, CallTicket) {
+        let done = now + span(self.service_time(&waiting.call.route));
+        let call = &waiting.call;
+        (call.rank, done > call.aim_at, call.aim_at, waiting.ticket)
     }
 
     fn start(&mut self, now: ClockTime, call: &QueuedCall) -> CallTicket {
@@ -267,9 +274,17 @@
     fn expected_wait(&self, rank: u8) -> f64 {
         let ahead = self.waiting.iter().filter(|waiting| waiting.call.rank <= rank);
         let ahead: f64 = ahead.map(|waiting| self.service_time(&waiting.call.route)).sum();
-        let running = self.running.values().map(|call| self.service_time(&call.route));
-        // On average half of what runs is still to do.
-        (ahead + running.sum::<f64>() / 2.0) / f64::from(self.slots)
+        (ahead + self.running_mean()) / f64::from(self.slots)
+    }
+
+    /// Mean time in ms of the calls that run. The first of n slots is expected to become free after
+    /// about an n-th of it.
+    fn running_mean(&self) -> f64 {
+        if self.running.is_empty() {
+            return 0.0;
+        }
+        let sum: f64 = self.running.values().map(|call| self.service_time(&call.route)).sum();
+        sum / self.running.len() as f64
     }
 
     fn retry_after(&self, wait: f64) -> ClockSpan {
@@ -282,6 +297,12 @@
     }
 }
 
+/// When a call has to end at the latest to be worth its place.
+fn latest_end(call: &QueuedCall) -> ClockTime {
+    let late = call.deadline.since(call.aim_at).millis() as f64 * LATE_SHARE;
+    (call.aim_at + span(late)).min(call.deadline)
+}
+
 fn span(millis: f64) -> ClockSpan {
     ClockSpan::new(millis.max(0.0) as u64)
 }
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -16,7 +16,7 @@
 pub use admission::{
     AdmissionAction, AdmissionQueue, AdmissionStep, CallEnd, CallTicket, LoadReport, QueuedCall,
 };
-pub use budget::RepeatBudget;
+pub use budget::{RepeatAllowance, RepeatBudget};
 pub use held::{CrashHistory, HELD_SPAN};
 pub use picker::{TargetChoice, TargetPicker, TargetSignal};
 pub use plan::{AttemptEnd, CallPlan, PlanCall, PlanStep};
--- a/routing/src/plan.rs
+++ b/routing/src/plan.rs
@@ -7,7 +7,7 @@
 
 use fescuestack_core::{ClockSpan, ClockTime};
 
-use crate::budget::RepeatBudget;
+use crate::budget::{RepeatAllowance, RepeatBudget};
 use crate::picker::{TargetChoice, TargetPicker};
 use crate::routes::RepeatKind;
 
@@ -88,6 +88,7 @@
     arrivals: u32,
     refusals: u32,
     may_have_run: bool,
+    answered: bool,
     retry_after: Option<ClockSpan>,
 }
 
@@ -101,6 +102,7 @@
             arrivals: 0,
             refusals: 0,
             may_have_run: false,
+            answered: false,
             retry_after: None,
         }
     }
@@ -126,6 +128,7 @@
             AttemptEnd::Answered { .. } => {
                 self.arrivals += 1;
                 self.may_have_run = true;
+                self.answered = true;
             }
             AttemptEnd::Lost => {
                 self.arrivals += 1;
@@ -149,6 +152,7 @@
         now: ClockTime,
         picker: &mut TargetPicker,
         budget: &mut RepeatBudget,
+        allowance: RepeatAllowance,
     ) -> PlanStep {
         let repeats = match self.last {
             None => false,
@@ -168,7 +172,7 @@
             return self.give_up();
         }
         if self.last.is_none() {
-            budget.count_call();
+            budget.count_call(allowance);
         }
         let others = picker.candidates(&call.service) > self.tried.len() + 1;
         let wait_limit = self.wait_limit(now, others);
@@ -194,7 +198,8 @@
     }
 
     fn give_up(&self) -> PlanStep {
-        if matches!(self.last, Some(AttemptEnd::Answered { .. })) {
+        // A failure that a target answered says more than a repeat that found no room.
+        if self.answered {
             return PlanStep::Answer;
         }
         if self.may_have_run {
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -52,6 +52,16 @@
     Late,
 }
 
+/// What the log says of a request that is not served.
+#[derive(Debug, Default)]
+struct EntryTrace {
+    route: Option<Arc<RouteRule>>,
+    service: Option<Arc<str>>,
+    version: u64,
+    /// Targets that were tried, and how each attempt ended.
+    attempts: Vec<(Arc<str>, AttemptEnd)>,
+}
+
 /// Answers a request. When the client leaves, the request is cancelled.
 pub(crate) async fn serve(
     state: Arc<NodeState>,
@@ -61,11 +71,12 @@
     let _place = state.begin_call();
     let id = request.headers().get(&REQUEST_ID).cloned();
     let arrived = state.clock.now();
-    let outcome = answer_request(&state, request, arrived, &mut watch).await;
+    let mut trace = EntryTrace::default();
+    let outcome = answer_request(&state, request, arrived, &mut watch, &mut trace).await;
     let mut answer = match outcome {
         Ok(answer) => pass_on(answer),
         Err(fault) => {
-            log_fault(&state, id.as_ref(), arrived, fault);
+            log_fault(&state, id.as_ref(), arrived, fault, &trace);
             refusal(fault, id)
         }
     };
@@ -80,6 +91,7 @@
     request: Request<Incoming>,
     arrived: ClockTime,
     watch: &mut CloseWatch,
+    trace: &mut EntryTrace,
 ) -> Result<WholeAnswer, EntryFault> {
     if state.is_refusing() {
         return Err(EntryFault::NotRun { retry_after: STOPPING_RETRY });
@@ -87,6 +99,7 @@
     let Some(routes) = state.routes.load_full() else {
         return Err(EntryFault::NotRun { retry_after: NOT_READY_RETRY });
     };
+    trace.version = routes.version;
     let (mut parts, body) = request.into_parts();
     if !parts.headers.contains_key(&REQUEST_ID) {
         return Err(EntryFault::Invalid);
@@ -96,6 +109,8 @@
     let route = routes.find(host, parts.uri.path()).ok_or(EntryFault::NoRoute)?.clone();
     let service = route.next_service(state.split_offset).ok_or(EntryFault::NoRoute)?.clone();
 
+    trace.route = Some(route.clone());
+    trace.service = Some(service.clone());
     let left = client_time(&parts.headers).map_or(route.timeout, |left| left.min(route.timeout));
     let deadline = arrived + left;
     let limit = Duration::from_millis(left.millis());
@@ -125,7 +140,7 @@
         deadline,
         body_bytes: call.request.body.len(),
     });
-    let mut progress = EntryProgress { plan, sending: false };
+    let mut progress = EntryProgress { plan, sending: false, trace };
     let left = deadline.since(state.clock.now());
     let limit = Duration::from_millis(left.millis()) + ANSWER_SLACK;
     let gone = async {
@@ -146,8 +161,9 @@
     request: WholeRequest,
 }
 
-struct EntryProgress {
+struct EntryProgress<'a> {
     plan: CallPlan,
+    trace: &'a mut EntryTrace,
     /// Whether an attempt is under way.
     sending: bool,
 }
@@ -157,14 +173,15 @@
     async fn follow(
         &self,
         state: &Arc<NodeState>,
-        progress: &mut EntryProgress,
+        progress: &mut EntryProgress<'_>,
     ) -> Result<WholeAnswer, EntryFault> {
         let mut answer = None;
         loop {
             let step = {
                 let mut routing = lock(&state.routing);
+                let allowance = routing.allowance;
                 let (picker, budget) = routing.parts(&progress.plan.call().service.clone());
-                let step = progress.plan.next(state.clock.now(), picker, budget);
+                let step = progress.plan.next(state.clock.now(), picker, budget, allowance);
                 if let PlanStep::Send { target, .. } = &step {
                     picker.sent(&target.id);
                 }
@@ -184,6 +201,7 @@
             log::debug!(request = self.id(), target = &*target.id, end = format!("{end:?}").as_str();
                 "attempt ended");
             progress.plan.end(end);
+            progress.trace.attempts.push((target.id.clone(), end));
             answer = latest.or(answer);
         }
     }
@@ -191,7 +209,7 @@
     async fn attempt(
         &self,
         state: &Arc<NodeState>,
-        progress: &EntryProgress,
+        progress: &EntryProgress<'_>,
         target: &TargetChoice,
         wait_limit: ClockSpan,
     ) -> (AttemptEnd, Option<WholeAnswer>) {
@@ -308,11 +326,24 @@
     response
 }
 
-fn log_fault(state: &NodeState, id: Option<&HeaderValue>, arrived: ClockTime, fault: EntryFault) {
-    let id = id.and_then(|id| id.to_str().ok()).unwrap_or("");
-    let held = state.clock.now().since(arrived).millis();
-    let version = state.routes.load().as_ref().map_or(0, |routes| routes.version);
-    let fault = format!("{fault:?}");
-    log::info!(request = id, fault = fault.as_str(), held_ms = held, version = version;
-        "request not served");
+fn log_fault(
+    state: &NodeState,
+    id: Option<&HeaderValue>,
+    arrived: ClockTime,
+    fault: EntryFault,
+    trace: &EntryTrace,
+) {
+    let attempts = trace.attempts.iter().map(|(target, end)| format!("{target} {end:?}"));
+    let attempts = attempts.collect::<Vec<_>>().join(", ");
+    log::info!(
+        request = id.and_then(|id| id.to_str().ok()).unwrap_or(""),
+        fault = format!("{fault:?}").as_str(),
+        held_ms = state.clock.now().since(arrived).millis(),
+        version = trace.version,
+        route = trace.route.as_ref().map_or("", |route| &*route.name),
+        priority = trace.route.as_ref().map_or(0, |route| route.priority),
+        service = trace.service.as_deref().unwrap_or(""),
+        attempts = attempts.as_str();
+        "request not served"
+    );
 }
--- a/sidecar/src/follower.rs
+++ b/sidecar/src/follower.rs
@@ -10,15 +10,20 @@
     CONFIG_KEY, StoreClient, StoreError, StoreEvent, TARGET_PREFIX, decode_config, decode_target,
     target_id,
 };
-use fescuestack_routing::{RandomSource, TargetRegistry, ViewChange};
+use fescuestack_routing::{RandomSource, RepeatAllowance, TargetRegistry, ViewChange};
 
 use crate::guard::lock;
 use crate::node::NodeState;
 use crate::peer::{SyncAnswer, ask_sync};
 
-/// How long a watch waits. A connection that has gone silent is noticed after it, or sooner by the
-/// system's probes.
-const WATCH_WAIT: ClockSpan = ClockSpan::new(8_000);
+/// How long a watch waits. A connection that has gone silent is noticed after it.
+const WATCH_WAIT: ClockSpan = ClockSpan::new(3_000);
+
+/// How long the first watch after a failure waits. The store may well fail again.
+const WATCH_FIRST: ClockSpan = ClockSpan::new(500);
+
+/// Pause after a change, in which changes that follow closely are collected into one call.
+const MERGE_PAUSE: Duration = Duration::from_millis(150);
 
 /// First pause after a failed read.
 const RETRY_FIRST: Duration = Duration::from_millis(100);
@@ -54,6 +59,8 @@
     lapse_until: ClockTime,
     /// Whether the store is known to be out of reach.
     away: bool,
+    /// How long the next watch waits.
+    wait: ClockSpan,
 }
 
 impl StoreFollower {
@@ -66,6 +73,7 @@
             answered: None,
             lapse_until: ClockTime::ZERO,
             away: false,
+            wait: WATCH_FIRST,
             state,
         }
     }
@@ -111,8 +119,9 @@
 
     async fn watch(&mut self) -> Result<(), StoreError> {
         let after = lock(&self.state.view).at();
-        let (events, at) = self.client.watch(ALL_KEYS, after, WATCH_WAIT).await?;
+        let (events, at) = self.client.watch(ALL_KEYS, after, self.wait).await?;
         self.note_answer();
+        self.wait = (self.wait + self.wait).min(WATCH_WAIT);
         let changes = {
             let mut view = lock(&self.state.view);
             let mut changes = Vec::new();
@@ -125,7 +134,11 @@
             view.advance(at);
             changes
         };
+        let changed = !changes.is_empty();
         self.apply(changes);
+        if changed {
+            task::sleep(MERGE_PAUSE).await;
+        }
         Ok(())
     }
 
@@ -143,6 +156,7 @@
     }
 
     fn note_failure(&mut self, err: &StoreError) {
+        self.wait = WATCH_FIRST;
         if !self.away {
             self.away = true;
             log::warn!("store lost: {err}");
@@ -301,5 +315,8 @@
         let entry = self.registry.at(settings.target);
         let entry = entry.filter(|entry| *entry.service == *settings.service);
         self.state.target.update(settings.target, entry);
+        let (ratio, slack) = (settings.repeat_ratio, settings.repeat_slack);
+        lock(&self.state.routing).allowance =
+            RepeatAllowance::new(ratio, slack, self.registry.len());
     }
 }
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -8,7 +8,7 @@
 use async_channel::{Receiver, Sender};
 use fescuestack_http::CallClock;
 use fescuestack_platform::MachineSettings;
-use fescuestack_routing::{RepeatBudget, RouteTable, StoreView, TargetPicker};
+use fescuestack_routing::{RepeatAllowance, RepeatBudget, RouteTable, StoreView, TargetPicker};
 use rustc_hash::FxHashMap;
 
 use crate::guard::lock;
@@ -39,6 +39,7 @@
 /// What the choice of targets is based on.
 pub(crate) struct RoutingState {
     pub(crate) picker: TargetPicker,
+    pub(crate) allowance: RepeatAllowance,
     budgets: FxHashMap<Arc<str>, RepeatBudget>,
 }
 
@@ -55,7 +56,8 @@
         let clock = CallClock::new();
         let seed = seed(&settings.node, clock.now().millis());
         let picker = TargetPicker::new(settings.data_centre.as_str().into(), seed);
-        let routing = RoutingState { picker, budgets: FxHashMap::default() };
+        let allowance = RepeatAllowance::new(settings.repeat_ratio, settings.repeat_slack, 1);
+        let routing = RoutingState { picker, allowance, budgets: FxHashMap::default() };
         let target = TargetSide::new(settings.target, clock);
         let state = Arc::new(NodeState {
             settings: ArcSwap::from_pointee(settings),
