Remember refusals and replaced targets for a moment

A refusal now holds for the route for at most 120 ms, and the node beside a target remembers which target answered 421 and takes no more calls for another one. A node that is about to end refuses the calls of other nodes, which leave it alone until its successor runs.

--- a/routing/src/picker.rs
+++ b/routing/src/picker.rs
@@ -41,6 +41,18 @@
 /// How much slower a target is while it warms up.
 const COLD_FACTOR: f64 = 1.6;
 
+/// How long a target is left alone whose node said that it is about to end. Its successor starts
+/// within about a second.
+const LEAVING_SPAN: ClockSpan = ClockSpan::new(1_200);
+
+/// How long a target is left alone when another one is in its place. Its entry is removed within a
+/// few heartbeats.
+const GONE_SPAN: ClockSpan = ClockSpan::new(3_000);
+
+/// Longest time for which a refusal holds for further calls of the same route. Load changes quickly,
+/// but asking again for each call would cost a round trip and traffic each time.
+const REFUSAL_SPAN: ClockSpan = ClockSpan::new(120);
+
 /// Random part of the sum in ms, which keeps nodes from choosing the same target at once.
 const JITTER_MS: f64 = 8.0;
 
@@ -53,6 +65,10 @@
     Failed,
     /// Its node did not let the call run, which says nothing of the target's health.
     Refused,
+    /// Its node is about to end.
+    Leaving,
+    /// Another target is in its place.
+    Gone,
     /// The call was given up by its caller.
     Abandoned,
 }
@@ -80,6 +96,10 @@
     sent_since: u32,
     failures: f64,
     failed_at: ClockTime,
+    /// Until when the node beside the target takes no calls.
+    avoid_until: ClockTime,
+    /// Routes whose calls were refused, and until when that holds.
+    refusals: Vec<(Arc<str>, ClockTime)>,
 }
 
 /// Everything a node knows about the targets of all services.
@@ -111,6 +131,7 @@
             let moved = record.entry.service != entry.service;
             if record.entry.started != entry.started {
                 record.failures = 0.0;
+                record.avoid_until = ClockTime::ZERO;
                 record.reported = None;
             }
             let former = std::mem::replace(&mut record.entry, entry.clone());
@@ -129,6 +150,8 @@
                 sent_since: 0,
                 failures: 0.0,
                 failed_at: now,
+                avoid_until: ClockTime::ZERO,
+                refusals: Vec::new(),
             };
             self.records.insert(entry.id.clone(), record);
         }
@@ -159,16 +182,18 @@
     }
 
     /// Number of targets of a service that could be chosen.
-    pub fn candidates(&self, service: &str) -> usize {
+    pub fn candidates(&self, now: ClockTime, service: &str) -> usize {
         let ids = self.services.get(service).map_or(&[][..], Vec::as_slice);
-        ids.iter().filter(|id| self.is_usable(id)).count()
+        ids.iter().filter(|id| self.is_usable(now, id)).count()
     }
 
-    /// Chooses a target of `service` for a call with `body_bytes` of body, none of `tried`.
+    /// Chooses a target of `service` for a call of `route` with `body_bytes` of body, none of `tried`
+    /// and none that has just refused a call of this route.
     pub fn choose(
         &mut self,
         now: ClockTime,
         service: &str,
+        route: &str,
         body_bytes: usize,
         tried: &[Arc<str>],
     ) -> Option<TargetChoice> {
@@ -176,10 +201,13 @@
         let crossing = CROSSING_MS + CROSSING_MS_PER_KB * body_bytes as f64 / 1024.0;
         let mut best: Option<(f64, &Arc<str>)> = None;
         for id in ids {
-            if tried.contains(id) || !self.is_usable(id) {
+            if tried.contains(id) || !self.is_usable(now, id) {
                 continue;
             }
             let Some(record) = self.records.get(id) else { continue };
+            if record.refuses(now, route) {
+                continue;
+            }
             let crosses = record.entry.data_centre != self.data_centre;
             let mut sum = record.expected_time(now) + self.random.next_share() * JITTER_MS;
             if crosses {
@@ -199,9 +227,10 @@
         })
     }
 
-    fn is_usable(&self, id: &str) -> bool {
+    fn is_usable(&self, now: ClockTime, id: &str) -> bool {
         self.records.get(id).is_some_and(|record| {
             record.entry.state == TargetState::Ready
+                && record.avoid_until <= now
                 && !self.down.contains_key(&record.entry.address.ip())
         })
     }
@@ -222,12 +251,29 @@
             TargetSignal::Served => 0.0,
             TargetSignal::Failed => 1.0,
             TargetSignal::Refused | TargetSignal::Abandoned => return,
+            TargetSignal::Leaving => {
+                record.avoid_until = now + LEAVING_SPAN;
+                return;
+            }
+            TargetSignal::Gone => {
+                record.avoid_until = now + GONE_SPAN;
+                return;
+            }
         };
         let share = record.failure_share(now);
         record.failures = share + (failed - share) * FAILURE_WEIGHT;
         record.failed_at = now;
     }
 
+    /// Notes that the node beside a target refused a call of `route` and named the time after which
+    /// there is likely to be room.
+    pub fn refused(&mut self, now: ClockTime, id: &str, route: &Arc<str>, retry_after: ClockSpan) {
+        let Some(record) = self.records.get_mut(id) else { return };
+        let until = now + retry_after.min(REFUSAL_SPAN);
+        record.refusals.retain(|(known, until)| *until > now && known != route);
+        record.refusals.push((route.clone(), until));
+    }
+
     /// Takes over the load that a target's node reported.
     pub fn report(&mut self, now: ClockTime, id: &str, load: LoadReport) {
         if let Some(record) = self.records.get_mut(id) {
@@ -260,6 +306,10 @@
         service + crowding + excess * service / slots + self.failure_share(now) * FAILURE_MS
     }
 
+    fn refuses(&self, now: ClockTime, route: &str) -> bool {
+        self.refusals.iter().any(|(known, until)| *until > now && **known == *route)
+    }
+
     fn failure_share(&self, now: ClockTime) -> f64 {
         let age = now.since(self.failed_at).millis() as f64;
         self.failures * 0.5f64.powf(age / FAILURE_HALF_LIFE.millis() as f64)
--- a/routing/src/plan.rs
+++ b/routing/src/plan.rs
@@ -25,6 +25,8 @@
 pub struct PlanCall {
     /// The service that it goes to.
     pub service: Arc<str>,
+    /// Its route.
+    pub route: Arc<str>,
     /// What may be repeated.
     pub kind: RepeatKind,
     /// Most targets that it may be sent to.
@@ -165,7 +167,7 @@
             return self.give_up();
         }
         let call = &self.call;
-        let choice = picker.choose(now, &call.service, call.body_bytes, &self.tried);
+        let choice = picker.choose(now, &call.service, &call.route, call.body_bytes, &self.tried);
         let Some(target) = choice else { return self.give_up() };
         // A repeat is paid for when it is sent, also if the node beside the target refuses it.
         if repeats && !budget.take() {
@@ -174,7 +176,7 @@
         if self.last.is_none() {
             budget.count_call(allowance);
         }
-        let others = picker.candidates(&call.service) > self.tried.len() + 1;
+        let others = picker.candidates(now, &call.service) > self.tried.len() + 1;
         let wait_limit = self.wait_limit(now, others);
         self.tried.push(target.id.clone());
         PlanStep::Send { target, wait_limit }
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -134,6 +134,7 @@
     };
     let plan = CallPlan::new(PlanCall {
         service,
+        route: route.name.clone(),
         kind: route.kind,
         attempts: route.attempts,
         aim_at: arrived + route.aim,
@@ -198,7 +199,8 @@
             progress.sending = true;
             let (end, latest) = self.attempt(state, progress, &target, wait_limit).await;
             progress.sending = false;
-            log::debug!(request = self.id(), target = &*target.id, end = format!("{end:?}").as_str();
+            log::debug!(request = self.id(), target = &*target.id, crosses = target.crosses,
+                bytes = self.request.body.len(), end = format!("{end:?}").as_str();
                 "attempt ended");
             progress.plan.end(end);
             progress.trace.attempts.push((target.id.clone(), end));
@@ -239,6 +241,11 @@
         };
         let Some(reply) = reply else { return (AttemptEnd::Lost, None) };
         account.report(&reply);
+        if reply.end == ReplyEnd::Refused {
+            let span = ClockSpan::new(reply.retry_after);
+            let now = state.clock.now();
+            lock(&state.routing).picker.refused(now, &target.id, &self.route.name, span);
+        }
         let (end, signal) = attempt_end(&reply, answer.as_ref());
         account.signal = signal;
         (end, answer)
@@ -262,6 +269,8 @@
             let retry_after = ClockSpan::new(reply.retry_after);
             (AttemptEnd::Refused { retry_after }, TargetSignal::Refused)
         }
+        (ReplyEnd::Leaving, _) => (AttemptEnd::NotSent, TargetSignal::Leaving),
+        (ReplyEnd::Gone, _) => (AttemptEnd::NotSent, TargetSignal::Gone),
         (ReplyEnd::Rejected, _) => (AttemptEnd::Rejected, TargetSignal::Failed),
         (ReplyEnd::NotSent, _) => (AttemptEnd::NotSent, TargetSignal::Failed),
     }
--- a/sidecar/src/links.rs
+++ b/sidecar/src/links.rs
@@ -114,11 +114,6 @@
         }
     }
 
-    /// Forgets the connections to nodes that are no longer needed.
-    pub(crate) fn retain(&self, keep: impl Fn(IpAddr) -> bool) {
-        lock(&self.links).retain(|address, _| keep(address.ip()));
-    }
-
     fn link(&self, address: SocketAddr) -> Arc<NodeLink> {
         let mut links = lock(&self.links);
         let link = links.entry(address).or_insert_with(|| {
--- a/sidecar/src/note.rs
+++ b/sidecar/src/note.rs
@@ -46,6 +46,10 @@
     Answered,
     /// The node did not let it run.
     Refused,
+    /// The node is about to end and takes no more calls.
+    Leaving,
+    /// The target that the call is meant for is not here any more.
+    Gone,
     /// The target said that it did not run it.
     Rejected,
     /// Nothing reached the target.
--- a/sidecar/src/peer.rs
+++ b/sidecar/src/peer.rs
@@ -95,7 +95,11 @@
         headers: parts.headers,
         body: body.to_bytes(),
     };
-    let reply = state.target.run(&note, call).await;
+    let reply = if state.is_refusing() {
+        state.target.refuse_leaving()
+    } else {
+        state.target.run(&note, call).await
+    };
     let mut response = match reply.answer {
         Some(answer) => {
             let mut response = Response::new(Full::new(answer.body));
--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -59,6 +59,8 @@
     address: SocketAddr,
     queue: AdmissionQueue,
     known: Option<Arc<str>>,
+    /// The target that is here by its own word, if it is not the listed one.
+    actual: Option<Arc<str>>,
     idle: Vec<ExchangeConnection>,
     waiters: FxHashMap<CallTicket, Sender<Result<(), ClockSpan>>>,
 }
@@ -69,6 +71,7 @@
             address,
             queue: AdmissionQueue::new(1),
             known: None,
+            actual: None,
             idle: Vec::new(),
             waiters: FxHashMap::default(),
         };
@@ -88,6 +91,7 @@
             Some(entry) => {
                 if state.known.as_ref() != Some(&entry.id) {
                     state.known = Some(entry.id.clone());
+                    state.actual = None;
                     state.idle.clear();
                     state.queue.restart(entry.slots);
                 }
@@ -117,6 +121,9 @@
     ) -> TargetReply {
         let now = self.clock.now();
         let deadline = now + ClockSpan::new(note.left);
+        if self.is_gone(&note.target) {
+            return self.reply(ReplyEnd::Gone, ClockSpan::ZERO);
+        }
         let ticket = match self.admit(now, note).await {
             Ok(ticket) => ticket,
             Err(retry_after) => return self.reply(ReplyEnd::Refused, retry_after),
@@ -136,6 +143,10 @@
             return self.reply(ReplyEnd::Lost, ClockSpan::ZERO);
         };
         let (end, answer) = match outcome {
+            Ok(answer) if answer.status == 421 => {
+                self.note_actual(note, &answer);
+                (ReplyEnd::Rejected, None)
+            }
             Ok(answer) => judge(note, answer),
             Err(ExchangeError::NotSent { source }) => {
                 log::info!(target = &*note.target, reason = source.to_string().as_str();
@@ -153,6 +164,21 @@
         TargetReply { answer, ..self.reply(end, ClockSpan::ZERO) }
     }
 
+    /// Whether another target than `id` is known to be here.
+    fn is_gone(&self, id: &str) -> bool {
+        lock(&self.state).actual.as_deref().is_some_and(|actual| actual != id)
+    }
+
+    /// Remembers which target is here, so that calls meant for another one need not be sent to it.
+    fn note_actual(&self, note: &CallNote, answer: &WholeAnswer) {
+        let actual = answer.headers.get(&TARGET_ID).and_then(|id| id.to_str().ok());
+        log::info!(target = &*note.target, actual = actual.unwrap_or("unknown");
+            "another target has the address");
+        if let Some(actual) = actual {
+            lock(&self.state).actual = Some(actual.into());
+        }
+    }
+
     /// Waits for a slot. Fails with the time after which there is likely to be room.
     async fn admit(
         self: &Arc<Self>,
@@ -221,6 +247,11 @@
         }
     }
 
+    /// Refuses a call because the node is about to end.
+    pub(crate) fn refuse_leaving(&self) -> TargetReply {
+        self.reply(ReplyEnd::Leaving, ClockSpan::ZERO)
+    }
+
     fn reply(&self, end: ReplyEnd, retry_after: ClockSpan) -> TargetReply {
         let load = self.load();
         let note = ReplyNote {
@@ -236,12 +267,6 @@
 
 /// What an answer of the target says of the call.
 fn judge(note: &CallNote, answer: WholeAnswer) -> (ReplyEnd, Option<WholeAnswer>) {
-    if answer.status == 421 {
-        let actual = answer.headers.get(&TARGET_ID).and_then(|id| id.to_str().ok());
-        log::info!(target = &*note.target, actual = actual.unwrap_or("unknown");
-            "another target has the address");
-        return (ReplyEnd::Rejected, None);
-    }
     if answer.headers.contains_key(&NOT_RUN) {
         return (ReplyEnd::Rejected, None);
     }
