--- a/routing/src/plan.rs
+++ b/routing/src/plan.rs
@@ -47,6 +47,8 @@
         /// Whether its answer is a failure of its own.
         failed: bool,
     },
+    /// The node beside the target found its wait too long.
+    Busy,
     /// The node beside the target did not let it run.
     Refused {
         /// When there is likely to be room.
@@ -138,7 +140,7 @@
                 self.refusals = 0;
             }
             AttemptEnd::Rejected => self.arrivals += 1,
-            AttemptEnd::NotSent => self.refusals += 1,
+            AttemptEnd::NotSent | AttemptEnd::Busy => self.refusals += 1,
             AttemptEnd::Refused { retry_after } => {
                 self.refusals += 1;
                 let known = self.retry_after.unwrap_or(retry_after);
@@ -161,7 +163,9 @@
             Some(AttemptEnd::Answered { failed: false }) => return PlanStep::Answer,
             Some(AttemptEnd::Answered { failed: true } | AttemptEnd::Lost) => true,
             Some(AttemptEnd::Rejected) => true,
-            Some(AttemptEnd::Refused { .. } | AttemptEnd::NotSent) => self.arrivals > 0,
+            Some(AttemptEnd::Refused { .. } | AttemptEnd::Busy | AttemptEnd::NotSent) => {
+                self.arrivals > 0
+            }
         };
         if self.is_over(now) || (self.may_have_run && !self.call.kind.is_idempotent()) {
             return self.give_up();
@@ -177,7 +181,7 @@
             budget.count_call(allowance);
         }
         let others = picker.candidates(now, &call.service) > self.tried.len() + 1;
-        let wait_limit = self.wait_limit(now, others);
+        let wait_limit = self.wait_limit(now, &target, others);
         self.tried.push(target.id.clone());
         PlanStep::Send { target, wait_limit }
     }
@@ -188,14 +192,14 @@
             || self.call.deadline.since(now) < LEFT_MIN
     }
 
-    /// The first nodes refuse early, while another target may be better.
-    fn wait_limit(&self, now: ClockTime, others: bool) -> ClockSpan {
+    /// The first node says at once if the wait is long, while another target may be better. One in
+    /// another data centre was chosen because the wait is long.
+    fn wait_limit(&self, now: ClockTime, target: &TargetChoice, others: bool) -> ClockSpan {
         let left = self.call.aim_at.since(now).millis();
-        match self.refusals {
-            _ if !others => self.call.deadline.since(now),
-            0 => ClockSpan::new(left / 4),
-            1 => ClockSpan::new(left / 2),
-            _ => self.call.deadline.since(now),
+        if others && !target.crosses && self.refusals + 1 < REFUSAL_LIMIT {
+            ClockSpan::new(left / 2)
+        } else {
+            self.call.deadline.since(now)
         }
     }
 
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -231,7 +231,7 @@
             let reply = state.target.run(&note, self.request.clone()).await;
             (Some(reply.note), reply.answer)
         } else {
-            match send_call(state, target.vm, &note, &self.request).await {
+            match send_call(state, target, &note, &self.request).await {
                 Ok((reply, answer)) => (Some(reply), answer),
                 Err(not_sent) => {
                     account.signal = TargetSignal::Refused;
@@ -265,6 +265,7 @@
             (AttemptEnd::Answered { failed }, signal)
         }
         (ReplyEnd::Answered | ReplyEnd::Lost, _) => (AttemptEnd::Lost, TargetSignal::Failed),
+        (ReplyEnd::Busy, _) => (AttemptEnd::Busy, TargetSignal::Refused),
         (ReplyEnd::Refused, _) => {
             let retry_after = ClockSpan::new(reply.retry_after);
             (AttemptEnd::Refused { retry_after }, TargetSignal::Refused)
--- a/sidecar/src/links.rs
+++ b/sidecar/src/links.rs
@@ -18,11 +18,14 @@
 /// How long a connection may take to open. Data centres are some ms apart.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 
-/// How long a connection with open calls may be silent before it is asked for a sign of life.
-const PING_INTERVAL: Duration = Duration::from_millis(400);
+/// How long a connection with open calls may be silent before it is asked for a sign of life, and how
+/// long that may take, within a data centre. A VM that has used up its processor time answers after
+/// up to 100 ms.
+const NEAR_PING: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(300));
 
-/// How long that sign may take. A lost packet is sent again after 200 ms or more.
-const PING_LIMIT: Duration = Duration::from_millis(700);
+/// The same between data centres, where traffic is costly and packets are lost now and then. A lost
+/// packet is sent again after 200 ms or more.
+const FAR_PING: (Duration, Duration) = (Duration::from_millis(400), Duration::from_millis(600));
 
 /// First pause before a lost connection is opened again.
 const REOPEN_FIRST: Duration = Duration::from_millis(100);
@@ -64,6 +67,8 @@
 #[derive(Debug)]
 struct NodeLink {
     address: SocketAddr,
+    /// Whether the node is in the same data centre.
+    near: bool,
     state: Mutex<LinkState>,
     opening: async_std::sync::Mutex<()>,
 }
@@ -92,9 +97,10 @@
     pub(crate) async fn send(
         self: &Arc<Self>,
         address: SocketAddr,
+        near: bool,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Bytes>, LinkError> {
-        let link = self.link(address);
+        let link = self.link(address, near);
         let mut sender = self.sender(&link).await?;
         let answer = match sender.try_send_request(request).await {
             Ok(answer) => answer,
@@ -114,24 +120,24 @@
         }
     }
 
-    fn link(&self, address: SocketAddr) -> Arc<NodeLink> {
+    fn link(&self, address: SocketAddr, near: bool) -> Arc<NodeLink> {
         let mut links = lock(&self.links);
         let link = links.entry(address).or_insert_with(|| {
             let (state, opening) = (Mutex::new(LinkState::Closed), async_std::sync::Mutex::new(()));
-            Arc::new(NodeLink { address, state, opening })
+            Arc::new(NodeLink { address, near, state, opening })
         });
         link.clone()
     }
 
     async fn sender(self: &Arc<Self>, link: &Arc<NodeLink>) -> Result<LinkSender, LinkError> {
-        if let Some(sender) = link.open_sender()? {
+        if let Some(sender) = self.open_sender(link)? {
             return Ok(sender);
         }
         let _guard = link.opening.lock().await;
-        if let Some(sender) = link.open_sender()? {
+        if let Some(sender) = self.open_sender(link)? {
             return Ok(sender);
         }
-        match open(link.address).await {
+        match link.open().await {
             Ok(sender) => {
                 *lock(&link.state) = LinkState::Open(sender.clone());
                 Ok(sender)
@@ -143,6 +149,22 @@
         }
     }
 
+    /// The open connection, or `None` before the first one. Fails at once while the node is known to
+    /// be out of reach, so that the call can go elsewhere.
+    fn open_sender(
+        self: &Arc<Self>,
+        link: &Arc<NodeLink>,
+    ) -> Result<Option<LinkSender>, LinkError> {
+        match &*lock(&link.state) {
+            LinkState::Open(sender) if !sender.is_closed() => return Ok(Some(sender.clone())),
+            LinkState::Open(_) => (),
+            LinkState::Closed => return Ok(None),
+            LinkState::Lost => return Err(LinkError::NotSent),
+        }
+        self.lose(link, "closed by the node");
+        Err(LinkError::NotSent)
+    }
+
     /// Notes that a node cannot be reached, and opens its connection again in the background.
     fn lose(self: &Arc<Self>, link: &Arc<NodeLink>, reason: &str) {
         let former = std::mem::replace(&mut *lock(&link.state), LinkState::Lost);
@@ -161,7 +183,7 @@
                 if !table.holds(&link) {
                     return;
                 }
-                let Ok(sender) = open(link.address).await else { continue };
+                let Ok(sender) = link.open().await else { continue };
                 *lock(&link.state) = LinkState::Open(sender);
                 log::info!(node = link.address.to_string().as_str(); "node regained");
                 table.notify(link.address.ip(), true);
@@ -183,41 +205,29 @@
 }
 
 impl NodeLink {
-    /// The open connection. Fails at once while the node is known to be out of reach.
-    fn open_sender(&self) -> Result<Option<LinkSender>, LinkError> {
-        let mut state = lock(&self.state);
-        match &*state {
-            LinkState::Open(sender) if !sender.is_closed() => Ok(Some(sender.clone())),
-            LinkState::Open(_) => {
-                *state = LinkState::Closed;
-                Ok(None)
+    async fn open(&self) -> Result<LinkSender, String> {
+        let address = self.address;
+        let stream = connect(address, CONNECT_LIMIT).await.map_err(|err| err.to_string())?;
+        let (interval, limit) = if self.near { NEAR_PING } else { FAR_PING };
+        let mut builder = http2::Builder::new(TaskExecutor);
+        builder
+            .timer(TaskTimer)
+            .keep_alive_interval(interval)
+            .keep_alive_timeout(limit)
+            .initial_stream_window_size(STREAM_WINDOW)
+            .initial_connection_window_size(CONNECTION_WINDOW);
+        let handshake = builder.handshake(ServedStream::new(stream));
+        let opened = within(CONNECT_LIMIT, handshake).await.ok_or("handshake timed out")?;
+        let (sender, connection) = opened.map_err(|err| err.to_string())?;
+        task::spawn(async move {
+            if let Err(err) = connection.await {
+                log::debug!(node = address.to_string().as_str(); "link closed: {err}");
             }
-            LinkState::Closed => Ok(None),
-            LinkState::Lost => Err(LinkError::NotSent),
-        }
+        });
+        Ok(sender)
     }
 }
 
-async fn open(address: SocketAddr) -> Result<LinkSender, String> {
-    let stream = connect(address, CONNECT_LIMIT).await.map_err(|err| err.to_string())?;
-    let mut builder = http2::Builder::new(TaskExecutor);
-    builder
-        .timer(TaskTimer)
-        .keep_alive_interval(PING_INTERVAL)
-        .keep_alive_timeout(PING_LIMIT)
-        .initial_stream_window_size(STREAM_WINDOW)
-        .initial_connection_window_size(CONNECTION_WINDOW);
-    let handshake = builder.handshake(ServedStream::new(stream));
-    let opened = within(CONNECT_LIMIT, handshake).await.ok_or("handshake timed out")?;
-    let (sender, connection) = opened.map_err(|err| err.to_string())?;
-    task::spawn(async move {
-        if let Err(err) = connection.await {
-            log::debug!(node = address.to_string().as_str(); "link closed: {err}");
-        }
-    });
-    Ok(sender)
-}
-
 fn describe(err: &hyper::Error) -> String {
     use std::error::Error;
     match err.source() {
--- a/sidecar/src/note.rs
+++ b/sidecar/src/note.rs
@@ -44,7 +44,9 @@
 pub(crate) enum ReplyEnd {
     /// The target answered; the answer follows.
     Answered,
-    /// The node did not let it run.
+    /// The node did not let it run, since it would wait longer than its limit.
+    Busy,
+    /// The node did not let it run, since it cannot be answered in time.
     Refused,
     /// The node is about to end and takes no more calls.
     Leaving,
--- a/sidecar/src/peer.rs
+++ b/sidecar/src/peer.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use fescuestack_http::{WholeAnswer, WholeRequest, remove_connection_headers};
-use fescuestack_routing::StoredItem;
+use fescuestack_routing::{StoredItem, TargetChoice};
 use http::header::HOST;
 use http::{HeaderValue, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
@@ -21,17 +21,17 @@
 /// began, possibly by another version.
 const BODY_BYTES: usize = 256 * 1024 * 1024;
 
-/// Sends a call to the node on `vm`. The error tells whether certainly nothing was sent.
+/// Sends a call to the node beside a target. The error tells whether certainly nothing was sent.
 pub(crate) async fn send_call(
     state: &Arc<NodeState>,
-    vm: IpAddr,
+    target: &TargetChoice,
     note: &CallNote,
     call: &WholeRequest,
 ) -> Result<(ReplyNote, Option<WholeAnswer>), bool> {
     let Some(mut request) = link_request(call) else { return Err(true) };
     note.write(request.headers_mut());
-    let address = state.node_address(vm);
-    let answer = match state.links.send(address, request).await {
+    let address = state.node_address(target.vm);
+    let answer = match state.links.send(address, !target.crosses, request).await {
         Ok(answer) => answer,
         Err(LinkError::NotSent) => return Err(true),
         Err(LinkError::Lost { reason }) => {
@@ -172,7 +172,7 @@
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = Uri::from_static("http://node/");
     write_sync(request.headers_mut(), after);
-    let answer = state.links.send(state.node_address(vm), request).await.ok()?;
+    let answer = state.links.send(state.node_address(vm), false, request).await.ok()?;
     if answer.status() != StatusCode::OK {
         return None;
     }
--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -126,7 +126,7 @@
         }
         let ticket = match self.admit(now, note).await {
             Ok(ticket) => ticket,
-            Err(retry_after) => return self.reply(ReplyEnd::Refused, retry_after),
+            Err((end, retry_after)) => return self.reply(end, retry_after),
         };
         let left = deadline.since(self.clock.now());
         if left.is_zero() {
@@ -179,12 +179,12 @@
         }
     }
 
-    /// Waits for a slot. Fails with the time after which there is likely to be room.
+    /// Waits for a slot. Fails with the reason and the time after which there is likely to be room.
     async fn admit(
         self: &Arc<Self>,
         now: ClockTime,
         note: &CallNote,
-    ) -> Result<SlotGuard, ClockSpan> {
+    ) -> Result<SlotGuard, (ReplyEnd, ClockSpan)> {
         let call = QueuedCall {
             route: note.route.clone(),
             rank: note.rank,
@@ -200,13 +200,17 @@
             match state.queue.arrive(now, call) {
                 AdmissionStep::Run(ticket) => (ticket, None),
                 AdmissionStep::Wait(ticket) => (ticket, Some(state.wait(ticket))),
-                AdmissionStep::Refuse { retry_after } => return Err(retry_after),
+                AdmissionStep::Busy => return Err((ReplyEnd::Busy, ClockSpan::ZERO)),
+                AdmissionStep::Refuse { retry_after } => {
+                    return Err((ReplyEnd::Refused, retry_after));
+                }
             }
         };
         let guard = SlotGuard { side: self.clone(), ticket, ended: false };
         if let Some(waiter) = waiter {
             // The sender stays until it has sent.
-            waiter.recv().await.unwrap_or(Err(ClockSpan::ZERO))?;
+            let result = waiter.recv().await.unwrap_or(Err(ClockSpan::ZERO));
+            result.map_err(|retry_after| (ReplyEnd::Refused, retry_after))?;
         }
         Ok(guard)
     }
