--- a/routing/src/admission.rs
+++ b/routing/src/admission.rs
@@ -30,12 +30,6 @@
 /// Share of a mean service time that has to be left when a call is started.
 const START_SHARE: f64 = 0.6;
 
-/// How long after the last urgent call a slot is kept for the next one.
-const URGENT_SPAN: ClockSpan = ClockSpan::new(300);
-
-/// A target with this many slots or fewer keeps none free.
-const KEPT_SLOT_MIN: u32 = 3;
-
 /// Names a call at its target's node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct CallTicket(u64);
@@ -127,8 +121,6 @@
     means: FxHashMap<Arc<str>, f64>,
     mean: f64,
     last_ticket: u64,
-    /// When a call of each rank came last.
-    urgent: Vec<(u8, ClockTime)>,
 }
 
 impl AdmissionQueue {
@@ -142,7 +134,6 @@
             means: FxHashMap::default(),
             mean: FIRST_SERVICE_MS,
             last_ticket: 0,
-            urgent: Vec::new(),
         }
     }
 
@@ -185,8 +176,7 @@
             return AdmissionStep::Refuse { retry_after: RETRY_AFTER_MIN };
         }
         let service = self.service_time(&call.route);
-        self.note_rank(now, call.rank);
-        if self.has_room_for(now, call.rank) && self.is_next(call.rank) {
+        if self.has_room() && self.is_next(call.rank) {
             if now + span(service * START_SHARE) > call.deadline {
                 return AdmissionStep::Refuse { retry_after: RETRY_AFTER_MIN };
             }
@@ -225,8 +215,8 @@
     /// Starts the calls for which there is room and refuses those that wait in vain.
     pub fn poll(&mut self, now: ClockTime, actions: &mut Vec<AdmissionAction>) {
         self.refuse_late(now, actions);
-        while let Some(index) = self.next_waiting(now)
-            && self.has_room_for(now, self.waiting[index].call.rank)
+        while self.has_room()
+            && let Some(index) = self.next_waiting(now)
         {
             let waiting = self.waiting.swap_remove(index);
             self.running
@@ -285,28 +275,11 @@
         self.open && self.running.len() < self.slots as usize
     }
 
-    /// Whether a call of `rank` may start. The last slot is kept for more urgent calls while such
-    /// calls come: they are often made by targets that hold a slot themselves, and would otherwise
-    /// wait for a less urgent call to end.
-    fn has_room_for(&self, now: ClockTime, rank: u8) -> bool {
-        let urgent =
-            self.urgent.iter().any(|(known, seen)| *known < rank && now.since(*seen) < URGENT_SPAN);
-        let kept = usize::from(urgent && self.slots > KEPT_SLOT_MIN);
-        self.open && self.running.len() + kept < self.slots as usize
-    }
-
     /// Whether no waiting call is as urgent.
     fn is_next(&self, rank: u8) -> bool {
         self.waiting.iter().all(|waiting| waiting.call.rank > rank)
     }
 
-    fn note_rank(&mut self, now: ClockTime, rank: u8) {
-        match self.urgent.iter_mut().find(|(known, _)| *known == rank) {
-            Some((_, seen)) => *seen = now,
-            None => self.urgent.push((rank, now)),
-        }
-    }
-
     /// Expected time in ms until a call of `rank` starts.
     fn expected_wait(&self, rank: u8) -> f64 {
         let ahead = self.waiting.iter().filter(|waiting| waiting.call.rank <= rank);
