Let one node of each data centre read the store

The first node that is in reach, in an order that all nodes compute, now reads for its data centre and answers the others as soon as something changes.

--- a/sidecar/src/follower.rs
+++ b/sidecar/src/follower.rs
@@ -6,15 +6,20 @@
 
 use async_std::task;
 use fescuestack_core::{ClockSpan, ClockTime};
+use fescuestack_http::within;
 use fescuestack_platform::{
     CONFIG_KEY, StoreClient, StoreError, StoreEvent, TARGET_PREFIX, decode_config, decode_target,
     target_id,
 };
-use fescuestack_routing::{RandomSource, RepeatAllowance, TargetRegistry, ViewChange};
+use fescuestack_routing::{
+    RandomSource, ReaderChoice, RepeatAllowance, TargetRegistry, ViewChange, ViewSource,
+};
+use rustc_hash::FxHashSet;
 
 use crate::guard::lock;
 use crate::node::NodeState;
-use crate::peer::{SyncAnswer, ask_sync};
+use crate::note::SyncNote;
+use crate::peer::{SyncAnswer, SyncItem, ask_sync};
 
 /// How long a watch waits. A connection that has gone silent is noticed after it.
 const WATCH_WAIT: ClockSpan = ClockSpan::new(3_000);
@@ -22,6 +27,13 @@
 /// How long the first watch after a failure waits. The store may well fail again.
 const WATCH_FIRST: ClockSpan = ClockSpan::new(500);
 
+/// How long a node that is followed may take to answer when nothing changes.
+const FOLLOW_WAIT: ClockSpan = ClockSpan::new(800);
+
+/// How much longer the answer may take. After it, another node is followed; the sum stays well
+/// below the 2 s in which a configuration has to be in force.
+const FOLLOW_SLACK: Duration = Duration::from_millis(400);
+
 /// Pause after a change, in which changes that follow closely are collected into one call.
 const MERGE_PAUSE: Duration = Duration::from_millis(150);
 
@@ -55,8 +67,10 @@
     random: RandomSource,
     /// When the store answered last.
     answered: Option<ClockTime>,
-    /// Until when missing entries may come back.
-    lapse_until: ClockTime,
+    readers: ReaderChoice,
+    source: ViewSource,
+    /// Whether the view was read whole once, so that changes suffice.
+    listed: bool,
     /// Whether the store is known to be out of reach.
     away: bool,
     /// How long the next watch waits.
@@ -71,7 +85,9 @@
             client,
             registry: TargetRegistry::new(),
             answered: None,
-            lapse_until: ClockTime::ZERO,
+            readers: ReaderChoice::new(state.settings.load().target.ip()),
+            source: ViewSource::Store,
+            listed: false,
             away: false,
             wait: WATCH_FIRST,
             state,
@@ -80,20 +96,24 @@
 
     /// Follows the store until the future is dropped.
     pub(crate) async fn run(mut self) {
-        let mut listed = false;
         let mut pause = RETRY_FIRST;
         loop {
-            let result = if listed { self.watch().await } else { self.list().await };
+            self.choose_source();
             self.sweep();
+            if let ViewSource::Node(vm) = self.source {
+                self.follow_node(vm).await;
+                continue;
+            }
+            let result = if self.listed { self.watch().await } else { self.list().await };
             match result {
                 Ok(()) => {
-                    listed = true;
+                    self.listed = true;
                     pause = RETRY_FIRST;
                 }
                 Err(StoreError::HistoryGone) => {
                     log::info!("702 the store has dropped its history, reading it anew");
                     self.note_answer();
-                    listed = false;
+                    self.listed = false;
                 }
                 Err(err) => {
                     self.note_failure(&err);
@@ -104,6 +124,43 @@
         }
     }
 
+    /// Decides whether this node reads the store or follows another node of its data centre.
+    fn choose_source(&mut self) {
+        let settings = self.state.settings.load();
+        let near = self.registry.iter().filter(|entry| *entry.data_centre == *settings.data_centre);
+        let vms = near.map(|entry| entry.address.ip());
+        let source = match self.listed {
+            true => self.readers.source(self.state.clock.now(), vms),
+            false => ViewSource::Store,
+        };
+        if source != self.source {
+            log::info!(source = format!("{source:?}").as_str(); "source of the store's content");
+            self.source = source;
+            // A watch on a connection that was unused for long may take long to fail.
+            self.wait = WATCH_FIRST;
+        }
+        if let ViewSource::Node(_) = source {
+            self.state.set_reading(false);
+        }
+    }
+
+    /// Takes over what another node has read. One that cannot be followed is passed over.
+    async fn follow_node(&mut self, vm: IpAddr) {
+        let note = SyncNote { after: lock(&self.state.view).at(), wait: FOLLOW_WAIT.millis() };
+        let limit = Duration::from_millis(FOLLOW_WAIT.millis()) + FOLLOW_SLACK;
+        let answer = within(limit, ask_sync(&self.state, vm, true, note)).await.flatten();
+        let reads = answer.as_ref().is_some_and(|answer| answer.reads);
+        if let Some(answer) = answer {
+            self.take_over(answer);
+        }
+        if reads {
+            self.away = false;
+            self.answered = Some(self.state.clock.now());
+        } else {
+            self.readers.pass_over(self.state.clock.now(), vm);
+        }
+    }
+
     async fn list(&mut self) -> Result<(), StoreError> {
         let listing = self.client.list(ALL_KEYS).await?;
         self.note_answer();
@@ -148,15 +205,17 @@
             self.away = false;
             let away = self.answered.map_or(ClockSpan::ZERO, |answered| now.since(answered));
             if away >= AWAY_MIN {
-                self.lapse_until = now + LAPSE_SPAN;
+                self.state.extend_lapse(now + LAPSE_SPAN);
             }
             log::info!(away_ms = away.millis(); "store regained");
         }
         self.answered = Some(now);
+        self.state.set_reading(true);
     }
 
     fn note_failure(&mut self, err: &StoreError) {
         self.wait = WATCH_FIRST;
+        self.state.set_reading(false);
         if !self.away {
             self.away = true;
             log::warn!("store lost: {err}");
@@ -174,31 +233,37 @@
             return;
         }
         let Some(vm) = self.random_node() else { return };
-        let after = lock(&self.state.view).at();
-        let asked = fescuestack_http::within(ASK_PERIOD, ask_sync(&self.state, vm, after)).await;
+        let note = SyncNote { after: lock(&self.state.view).at(), wait: 0 };
+        let asked = within(ASK_PERIOD, ask_sync(&self.state, vm, false, note)).await;
         if let Some(Some(answer)) = asked {
             self.take_over(answer);
         }
     }
 
     fn take_over(&mut self, answer: SyncAnswer) {
+        self.state.extend_lapse(self.state.clock.now() + ClockSpan::new(answer.lapse));
+        let Some(items) = answer.items else { return };
         let (at, changes) = {
             let mut view = lock(&self.state.view);
-            if answer.at <= view.at() {
+            let at = answer.at;
+            if at <= view.at() {
                 return;
             }
-            let at = answer.at;
-            let keys: Vec<_> = answer.items.iter().map(|item| item.key.clone()).collect();
-            let missing: Vec<_> =
-                view.iter().map(|(key, _)| key.clone()).filter(|key| !keys.contains(key)).collect();
+            let listed: FxHashSet<_> = items.iter().map(|item| item.key.clone()).collect();
+            let missing: Vec<_> = view
+                .iter()
+                .map(|(key, _)| key.clone())
+                .filter(|key| !listed.contains(key))
+                .collect();
             let mut changes: Vec<_> =
                 missing.iter().filter_map(|key| view.remove(key, at)).collect();
-            let items = answer.items.into_iter().filter_map(|item| item.into_item());
+            let items = items.into_iter().filter_map(SyncItem::into_item);
             changes.extend(items.filter_map(|(key, item)| view.write(&key, item)));
             view.advance(at);
             (at, changes)
         };
-        log::info!(revision = at, changes = changes.len(); "store content learned from a node");
+        self.listed = true;
+        log::debug!(revision = at, changes = changes.len(); "store content learned from a node");
         self.apply(changes);
     }
 
@@ -228,6 +293,7 @@
         if changes.is_empty() {
             return;
         }
+        self.state.view_changed.notify(usize::MAX);
         for change in changes {
             match change {
                 ViewChange::Written(key) if *key == *CONFIG_KEY => self.apply_config(),
@@ -284,8 +350,9 @@
 
     fn remove_target(&mut self, key: &str) {
         let Some(id) = target_id(key) else { return };
-        if self.state.clock.now() < self.lapse_until {
-            self.registry.lapse(id, self.lapse_until);
+        let until = self.state.lapse_until();
+        if self.state.clock.now() < until {
+            self.registry.lapse(id, until);
             return;
         }
         if self.registry.remove(id).is_some() {
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -1,11 +1,13 @@
 //! What the parts of a node share.
 
 use std::net::{IpAddr, SocketAddr};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use async_channel::{Receiver, Sender};
+use event_listener::Event;
+use fescuestack_core::ClockTime;
 use fescuestack_http::CallClock;
 use fescuestack_platform::MachineSettings;
 use fescuestack_routing::{RepeatAllowance, RepeatBudget, RouteTable, StoreView, TargetPicker};
@@ -26,6 +28,12 @@
     pub(crate) links: Arc<LinkTable>,
     /// A copy of the store, for this node and for others that cannot reach it.
     pub(crate) view: Mutex<StoreView>,
+    /// Notified when the view has changed, or whether this node reads the store.
+    pub(crate) view_changed: Event,
+    /// Whether this node reads the store itself and has contact with it.
+    reading: AtomicBool,
+    /// Until when entries that are missing may come back.
+    lapse_until: AtomicU64,
     /// Start of this node's splits, so that nodes do not split in step.
     pub(crate) split_offset: u32,
     stopping: AtomicBool,
@@ -67,6 +75,9 @@
             target,
             links: LinkTable::new(),
             view: Mutex::default(),
+            view_changed: Event::new(),
+            reading: AtomicBool::new(false),
+            lapse_until: AtomicU64::new(0),
             split_offset: seed as u32,
             stopping: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
@@ -88,6 +99,26 @@
         self.settings.load().target.ip() == vm
     }
 
+    /// Whether this node reads the store itself and has contact with it.
+    pub(crate) fn is_reading(&self) -> bool {
+        self.reading.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn set_reading(&self, reading: bool) {
+        if self.reading.swap(reading, Ordering::AcqRel) != reading {
+            self.view_changed.notify(usize::MAX);
+        }
+    }
+
+    /// Until when entries that are missing may come back.
+    pub(crate) fn lapse_until(&self) -> ClockTime {
+        ClockTime::new(self.lapse_until.load(Ordering::Acquire))
+    }
+
+    pub(crate) fn extend_lapse(&self, until: ClockTime) {
+        self.lapse_until.fetch_max(until.millis(), Ordering::AcqRel);
+    }
+
     /// Whether clients should send requests here.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_stopping() && self.routes.load().is_some()
--- a/sidecar/src/note.rs
+++ b/sidecar/src/note.rs
@@ -107,14 +107,24 @@
     }
 }
 
-/// Marks a request as a question for what the store holds after a revision.
-pub(crate) fn write_sync(headers: &mut HeaderMap, after: u64) {
-    headers.insert(SYNC_HEADER, HeaderValue::from(after));
+/// A question for what the store holds. It is answered when there is something newer.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(crate) struct SyncNote {
+    /// The store's revision that the asking node has.
+    pub(crate) after: u64,
+    /// Longest time until the answer, in ms.
+    pub(crate) wait: u64,
 }
 
-/// The revision of a question for the store's content.
-pub(crate) fn scan_sync(headers: &HeaderMap) -> Option<u64> {
-    headers.get(&SYNC_HEADER)?.to_str().ok()?.parse().ok()
+impl SyncNote {
+    pub(crate) fn write(&self, headers: &mut HeaderMap) {
+        write_note(headers, SYNC_HEADER, self);
+    }
+
+    /// Takes the note out of the headers of a request.
+    pub(crate) fn take(headers: &mut HeaderMap) -> Option<SyncNote> {
+        take_note(headers, &SYNC_HEADER)
+    }
 }
 
 fn write_note(headers: &mut HeaderMap, name: HeaderName, note: &impl Serialize) {
--- a/sidecar/src/peer.rs
+++ b/sidecar/src/peer.rs
@@ -2,9 +2,10 @@
 
 use std::net::IpAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
-use fescuestack_http::{WholeAnswer, WholeRequest, remove_connection_headers};
+use fescuestack_http::{WholeAnswer, WholeRequest, remove_connection_headers, within};
 use fescuestack_routing::{StoredItem, TargetChoice};
 use http::header::HOST;
 use http::{HeaderValue, Request, Response, StatusCode, Uri};
@@ -15,7 +16,7 @@
 use crate::guard::lock;
 use crate::links::LinkError;
 use crate::node::NodeState;
-use crate::note::{CallNote, ReplyEnd, ReplyNote, scan_sync, write_sync};
+use crate::note::{CallNote, ReplyEnd, ReplyNote, SyncNote};
 
 /// Longest body that another node passes on. The configuration's limit is checked where the call
 /// began, possibly by another version.
@@ -71,11 +72,11 @@
     state: Arc<NodeState>,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
-    let _place = state.begin_call();
     let (mut parts, body) = request.into_parts();
-    if let Some(after) = scan_sync(&parts.headers) {
-        return answer_sync(&state, after);
+    if let Some(note) = SyncNote::take(&mut parts.headers) {
+        return answer_sync(&state, note).await;
     }
+    let _place = state.begin_call();
     let Some(note) = CallNote::take(&mut parts.headers) else {
         return status_only(StatusCode::BAD_REQUEST);
     };
@@ -126,8 +127,12 @@
 pub(crate) struct SyncAnswer {
     /// The store's revision up to which the answer is complete.
     pub(crate) at: u64,
-    /// All keys with their revisions and, where they are newer than asked, their values.
-    pub(crate) items: Vec<SyncItem>,
+    /// Whether the node reads the store itself and has contact with it.
+    pub(crate) reads: bool,
+    /// How much longer missing entries may come back, in ms.
+    pub(crate) lapse: u64,
+    /// All keys, if the node knows a newer revision than asked.
+    pub(crate) items: Option<Vec<SyncItem>>,
 }
 
 /// A key of the store.
@@ -135,6 +140,7 @@
 pub(crate) struct SyncItem {
     pub(crate) key: Arc<str>,
     pub(crate) revision: u64,
+    /// The value, if it is newer than asked.
     pub(crate) value: Option<Vec<u8>>,
 }
 
@@ -146,17 +152,20 @@
     }
 }
 
-fn answer_sync(state: &NodeState, after: u64) -> Response<Full<Bytes>> {
-    let view = lock(&state.view);
-    if view.at() <= after {
-        return status_only(StatusCode::NO_CONTENT);
-    }
-    let items = view.iter().map(|(key, item)| SyncItem {
-        key: key.clone(),
-        revision: item.revision,
-        value: (item.revision > after).then(|| item.value.to_vec()),
-    });
-    let answer = SyncAnswer { at: view.at(), items: items.collect() };
+/// Answers as soon as there is something newer than asked, or when this node stops reading the store.
+async fn answer_sync(state: &NodeState, note: SyncNote) -> Response<Full<Bytes>> {
+    let limit = Duration::from_millis(note.wait);
+    let changed = async {
+        loop {
+            let listener = state.view_changed.listen();
+            if lock(&state.view).at() > note.after || !state.is_reading() {
+                return;
+            }
+            listener.await;
+        }
+    };
+    within(limit, changed).await;
+    let answer = sync_answer(state, note.after);
     match postcard::to_stdvec(&answer) {
         Ok(bytes) => Response::new(Full::new(bytes.into())),
         Err(err) => {
@@ -166,13 +175,33 @@
     }
 }
 
-/// Asks the node on `vm` for what the store holds after a revision. `None` means nothing newer, or
-/// that the node cannot be reached.
-pub(crate) async fn ask_sync(state: &Arc<NodeState>, vm: IpAddr, after: u64) -> Option<SyncAnswer> {
+fn sync_answer(state: &NodeState, after: u64) -> SyncAnswer {
+    let view = lock(&state.view);
+    let item = |(key, item): (&Arc<str>, &StoredItem)| SyncItem {
+        key: key.clone(),
+        revision: item.revision,
+        value: (item.revision > after).then(|| item.value.to_vec()),
+    };
+    SyncAnswer {
+        at: view.at(),
+        reads: state.is_reading() && !state.is_stopping(),
+        lapse: state.lapse_until().since(state.clock.now()).millis(),
+        items: (view.at() > after).then(|| view.iter().map(item).collect()),
+    }
+}
+
+/// Asks the node on `vm` for what the store holds after a revision. `None` means that it cannot be
+/// reached, which its link reports.
+pub(crate) async fn ask_sync(
+    state: &Arc<NodeState>,
+    vm: IpAddr,
+    near: bool,
+    note: SyncNote,
+) -> Option<SyncAnswer> {
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = Uri::from_static("http://node/");
-    write_sync(request.headers_mut(), after);
-    let answer = state.links.send(state.node_address(vm), false, request).await.ok()?;
+    note.write(request.headers_mut());
+    let answer = state.links.send(state.node_address(vm), near, request).await.ok()?;
     if answer.status() != StatusCode::OK {
         return None;
     }
