Pass the store's content down a tree, compressed

Cause: the one reader of a data centre sent each version of 50 KB to 20 nodes over its link of 7 Mbit/s. Each node now serves at most four others and compresses what it sends; each answer tells how long ago the store confirmed the content, so that nodes that follow each other in a circle notice it.

--- a/routing/src/readers.rs
+++ b/routing/src/readers.rs
@@ -1,10 +1,11 @@
 //! Which nodes read the platform's store.
 //!
 //! The store's rate grows more slowly than the fleet, and each call is billed. One node of each data
-//! centre reads the store, the others follow it. A node that is out of reach, or that has lost the
-//! store, is passed over for a while, so that the next one in the order takes its place. All nodes
-//! compute the same order from the same entries; where their entries differ, a node that is followed
-//! but does not read says so and is passed over as well.
+//! centre reads the store, the others form a tree below it, because the link of one VM is too slow for
+//! a copy to each. A node that is out of reach, or that has lost the store, is passed over for a
+//! while, so that another takes its place. All nodes compute the same tree from the same entries.
+//! Where their entries differ they may follow each other in a circle; then the age of what they
+//! know grows, and a node whose content is too old is passed over as well.
 
 use std::net::IpAddr;
 
@@ -14,6 +15,9 @@
 /// How long a node is passed over.
 const UNFIT_SPAN: ClockSpan = ClockSpan::new(2_000);
 
+/// Nodes that follow one node.
+const FOLLOWERS: usize = 4;
+
 /// Where a node learns what the store holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ViewSource {
@@ -38,9 +42,12 @@
 
     /// Where to learn from, given the VMs of the node's data centre.
     pub fn source(&self, now: ClockTime, vms: impl Iterator<Item = IpAddr>) -> ViewSource {
-        let fit = vms.filter(|vm| self.unfit.get(vm).is_none_or(|until| *until <= now));
-        match fit.chain([self.own]).min_by_key(|vm| (order(*vm), *vm)) {
-            Some(vm) if vm != self.own => ViewSource::Node(vm),
+        let is_fit = |vm: &IpAddr| self.unfit.get(vm).is_none_or(|until| *until <= now);
+        let mut fit: Vec<_> = vms.filter(is_fit).chain([self.own]).collect();
+        fit.sort_unstable_by_key(|vm| (order(*vm), *vm));
+        fit.dedup();
+        match fit.iter().position(|vm| *vm == self.own) {
+            Some(position) if position > 0 => ViewSource::Node(fit[(position - 1) / FOLLOWERS]),
             _ => ViewSource::Store,
         }
     }
--- a/sidecar/src/follower.rs
+++ b/sidecar/src/follower.rs
@@ -28,7 +28,7 @@
 const WATCH_FIRST: ClockSpan = ClockSpan::new(500);
 
 /// How long a node that is followed may take to answer when nothing changes.
-const FOLLOW_WAIT: ClockSpan = ClockSpan::new(800);
+const FOLLOW_WAIT: ClockSpan = ClockSpan::new(500);
 
 /// How much longer the answer may take. After it, another node is followed; the sum stays well
 /// below the 2 s in which a configuration has to be in force.
@@ -149,15 +149,17 @@
         let note = SyncNote { after: lock(&self.state.view).at(), wait: FOLLOW_WAIT.millis() };
         let limit = Duration::from_millis(FOLLOW_WAIT.millis()) + FOLLOW_SLACK;
         let answer = within(limit, ask_sync(&self.state, vm, true, note)).await.flatten();
-        let reads = answer.as_ref().is_some_and(|answer| answer.reads);
+        let age = answer.as_ref().and_then(|answer| answer.age);
         if let Some(answer) = answer {
             self.take_over(answer);
         }
-        if reads {
-            self.away = false;
-            self.answered = Some(self.state.clock.now());
-        } else {
-            self.readers.pass_over(self.state.clock.now(), vm);
+        match age {
+            Some(age) => {
+                self.away = false;
+                self.answered = Some(self.state.clock.now());
+                self.state.confirm_view(ClockSpan::new(age));
+            }
+            None => self.readers.pass_over(self.state.clock.now(), vm),
         }
     }
 
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -7,7 +7,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use async_channel::{Receiver, Sender};
 use event_listener::Event;
-use fescuestack_core::ClockTime;
+use fescuestack_core::{ClockSpan, ClockTime};
 use fescuestack_http::CallClock;
 use fescuestack_platform::MachineSettings;
 use fescuestack_routing::{RepeatAllowance, RepeatBudget, RouteTable, StoreView, TargetPicker};
@@ -17,6 +17,10 @@
 use crate::links::{LinkObserver, LinkTable};
 use crate::target::TargetSide;
 
+/// Age from which a node's content is no longer passed on. Contact is confirmed about every half
+/// second on each level of the tree.
+const AGE_MAX: ClockSpan = ClockSpan::new(2_500);
+
 /// The state of a node that runs on the users' platform.
 pub(crate) struct NodeState {
     pub(crate) settings: ArcSwap<MachineSettings>,
@@ -32,6 +36,8 @@
     pub(crate) view_changed: Event,
     /// Whether this node reads the store itself and has contact with it.
     reading: AtomicBool,
+    /// When the store confirmed the content that was learned from another node, by this node's clock.
+    confirmed: AtomicU64,
     /// Until when entries that are missing may come back.
     lapse_until: AtomicU64,
     /// Start of this node's splits, so that nodes do not split in step.
@@ -77,6 +83,7 @@
             view: Mutex::default(),
             view_changed: Event::new(),
             reading: AtomicBool::new(false),
+            confirmed: AtomicU64::new(0),
             lapse_until: AtomicU64::new(0),
             split_offset: seed as u32,
             stopping: AtomicBool::new(false),
@@ -110,6 +117,21 @@
         }
     }
 
+    /// Notes that the store had confirmed what another node knows `age` ago.
+    pub(crate) fn confirm_view(&self, age: ClockSpan) {
+        let at = self.clock.now() - age;
+        self.confirmed.fetch_max(at.millis(), Ordering::AcqRel);
+    }
+
+    /// How long ago the store confirmed what this node knows. `None` if that is too long.
+    pub(crate) fn view_age(&self) -> Option<ClockSpan> {
+        if self.is_reading() {
+            return Some(ClockSpan::ZERO);
+        }
+        let confirmed = ClockTime::new(self.confirmed.load(Ordering::Acquire));
+        Some(self.clock.now().since(confirmed)).filter(|age| *age <= AGE_MAX)
+    }
+
     /// Until when entries that are missing may come back.
     pub(crate) fn lapse_until(&self) -> ClockTime {
         ClockTime::new(self.lapse_until.load(Ordering::Acquire))
--- a/sidecar/src/peer.rs
+++ b/sidecar/src/peer.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use fescuestack_core::ClockSpan;
 use fescuestack_http::{WholeAnswer, WholeRequest, remove_connection_headers, within};
 use fescuestack_routing::{StoredItem, TargetChoice};
 use http::header::HOST;
@@ -12,6 +13,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu};
 
 use crate::guard::lock;
 use crate::links::LinkError;
@@ -22,6 +24,12 @@
 /// began, possibly by another version.
 const BODY_BYTES: usize = 256 * 1024 * 1024;
 
+/// Level of compression of the store's content. Higher ones save little and cost more time.
+const SYNC_LEVEL: i32 = 1;
+
+/// Longest content of the store that a node takes from another, in bytes.
+const SYNC_BYTES: usize = 64 * 1024 * 1024;
+
 /// Sends a call to the node beside a target. The error tells whether certainly nothing was sent.
 pub(crate) async fn send_call(
     state: &Arc<NodeState>,
@@ -127,8 +135,8 @@
 pub(crate) struct SyncAnswer {
     /// The store's revision up to which the answer is complete.
     pub(crate) at: u64,
-    /// Whether the node reads the store itself and has contact with it.
-    pub(crate) reads: bool,
+    /// How long ago the store confirmed this content, in ms. `None` if the node is out of contact.
+    pub(crate) age: Option<u64>,
     /// How much longer missing entries may come back, in ms.
     pub(crate) lapse: u64,
     /// All keys, if the node knows a newer revision than asked.
@@ -158,7 +166,7 @@
     let changed = async {
         loop {
             let listener = state.view_changed.listen();
-            if lock(&state.view).at() > note.after || !state.is_reading() {
+            if lock(&state.view).at() > note.after || state.view_age().is_none() {
                 return;
             }
             listener.await;
@@ -166,7 +174,7 @@
     };
     within(limit, changed).await;
     let answer = sync_answer(state, note.after);
-    match postcard::to_stdvec(&answer) {
+    match encode_answer(&answer) {
         Ok(bytes) => Response::new(Full::new(bytes.into())),
         Err(err) => {
             log::error!("801 cannot encode the store's content: {err}");
@@ -184,7 +192,7 @@
     };
     SyncAnswer {
         at: view.at(),
-        reads: state.is_reading() && !state.is_stopping(),
+        age: state.view_age().filter(|_| !state.is_stopping()).map(ClockSpan::millis),
         lapse: state.lapse_until().since(state.clock.now()).millis(),
         items: (view.at() > after).then(|| view.iter().map(item).collect()),
     }
@@ -205,7 +213,7 @@
     if answer.status() != StatusCode::OK {
         return None;
     }
-    match postcard::from_bytes(answer.body()) {
+    match decode_answer(answer.body()) {
         Ok(answer) => Some(answer),
         Err(err) => {
             log::warn!(node = vm.to_string().as_str(); "802 store content cannot be read: {err}");
@@ -213,3 +221,23 @@
         }
     }
 }
+
+/// Why content of the store cannot be passed on.
+#[derive(Debug, Snafu)]
+enum SyncError {
+    #[snafu(display("{source}"))]
+    Form { source: postcard::Error },
+    #[snafu(display("{source}"))]
+    Compression { source: std::io::Error },
+}
+
+/// Configurations are long and repeat themselves, and the links of small VMs are slow.
+fn encode_answer(answer: &SyncAnswer) -> Result<Vec<u8>, SyncError> {
+    let bytes = postcard::to_stdvec(answer).context(FormSnafu)?;
+    zstd::bulk::compress(&bytes, SYNC_LEVEL).context(CompressionSnafu)
+}
+
+fn decode_answer(bytes: &[u8]) -> Result<SyncAnswer, SyncError> {
+    let bytes = zstd::bulk::decompress(bytes, SYNC_BYTES).context(CompressionSnafu)?;
+    postcard::from_bytes(&bytes).context(FormSnafu)
+}
