--- a/routing/src/picker.rs
+++ b/routing/src/picker.rs
@@ -56,6 +56,11 @@
 /// Random part of the sum in ms, which keeps nodes from choosing the same target at once.
 const JITTER_MS: f64 = 8.0;
 
+/// Random part of the sum, as a share of the service time, while the load of a target is not known.
+/// In a large fleet a node sends each target a call now and then only, and all nodes would otherwise
+/// choose the fastest one.
+const UNKNOWN_SPREAD: f64 = 0.8;
+
 /// What a call reports of its target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TargetSignal {
@@ -209,7 +214,7 @@
                 continue;
             }
             let crosses = record.entry.data_centre != self.data_centre;
-            let mut sum = record.expected_time(now) + self.random.next_share() * JITTER_MS;
+            let mut sum = record.expected_time(now) + self.random.next_share() * record.spread(now);
             if crosses {
                 sum += crossing;
             }
@@ -306,6 +311,14 @@
         service + crowding + excess * service / slots + self.failure_share(now) * FAILURE_MS
     }
 
+    /// Size of the random part in ms: the less is known of the load, the larger.
+    fn spread(&self, now: ClockTime) -> f64 {
+        let service = self.report.service.millis().max(FIRST_SERVICE_MS as u64) as f64;
+        let age = self.reported.map_or(REPORT_SPAN, |reported| now.since(reported));
+        let unknown = age.millis().min(REPORT_SPAN.millis()) as f64 / REPORT_SPAN.millis() as f64;
+        JITTER_MS + unknown * UNKNOWN_SPREAD * service
+    }
+
     fn refuses(&self, now: ClockTime, route: &str) -> bool {
         self.refusals.iter().any(|(known, until)| *until > now && **known == *route)
     }
--- a/routing/src/plan.rs
+++ b/routing/src/plan.rs
@@ -12,7 +12,11 @@
 use crate::routes::RepeatKind;
 
 /// Most nodes that may refuse a request before it is given up.
-const REFUSAL_LIMIT: u32 = 3;
+const REFUSAL_LIMIT: u32 = 4;
+
+/// Longest wait at the first nodes in the same data centre, while another target may be free. Asking
+/// one costs less than a millisecond.
+const NEAR_WAIT: ClockSpan = ClockSpan::new(25);
 
 /// When a caller comes back that found no target to send to. Entries and links return within this.
 const NO_TARGET_RETRY: ClockSpan = ClockSpan::new(250);
@@ -88,6 +92,9 @@
 pub struct CallPlan {
     call: PlanCall,
     tried: Vec<Arc<str>>,
+    /// Targets whose wait was over the limit. They may be the best choice all the same.
+    busy: Vec<Arc<str>>,
+    current: Option<Arc<str>>,
     last: Option<AttemptEnd>,
     arrivals: u32,
     refusals: u32,
@@ -102,6 +109,8 @@
         CallPlan {
             call,
             tried: Vec::new(),
+            busy: Vec::new(),
+            current: None,
             last: None,
             arrivals: 0,
             refusals: 0,
@@ -128,6 +137,8 @@
 
     /// Notes how the attempt that was sent last has ended.
     pub fn end(&mut self, end: AttemptEnd) {
+        let list = if end == AttemptEnd::Busy { &mut self.busy } else { &mut self.tried };
+        list.extend(self.current.take());
         match end {
             AttemptEnd::Answered { .. } => {
                 self.arrivals += 1;
@@ -182,7 +193,7 @@
         }
         let others = picker.candidates(now, &call.service) > self.tried.len() + 1;
         let wait_limit = self.wait_limit(now, &target, others);
-        self.tried.push(target.id.clone());
+        self.current = Some(target.id.clone());
         PlanStep::Send { target, wait_limit }
     }
 
@@ -192,15 +203,14 @@
             || self.call.deadline.since(now) < LEFT_MIN
     }
 
-    /// The first node says at once if the wait is long, while another target may be better. One in
-    /// another data centre was chosen because the wait is long.
+    /// The first nodes say at once if the wait is long, while another target may be better. One that
+    /// is chosen again in spite of that may let the request wait.
     fn wait_limit(&self, now: ClockTime, target: &TargetChoice, others: bool) -> ClockSpan {
-        let left = self.call.aim_at.since(now).millis();
-        if others && !target.crosses && self.refusals + 1 < REFUSAL_LIMIT {
-            ClockSpan::new(left / 2)
-        } else {
-            self.call.deadline.since(now)
+        if !others || self.busy.contains(&target.id) || self.refusals + 1 >= REFUSAL_LIMIT {
+            return self.call.deadline.since(now);
         }
+        let left = ClockSpan::new(self.call.aim_at.since(now).millis() / 2);
+        if target.crosses { left } else { left.min(NEAR_WAIT) }
     }
 
     fn give_up(&self) -> PlanStep {
