--- /dev/null
+++ b/http/tests/exchange.rs
@@ -0,0 +1,145 @@
+//! Exchanges with a server that answers badly, over real sockets.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_std::io::{ReadExt, WriteExt};
+use async_std::net::TcpListener;
+use async_std::task;
+use bytes::Bytes;
+use fescuestack_http::{AnswerTag, ExchangeConnection, ExchangeError, WholeAnswer, WholeRequest};
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+
+const LIMIT: Duration = Duration::from_secs(5);
+
+/// Serves one connection: reads something before each of the pieces, then writes it.
+async fn script(pieces: Vec<&'static [u8]>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound port");
+    task::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a client");
+        let mut buffer = [0; 4096];
+        for piece in pieces {
+            if stream.read(&mut buffer).await.unwrap_or(0) == 0 {
+                return;
+            }
+            stream.write_all(piece).await.expect("the client reads");
+        }
+    });
+    address
+}
+
+fn request(id: &'static str, body: &'static [u8]) -> WholeRequest {
+    let mut headers = HeaderMap::new();
+    headers.insert("host", HeaderValue::from_static("h"));
+    headers.insert("id", HeaderValue::from_static(id));
+    let method = if body.is_empty() { Method::GET } else { Method::POST };
+    WholeRequest { method, target: "/a/".to_owned(), headers, body: Bytes::from_static(body) }
+}
+
+fn tag(id: &'static str) -> AnswerTag {
+    AnswerTag { name: HeaderName::from_static("id"), value: HeaderValue::from_static(id) }
+}
+
+async fn ask(
+    connection: &mut ExchangeConnection,
+    id: &'static str,
+) -> Result<WholeAnswer, ExchangeError> {
+    connection.exchange(&request(id, b""), Some(&tag(id))).await
+}
+
+fn one_exchange(answer: &'static [u8]) -> Result<WholeAnswer, ExchangeError> {
+    task::block_on(async {
+        let address = script(vec![answer]).await;
+        let mut connection = ExchangeConnection::open(address, LIMIT).await?;
+        ask(&mut connection, "1").await
+    })
+}
+
+/// Guards against answers that end early and look complete.
+#[test]
+fn cut_answers_are_errors() {
+    let cut: [&'static [u8]; 5] = [
+        b"HTTP/1.1 200 OK\r\nid: 1\r\ncontent-length: 10\r\n\r\n12345",
+        b"HTTP/1.1 200 OK\r\nid: 1\r\ntransfer-encoding: chunked\r\n\r\n5\r\n123",
+        b"HTTP/1.1 200 OK\r\nid: 1\r\ntransfer-encoding: chunked\r\n\r\n5\r\n12345\r\n",
+        b"HTTP/1.1 200 OK\r\nid: 1\r\n",
+        b"",
+    ];
+    for answer in cut {
+        let outcome = one_exchange(answer);
+        assert!(matches!(outcome, Err(ExchangeError::Broken { .. })), "{outcome:?}");
+    }
+}
+
+/// An answer may have no length and end with its connection.
+#[test]
+fn answer_until_the_end_is_whole() {
+    let answer = one_exchange(b"HTTP/1.1 200 OK\r\nid: 1\r\n\r\nwhole").expect("an answer");
+    assert_eq!(&answer.body[..], b"whole");
+}
+
+/// Guards against bytes that are no answer, and against two readings of one answer.
+#[test]
+fn garbage_is_no_answer() {
+    let garbled: [&'static [u8]; 4] = [
+        b"\x00\x01\x02 what\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nid: 1\r\ncontent-length: 5\r\ncontent-length: 6\r\n\r\n12345",
+        b"HTTP/1.1 200 OK\r\nid: 1\r\ncontent-length: -5\r\n\r\n12345",
+        b"HTTP/1.1 200 OK\r\nid: 2\r\n\r\nanother's",
+    ];
+    for answer in garbled {
+        let outcome = one_exchange(answer);
+        assert!(matches!(outcome, Err(ExchangeError::Garbled { .. })), "{outcome:?}");
+    }
+}
+
+/// Guards against a late second answer that is taken for the answer to the next request.
+#[test]
+fn late_second_answer_is_skipped() {
+    task::block_on(async {
+        let address = script(vec![
+            b"HTTP/1.1 200 OK\r\nid: 1\r\ncontent-length: 3\r\n\r\none",
+            b"HTTP/1.1 200 OK\r\nid: 1\r\ncontent-length: 3\r\n\r\noneHTTP/1.1 200 OK\r\nid: 2\r\ncontent-length: 3\r\n\r\ntwo",
+        ])
+        .await;
+        let mut connection = ExchangeConnection::open(address, LIMIT).await.expect("a server");
+        assert_eq!(&ask(&mut connection, "1").await.expect("an answer").body[..], b"one");
+        assert_eq!(&ask(&mut connection, "2").await.expect("an answer").body[..], b"two");
+    });
+}
+
+/// Guards against a connection that is used again after extra bytes or its announced end.
+#[test]
+fn spoilt_connections_are_not_reused() {
+    let endings: [&'static [u8]; 3] = [
+        b"HTTP/1.1 200 OK\r\nid: 1\r\ncontent-length: 3\r\n\r\noneHTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 200 OK\r\nid: 1\r\ncontent-length: 3\r\nconnection: close\r\n\r\none",
+        b"HTTP/1.1 200 OK\r\nid: 1\r\n\r\none",
+    ];
+    for answer in endings {
+        task::block_on(async {
+            let address = script(vec![answer]).await;
+            let mut connection = ExchangeConnection::open(address, LIMIT).await.expect("a server");
+            ask(&mut connection, "1").await.expect("an answer");
+            assert!(!connection.is_reusable().await, "{}", String::from_utf8_lossy(answer));
+        });
+    }
+}
+
+/// Guards against other bytes where the rest of a body is due: an answer that comes before the body
+/// was taken ends the use of the connection.
+#[test]
+fn early_answer_ends_the_connection() {
+    task::block_on(async {
+        let answer: &[u8] = b"HTTP/1.1 413 Too Long\r\nid: 1\r\ncontent-length: 0\r\n\r\n";
+        let address = script(vec![answer]).await;
+        let mut connection = ExchangeConnection::open(address, LIMIT).await.expect("a server");
+        let mut long = request("1", b"x");
+        // More than the sockets' buffers take.
+        long.body = Bytes::from(vec![0; 32 * 1024 * 1024]);
+        let answer = connection.exchange(&long, Some(&tag("1"))).await.expect("an answer");
+        assert_eq!(answer.status, 413);
+        assert!(!connection.is_reusable().await);
+    });
+}
--- a/routing/src/admission.rs
+++ b/routing/src/admission.rs
@@ -30,6 +30,9 @@
 /// Share of a mean service time that has to be left when a call is started.
 const START_SHARE: f64 = 0.6;
 
+/// Share of a mean service time that a call is expected to take longer once it has exceeded it.
+const OVERDUE_SHARE: f64 = 0.2;
+
 /// Names a call at its target's node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct CallTicket(u64);
@@ -182,7 +185,7 @@
             }
             return AdmissionStep::Run(self.start(now, &call));
         }
-        let wait = self.expected_wait(call.rank);
+        let wait = self.expected_wait(now, call.rank);
         if now + span(wait + service) > latest_end(&call) {
             return AdmissionStep::Refuse { retry_after: self.retry_after(wait) };
         }
@@ -234,7 +237,7 @@
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.sort_by_key(|waiting| self.order(now, waiting));
         let slots = f64::from(self.slots);
-        let mut wait = if self.has_room() { 0.0 } else { self.running_mean() / slots };
+        let mut wait = self.first_free(now);
         for call in waiting {
             let service = self.service_time(&call.call.route);
             if self.open && now + span(wait + service * START_SHARE) <= latest_end(&call.call) {
@@ -281,20 +284,23 @@
     }
 
     /// Expected time in ms until a call of `rank` starts.
-    fn expected_wait(&self, rank: u8) -> f64 {
+    fn expected_wait(&self, now: ClockTime, rank: u8) -> f64 {
         let ahead = self.waiting.iter().filter(|waiting| waiting.call.rank <= rank);
         let ahead: f64 = ahead.map(|waiting| self.service_time(&waiting.call.route)).sum();
-        (ahead + self.running_mean()) / f64::from(self.slots)
+        ahead / f64::from(self.slots) + self.first_free(now)
     }
 
-    /// Mean time in ms of the calls that run. The first of n slots is expected to become free after
-    /// about an n-th of it.
-    fn running_mean(&self) -> f64 {
-        if self.running.is_empty() {
+    /// Expected time in ms until the first slot becomes free.
+    fn first_free(&self, now: ClockTime) -> f64 {
+        if self.running.len() < self.slots as usize {
             return 0.0;
         }
-        let sum: f64 = self.running.values().map(|call| self.service_time(&call.route)).sum();
-        sum / self.running.len() as f64
+        let left = |call: &RunningCall| {
+            let service = self.service_time(&call.route);
+            let elapsed = now.since(call.started).millis() as f64;
+            (service - elapsed).max(service * OVERDUE_SHARE)
+        };
+        self.running.values().map(left).fold(f64::INFINITY, f64::min)
     }
 
     fn retry_after(&self, wait: f64) -> ClockSpan {
--- a/routing/src/routes.rs
+++ b/routing/src/routes.rs
@@ -84,7 +84,7 @@
         }
         let total: u64 = self.parts.iter().map(|part| u64::from(part.weight)).sum();
         let count = self.count.fetch_add(1, Ordering::Relaxed).wrapping_add(offset);
-        let point = u64::from(count.wrapping_mul(GOLDEN_STEP)) * total >> 32;
+        let point = (u64::from(count.wrapping_mul(GOLDEN_STEP)) * total) >> 32;
         let mut passed = 0;
         for part in &self.parts {
             passed += u64::from(part.weight);
--- /dev/null
+++ b/routing/tests/admission.rs
@@ -0,0 +1,226 @@
+//! Plays loads in front of one target and checks what callers get.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use fescuestack_core::{ClockSpan, ClockTime};
+use fescuestack_routing::{
+    AdmissionAction, AdmissionQueue, AdmissionStep, CallEnd, CallTicket, QueuedCall, RandomSource,
+};
+
+const SLOTS: u32 = 6;
+
+fn call(now: u64, route: &str, rank: u8, aim: u64, deadline: u64) -> QueuedCall {
+    QueuedCall {
+        route: route.into(),
+        rank,
+        aim_at: ClockTime::new(now + aim),
+        deadline: ClockTime::new(now + deadline),
+        wait_limit: ClockSpan::new(deadline),
+    }
+}
+
+/// What became of the calls of one route.
+#[derive(Debug, Default, Clone, Copy)]
+struct RouteResult {
+    offered: u32,
+    in_aim: u32,
+    late: u32,
+    refused: u32,
+    /// Longest time until a refusal, in ms.
+    held: u64,
+}
+
+struct RouteLoad {
+    name: &'static str,
+    rank: u8,
+    /// Calls of each second.
+    rate: f64,
+    service: u64,
+    aim: u64,
+    deadline: u64,
+}
+
+/// Plays ten seconds in steps of one ms.
+fn play(loads: &[RouteLoad]) -> BTreeMap<&'static str, RouteResult> {
+    let mut queue = AdmissionQueue::new(SLOTS);
+    let mut random = RandomSource::new(7);
+    let mut results: BTreeMap<&'static str, RouteResult> = BTreeMap::new();
+    let mut calls: BTreeMap<CallTicket, (usize, u64)> = BTreeMap::new();
+    let mut running: Vec<(u64, CallTicket)> = Vec::new();
+    for now in 0..10_000 {
+        let time = ClockTime::new(now);
+        let ended: Vec<_> = running.iter().filter(|(end, _)| *end <= now).copied().collect();
+        running.retain(|(end, _)| *end > now);
+        for (_, ticket) in ended {
+            queue.finish(time, ticket, CallEnd::Answered);
+            let (index, arrived) = calls[&ticket];
+            let load = &loads[index];
+            let result = results.entry(load.name).or_default();
+            match now - arrived {
+                taken if taken <= load.aim => result.in_aim += 1,
+                taken if taken <= load.deadline => result.late += 1,
+                _ => (),
+            }
+        }
+        let mut started = Vec::new();
+        for (index, load) in loads.iter().enumerate() {
+            if random.next_share() >= load.rate / 1000.0 {
+                continue;
+            }
+            let result = results.entry(load.name).or_default();
+            result.offered += 1;
+            let asked = call(now, load.name, load.rank, load.aim, load.deadline);
+            match queue.arrive(time, asked) {
+                AdmissionStep::Run(ticket) => {
+                    calls.insert(ticket, (index, now));
+                    started.push(ticket);
+                }
+                AdmissionStep::Wait(ticket) => {
+                    calls.insert(ticket, (index, now));
+                }
+                AdmissionStep::Busy | AdmissionStep::Refuse { .. } => result.refused += 1,
+            }
+        }
+        let mut actions = Vec::new();
+        queue.poll(time, &mut actions);
+        for action in actions {
+            match action {
+                AdmissionAction::Run(ticket) => started.push(ticket),
+                AdmissionAction::Refuse { ticket, .. } => {
+                    let (index, arrived) = calls[&ticket];
+                    let result = results.entry(loads[index].name).or_default();
+                    result.refused += 1;
+                    result.held = result.held.max(now - arrived);
+                }
+            }
+        }
+        for ticket in started {
+            let (index, _) = calls[&ticket];
+            let factor = 0.7 + 0.6 * random.next_share();
+            running.push((now + (loads[index].service as f64 * factor) as u64, ticket));
+        }
+        assert!(running.len() <= SLOTS as usize, "more calls run than there are slots");
+    }
+    results
+}
+
+fn lookups(rate: f64) -> RouteLoad {
+    RouteLoad { name: "lookup", rank: 2, rate, service: 120, aim: 400, deadline: 1_500 }
+}
+
+/// Guards against a collapse: at three times the capacity, the slots have to stay busy with calls
+/// that are answered in time.
+#[test]
+fn overload_keeps_goodput() {
+    let capacity = f64::from(SLOTS) / 0.120;
+    let full = play(&[lookups(capacity)])["lookup"];
+    let over = play(&[lookups(3.0 * capacity)])["lookup"];
+    assert!(f64::from(full.in_aim + full.late) > 0.85 * f64::from(full.offered), "{full:?}");
+    let goodput = f64::from(over.in_aim + over.late) / (10.0 * capacity);
+    assert!(goodput > 0.9, "goodput {goodput}: {over:?}");
+}
+
+/// Guards against calls that are held until near their deadline and then refused.
+#[test]
+fn refusals_come_early() {
+    let results = play(&[
+        lookups(60.0),
+        RouteLoad { name: "payment", rank: 1, rate: 30.0, service: 160, aim: 500, deadline: 2_000 },
+    ]);
+    let result = results["lookup"];
+    assert!(result.refused > 0, "{result:?}");
+    assert!(result.held < 800, "held for {} ms", result.held);
+}
+
+/// Guards against urgent calls that fail behind less urgent ones: calls that targets make have a
+/// short aim and hold a slot of their caller.
+#[test]
+fn urgent_calls_pass_long_ones() {
+    let results = play(&[
+        RouteLoad {
+            name: "search",
+            rank: 2,
+            rate: 14.0,
+            service: 480,
+            aim: 1_200,
+            deadline: 5_000,
+        },
+        RouteLoad { name: "check", rank: 1, rate: 36.0, service: 30, aim: 150, deadline: 400 },
+    ]);
+    let served = |name| {
+        let result: RouteResult = results[name];
+        f64::from(result.in_aim + result.late) / f64::from(result.offered)
+    };
+    // The users' bound: a less urgent kind may be served more often by five in a hundred at most.
+    assert!(served("check") >= served("search") - 0.05, "{results:?}");
+}
+
+/// Guards against a service order that lets less urgent calls pass.
+#[test]
+fn rank_goes_before_arrival() {
+    let mut queue = AdmissionQueue::new(1);
+    let start = ClockTime::new(0);
+    let AdmissionStep::Run(first) = queue.arrive(start, call(0, "a", 2, 500, 2_000)) else {
+        panic!("a free slot was not used");
+    };
+    let AdmissionStep::Wait(low) = queue.arrive(start, call(0, "a", 2, 500, 2_000)) else {
+        panic!("a short queue refused a call");
+    };
+    let AdmissionStep::Wait(high) = queue.arrive(start, call(0, "a", 0, 500, 2_000)) else {
+        panic!("a short queue refused an urgent call");
+    };
+    let now = ClockTime::new(100);
+    queue.finish(now, first, CallEnd::Answered);
+    let mut actions = Vec::new();
+    queue.poll(now, &mut actions);
+    assert_eq!(actions, [AdmissionAction::Run(high)]);
+    queue.cancel(high);
+    actions.clear();
+    queue.poll(now, &mut actions);
+    assert_eq!(actions, [AdmissionAction::Run(low)]);
+}
+
+/// Guards against work for a target that leaves: what waits is refused as not run.
+#[test]
+fn closed_queue_refuses_all() {
+    let mut queue = AdmissionQueue::new(1);
+    let start = ClockTime::new(0);
+    queue.arrive(start, call(0, "a", 1, 500, 2_000));
+    let AdmissionStep::Wait(waiting) = queue.arrive(start, call(0, "a", 1, 500, 2_000)) else {
+        panic!("a short queue refused a call");
+    };
+    queue.set_open(false);
+    let mut actions = Vec::new();
+    queue.poll(start, &mut actions);
+    assert!(
+        matches!(actions[..], [AdmissionAction::Refuse { ticket, .. }] if ticket == waiting),
+        "{actions:?}"
+    );
+    let step = queue.arrive(start, call(0, "a", 1, 500, 2_000));
+    assert!(matches!(step, AdmissionStep::Refuse { .. }), "{step:?}");
+}
+
+/// Guards against an estimate of the wait that counts all running work, which refused short calls
+/// while slots became free every 80 ms.
+#[test]
+fn wait_is_until_first_free_slot() {
+    let mut queue = AdmissionQueue::new(SLOTS);
+    let AdmissionStep::Run(ticket) = queue.arrive(ClockTime::new(0), search(0)) else {
+        panic!("a free slot was not used");
+    };
+    queue.finish(ClockTime::new(480), ticket, CallEnd::Answered);
+    let mut now = 500;
+    for _ in 0..SLOTS {
+        now += 80;
+        queue.arrive(ClockTime::new(now), search(now));
+    }
+    let check = call(now, "check", 1, 600, 1_200);
+    let limited = QueuedCall { wait_limit: ClockSpan::new(100), ..check };
+    let step = queue.arrive(ClockTime::new(now), limited);
+    assert!(matches!(step, AdmissionStep::Wait(_)), "{step:?}");
+}
+
+fn search(now: u64) -> QueuedCall {
+    QueuedCall { route: Arc::from("search"), ..call(now, "", 2, 1_200, 5_000) }
+}
--- /dev/null
+++ b/routing/tests/plan.rs
@@ -0,0 +1,207 @@
+//! Plays the ends of attempts and checks what the caller is told.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use fescuestack_core::{ClockSpan, ClockTime};
+use fescuestack_routing::{
+    AttemptEnd, CallPlan, LoadReport, PlanCall, PlanStep, RepeatAllowance, RepeatBudget,
+    RepeatKind, TargetEntry, TargetPicker, TargetSignal, TargetState,
+};
+
+const NOW: ClockTime = ClockTime::new(10_000);
+
+fn entry(id: &str, host: u8, data_centre: &str) -> TargetEntry {
+    TargetEntry {
+        id: id.into(),
+        service: "s".into(),
+        address: SocketAddr::from(([10, 0, 0, host], 80)),
+        data_centre: data_centre.into(),
+        slots: 6,
+        state: TargetState::Ready,
+        warmup_left: ClockSpan::ZERO,
+        started: 1,
+        revision: 1,
+    }
+}
+
+fn picker(entries: &[TargetEntry]) -> TargetPicker {
+    let mut picker = TargetPicker::new("here".into(), 1);
+    for entry in entries {
+        picker.insert(NOW, entry);
+    }
+    picker
+}
+
+fn plan(kind: RepeatKind, attempts: u32) -> CallPlan {
+    CallPlan::new(PlanCall {
+        service: "s".into(),
+        route: "r".into(),
+        kind,
+        attempts,
+        aim_at: NOW + ClockSpan::new(400),
+        deadline: NOW + ClockSpan::new(1_000),
+        body_bytes: 0,
+    })
+}
+
+fn allowance() -> RepeatAllowance {
+    RepeatAllowance::new(0.2, 60.0, 3)
+}
+
+/// A budget after many calls.
+fn full_budget() -> RepeatBudget {
+    let mut budget = RepeatBudget::new();
+    for _ in 0..1_000 {
+        budget.count_call(allowance());
+    }
+    budget
+}
+
+/// Follows a plan through the given ends and returns the last step and the targets.
+fn follow(plan: &mut CallPlan, ends: &[AttemptEnd]) -> (PlanStep, Vec<Arc<str>>) {
+    let entries = [entry("a", 1, "here"), entry("b", 2, "here"), entry("c", 3, "here")];
+    let mut picker = picker(&entries);
+    let mut budget = full_budget();
+    let mut targets = Vec::new();
+    let mut step = plan.next(NOW, &mut picker, &mut budget, allowance());
+    for end in ends {
+        if let PlanStep::Send { target, .. } = &step {
+            targets.push(target.id.clone());
+        }
+        plan.end(*end);
+        step = plan.next(NOW, &mut picker, &mut budget, allowance());
+    }
+    (step, targets)
+}
+
+/// Guards against a second run of a request that may have run.
+#[test]
+fn lost_payment_is_not_repeated() {
+    for kind in [RepeatKind::Unsafe, RepeatKind::Upload] {
+        let (step, _) = follow(&mut plan(kind, 3), &[AttemptEnd::Lost]);
+        assert_eq!(step, PlanStep::Fail);
+    }
+}
+
+/// Guards against an answer "not run" for a request that may have run.
+#[test]
+fn refusal_after_loss_is_no_promise() {
+    let refused = AttemptEnd::Refused { retry_after: ClockSpan::new(100) };
+    let ends = [AttemptEnd::Lost, refused, refused, refused, refused];
+    let (step, _) = follow(&mut plan(RepeatKind::Safe, 9), &ends);
+    assert_eq!(step, PlanStep::Fail);
+}
+
+/// A request that certainly has not run goes to another target, also a payment.
+#[test]
+fn unsent_payment_goes_elsewhere() {
+    for end in [AttemptEnd::NotSent, AttemptEnd::Rejected, AttemptEnd::Busy] {
+        let (step, targets) = follow(&mut plan(RepeatKind::Unsafe, 3), &[end]);
+        let PlanStep::Send { target, .. } = step else { panic!("{end:?}: {step:?}") };
+        if end != AttemptEnd::Busy {
+            assert!(!targets.contains(&target.id), "{end:?} went to the same target");
+        }
+    }
+}
+
+/// Guards against more targets than the operators allow.
+#[test]
+fn attempts_are_limited() {
+    let (step, targets) =
+        follow(&mut plan(RepeatKind::Safe, 2), &[AttemptEnd::Lost, AttemptEnd::Lost]);
+    assert_eq!(targets.len(), 2);
+    assert_eq!(step, PlanStep::Fail);
+}
+
+/// Guards against a failure of a target that is replaced by 502 when its repeat finds no room.
+#[test]
+fn answered_failure_is_passed_on() {
+    let refused = AttemptEnd::Refused { retry_after: ClockSpan::new(100) };
+    let ends = [AttemptEnd::Answered { failed: true }, refused, refused];
+    let (step, _) = follow(&mut plan(RepeatKind::Safe, 3), &ends);
+    assert_eq!(step, PlanStep::Answer);
+}
+
+/// Guards against repeats beyond the allowance of the fleet.
+#[test]
+fn repeats_need_budget() {
+    let entries = [entry("a", 1, "here"), entry("b", 2, "here")];
+    let mut picker = picker(&entries);
+    let mut budget = RepeatBudget::new();
+    let mut repeats = 0;
+    for _ in 0..100 {
+        let mut plan = plan(RepeatKind::Safe, 2);
+        plan.next(NOW, &mut picker, &mut budget, allowance());
+        plan.end(AttemptEnd::Lost);
+        if let PlanStep::Send { .. } = plan.next(NOW, &mut picker, &mut budget, allowance()) {
+            repeats += 1;
+        }
+    }
+    assert!((5..=10).contains(&repeats), "{repeats} repeats of 100 calls at a ratio of 0.2");
+}
+
+/// Guards against traffic between data centres while there is room in the own one.
+#[test]
+fn calls_stay_in_their_data_centre() {
+    let mut picker = picker(&[entry("near", 1, "here"), entry("far", 2, "there")]);
+    let busy = LoadReport { running: 6, queued: 1, service: ClockSpan::new(120) };
+    picker.report(NOW, "near", busy);
+    let choice = picker.choose(NOW, "s", "r", 0, &[]).expect("two targets are ready");
+    assert_eq!(&*choice.id, "near");
+    let full = LoadReport { running: 6, queued: 30, service: ClockSpan::new(120) };
+    picker.report(NOW, "near", full);
+    let choice = picker.choose(NOW, "s", "r", 0, &[]).expect("two targets are ready");
+    assert!(choice.crosses, "a wait of 600 ms was preferred to another data centre");
+    let choice = picker.choose(NOW, "s", "r", 200_000, &[]).expect("two targets are ready");
+    assert!(!choice.crosses, "a long body was sent to another data centre");
+}
+
+/// Guards against calls to targets that cannot take them: leaving, replaced, out of reach.
+#[test]
+fn unusable_targets_are_passed_over() {
+    let mut picker = picker(&[entry("a", 1, "here"), entry("b", 2, "here")]);
+    let draining = TargetEntry { state: TargetState::Draining, ..entry("a", 1, "here") };
+    picker.insert(NOW, &draining);
+    for _ in 0..20 {
+        let choice = picker.choose(NOW, "s", "r", 0, &[]).expect("one target is ready");
+        assert_eq!(&*choice.id, "b");
+    }
+    picker.sent("b");
+    picker.ended(NOW, "b", TargetSignal::Gone);
+    assert_eq!(picker.choose(NOW, "s", "r", 0, &[]), None);
+    let later = NOW + ClockSpan::new(4_000);
+    assert!(picker.choose(later, "s", "r", 0, &[]).is_some());
+    picker.set_reachable(entry("b", 2, "here").address.ip(), false);
+    assert_eq!(picker.choose(later, "s", "r", 0, &[]), None);
+}
+
+/// Guards against a target that fails its calls but looks idle, and so draws more of them.
+#[test]
+fn failing_target_is_avoided() {
+    let mut picker = picker(&[entry("bad", 1, "here"), entry("good", 2, "here")]);
+    let mut sent = 0;
+    let mut now = NOW;
+    for _ in 0..200 {
+        now = now + ClockSpan::new(20);
+        let choice = picker.choose(now, "s", "r", 0, &[]).expect("two targets are ready");
+        picker.sent(&choice.id);
+        let failed = &*choice.id == "bad";
+        sent += u32::from(failed);
+        let signal = if failed { TargetSignal::Failed } else { TargetSignal::Served };
+        picker.ended(now, &choice.id, signal);
+        let load = LoadReport { running: 1, queued: 0, service: ClockSpan::new(100) };
+        picker.report(now, &choice.id, load);
+    }
+    assert!(sent < 40, "{sent} of 200 calls went to the target that fails");
+}
+
+/// Guards against asking a full target again for each call of a route.
+#[test]
+fn refusal_holds_for_a_moment() {
+    let mut picker = picker(&[entry("a", 1, "here")]);
+    picker.refused(NOW, "a", &"r".into(), ClockSpan::new(500));
+    assert_eq!(picker.choose(NOW, "s", "r", 0, &[]), None);
+    assert!(picker.choose(NOW, "s", "other", 0, &[]).is_some());
+    assert!(picker.choose(NOW + ClockSpan::new(130), "s", "r", 0, &[]).is_some());
+}
--- /dev/null
+++ b/routing/tests/state.rs
@@ -0,0 +1,220 @@
+//! Routes, targets, the copy of the store and the choice of its readers.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+
+use fescuestack_core::{ClockSpan, ClockTime};
+use fescuestack_routing::{
+    ClientLimits, CrashHistory, ReaderChoice, RepeatKind, RouteRule, RouteTable, ServiceRule,
+    SplitPart, StoreView, StoredItem, TargetEntry, TargetRegistry, TargetState, ViewChange,
+    ViewSource,
+};
+use quickcheck::quickcheck;
+
+const NOW: ClockTime = ClockTime::new(50_000);
+
+fn limits() -> ClientLimits {
+    ClientLimits {
+        head_bytes: 16_384,
+        body_bytes: 1 << 20,
+        head_time: ClockSpan::new(3_000),
+        idle_time: ClockSpan::new(15_000),
+    }
+}
+
+fn rule(prefix: &str, parts: &[(&str, u32)]) -> RouteRule {
+    let part =
+        |(service, weight): &(&str, u32)| SplitPart { service: (*service).into(), weight: *weight };
+    RouteRule::new(
+        prefix.into(),
+        prefix.into(),
+        RepeatKind::Safe,
+        1,
+        ClockSpan::new(400),
+        ClockSpan::new(1_000),
+        2,
+        parts.iter().map(part).collect(),
+    )
+}
+
+/// Guards against a shorter prefix, or another host's route, that takes a request.
+#[test]
+fn longest_prefix_of_the_host_wins() {
+    let table = RouteTable::new(1, limits())
+        .with_route("One.example", rule("/", &[("all", 1)]))
+        .with_route("one.example", rule("/a/", &[("a", 1)]))
+        .with_route("one.example", rule("/a/b/", &[("b", 1)]))
+        .with_route("two.example", rule("/a/b/c/", &[("c", 1)]));
+    let name = |host, path| table.find(host, path).map(|rule| rule.name.to_string());
+    assert_eq!(name("one.example", "/a/b/c/d").as_deref(), Some("/a/b/"));
+    assert_eq!(name("ONE.example:80", "/a/x").as_deref(), Some("/a/"));
+    assert_eq!(name("one.example", "/a").as_deref(), Some("/"));
+    assert_eq!(name("two.example", "/a/b/"), None);
+    assert_eq!(name("three.example", "/"), None);
+}
+
+/// Guards against a version whose route points at a service that it lacks.
+#[test]
+fn route_without_service_is_refused() {
+    let rule = || rule("/", &[("a", 1)]);
+    let table = RouteTable::new(1, limits()).with_route("h", rule());
+    assert!(!table.is_closed());
+    let table = table.with_service("a".into(), ServiceRule { connections: 10 });
+    assert!(table.is_closed());
+}
+
+/// Guards against splits that drift from their weights over few calls.
+#[test]
+fn split_keeps_its_weights() {
+    let rule = rule("/", &[("a", 90), ("b", 10)]);
+    let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+    for _ in 0..300 {
+        let service = rule.next_service(77).expect("the rule has parts");
+        *counts.entry(service.to_string()).or_default() += 1;
+    }
+    assert!((27..=33).contains(&counts["b"]), "{counts:?}");
+}
+
+fn entry(id: &str, started: u64, revision: u64) -> TargetEntry {
+    TargetEntry {
+        id: id.into(),
+        service: "s".into(),
+        address: SocketAddr::from(([10, 0, 0, 1], 80)),
+        data_centre: "here".into(),
+        slots: 6,
+        state: TargetState::Ready,
+        warmup_left: ClockSpan::ZERO,
+        started,
+        revision,
+    }
+}
+
+/// Guards against an address that still counts for its former target.
+#[test]
+fn newest_entry_has_the_address() {
+    let mut registry = TargetRegistry::new();
+    registry.insert(entry("old", 100, 9));
+    registry.insert(entry("new", 200, 5));
+    let found = registry.at(SocketAddr::from(([10, 0, 0, 1], 80))).expect("two entries");
+    assert_eq!(&*found.id, "new");
+    assert!(!registry.insert(entry("new", 200, 4)), "an older revision was taken over");
+}
+
+/// Guards against the loss of all targets when the store comes back from an outage without their
+/// entries, and against keeping those that do not come back.
+#[test]
+fn lapsed_entries_may_come_back() {
+    let mut registry = TargetRegistry::new();
+    registry.insert(entry("a", 1, 1));
+    registry.insert(entry("b", 1, 1));
+    let until = NOW + ClockSpan::new(2_000);
+    registry.lapse("a", until);
+    registry.lapse("b", until);
+    assert!(registry.sweep(NOW + ClockSpan::new(1_999)).is_empty());
+    registry.insert(entry("a", 1, 7));
+    let gone = registry.sweep(until);
+    assert_eq!(gone.iter().map(|entry| &*entry.id).collect::<Vec<_>>(), ["b"]);
+    assert!(registry.get("a").is_some());
+}
+
+fn item(revision: u64) -> StoredItem {
+    StoredItem { revision, value: Arc::from(revision.to_le_bytes()) }
+}
+
+/// Guards against older content that arrives late and replaces newer content.
+#[test]
+fn view_never_goes_back() {
+    let mut view = StoreView::new();
+    assert!(view.write("k", item(5)).is_some());
+    assert_eq!(view.write("k", item(4)), None);
+    assert_eq!(view.remove("k", 4), None);
+    view.advance(9);
+    view.advance(7);
+    assert_eq!(view.at(), 9);
+    let changes = view.replace("", 6, vec![("j".into(), item(6))]);
+    assert!(changes.contains(&ViewChange::Removed("k".into())));
+    view.write("late", item(8));
+    let changes = view.replace("", 7, Vec::new());
+    assert!(!changes.contains(&ViewChange::Removed("late".into())), "{changes:?}");
+}
+
+quickcheck! {
+    /// Whatever the order in which writes arrive, the newest of each key stays.
+    fn newest_write_stays(writes: Vec<(u8, u16)>) -> bool {
+        let mut view = StoreView::new();
+        let mut newest = BTreeMap::new();
+        for (key, revision) in writes {
+            let key = (key % 4).to_string();
+            view.write(&key, item(u64::from(revision)));
+            let known = newest.entry(key).or_insert(revision);
+            *known = revision.max(*known);
+        }
+        newest.iter().all(|(key, revision)| {
+            view.get(key).is_some_and(|item| item.revision == u64::from(*revision))
+        })
+    }
+
+    /// All nodes of a data centre agree on one reader, and each other node has a path to it in
+    /// which no node has more than four followers.
+    fn followers_form_a_tree(hosts: BTreeSet<u8>) -> bool {
+        let vms: Vec<IpAddr> = hosts.iter().map(|host| [10, 0, 0, *host].into()).collect();
+        let source = |own: IpAddr| ReaderChoice::new(own).source(NOW, vms.iter().copied());
+        let readers = vms.iter().filter(|vm| source(**vm) == ViewSource::Store).count();
+        let mut followers: BTreeMap<IpAddr, usize> = BTreeMap::new();
+        for vm in &vms {
+            let mut at = *vm;
+            for _ in 0..vms.len() {
+                match source(at) {
+                    ViewSource::Store => break,
+                    ViewSource::Node(parent) => at = parent,
+                }
+            }
+            if source(at) != ViewSource::Store {
+                return false;
+            }
+            if let ViewSource::Node(parent) = source(*vm) {
+                *followers.entry(parent).or_default() += 1;
+            }
+        }
+        readers == usize::from(!vms.is_empty()) && followers.values().all(|count| *count <= 4)
+    }
+}
+
+/// Guards against a data centre that stays without news when its reader fails.
+#[test]
+fn next_node_takes_over_reading() {
+    let vms: Vec<IpAddr> = (1..=5).map(|host| [10, 0, 0, host].into()).collect();
+    let is_follower = |vm: &&IpAddr| {
+        ReaderChoice::new(**vm).source(NOW, vms.iter().copied()) != ViewSource::Store
+    };
+    let own = *vms.iter().find(is_follower).expect("four of five follow");
+    let mut choice = ReaderChoice::new(own);
+    for _ in 0..4 {
+        let ViewSource::Node(parent) = choice.source(NOW, vms.iter().copied()) else { break };
+        choice.pass_over(NOW, parent);
+    }
+    assert_eq!(choice.source(NOW, vms.iter().copied()), ViewSource::Store);
+    let later = NOW + ClockSpan::new(2_500);
+    assert!(matches!(choice.source(later, vms.iter().copied()), ViewSource::Node(_)));
+}
+
+/// Guards against a request that crashes target after target, and against holding one that has
+/// come to its end.
+#[test]
+fn crashing_request_is_held() {
+    let mut history = CrashHistory::new();
+    for _ in 0..2 {
+        history.crash(NOW, 1);
+        history.crash(NOW, 2);
+    }
+    assert!(!history.is_held(NOW, 1));
+    history.complete(2);
+    history.crash(NOW, 1);
+    history.crash(NOW, 2);
+    assert!(history.is_held(NOW, 1));
+    assert!(!history.is_held(NOW, 2));
+    history.learn(NOW, 3, 3);
+    assert!(history.is_held(NOW, 3));
+    assert!(!history.is_held(NOW + fescuestack_routing::HELD_SPAN, 1));
+}
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -194,6 +194,9 @@
                 PlanStep::Refuse { retry_after } => {
                     return Err(EntryFault::NotRun { retry_after });
                 }
+                PlanStep::Fail if state.clock.now() >= self.deadline => {
+                    return Err(EntryFault::Late);
+                }
                 PlanStep::Fail => return Err(EntryFault::Lost),
             };
             progress.sending = true;
--- /dev/null
+++ b/sidecar/tests/path.rs
@@ -0,0 +1,341 @@
+//! The path of a request through real nodes, and what callers and targets see when parts fail.
+
+mod mesh;
+
+use std::time::{Duration, Instant};
+
+use async_std::io::{ReadExt, WriteExt};
+use async_std::net::TcpStream;
+use async_std::task;
+use fescuestack_standins::{ApplicationMode, StoreMode};
+
+use mesh::{Mesh, TestCall, config, eventually};
+
+/// A request goes from any node to a target of its service, unchanged but for the headers that the
+/// node sets, and the target's answer comes back unchanged.
+#[test]
+fn request_reaches_its_service() {
+    task::block_on(async {
+        let mesh = Mesh::start(&["alpha", "beta"]).await;
+        let answer = mesh.ask(0, &TestCall::post("p1", "/b/pay/x?q=1", b"body")).await;
+        let answer = answer.expect("an answer");
+        assert_eq!((answer.status, &answer.body[..]), (200, &b"answer"[..]));
+        assert_eq!(answer.headers["x-fescuestack-response-signature"], "t2");
+        assert_eq!(answer.headers["x-fescuestack-request-id"], "p1");
+        let runs = mesh.nodes[1].application.runs();
+        assert_eq!(runs.len(), 1);
+        assert_eq!(runs[0].line, "POST /b/pay/x?q=1");
+        assert_eq!(runs[0].caller, "alpha", "the caller's service was taken from the client");
+        assert_eq!(runs[0].body_bytes, 4);
+        assert!(runs[0].left <= 1_000, "more time was given than the route has");
+        assert!(mesh.nodes[0].application.runs().is_empty());
+    });
+}
+
+/// Guards against refusals with the wrong promise: 404 without a route, 503 with a time to come back
+/// without a target.
+#[test]
+fn refusals_say_why() {
+    task::block_on(async {
+        let mesh = Mesh::start(&["alpha"]).await;
+        let answer = mesh.ask(0, &TestCall::get("n", "/none/")).await.expect("an answer");
+        assert_eq!(answer.status, 404);
+        let answer = mesh.ask(0, &TestCall::get("m", "/b/")).await.expect("an answer");
+        assert_eq!(answer.status, 503);
+        let retry_after = answer.headers["retry-after"].to_str().expect("text");
+        assert!(retry_after.parse::<f64>().is_ok_and(|seconds| seconds > 0.0), "{retry_after}");
+        let long = TestCall::post("l", "/a/up/", &vec![0; 2 * 1024 * 1024]);
+        let answer = mesh.ask(0, &long).await.expect("an answer");
+        assert_eq!(answer.status, 413);
+    });
+}
+
+/// Guards against a second run of a payment whose answer was lost, and against losing a lookup for
+/// which another target is there.
+#[test]
+fn only_lookups_are_repeated() {
+    task::block_on(async {
+        let mesh = Mesh::start(&["alpha", "alpha"]).await;
+        for node in &mesh.nodes {
+            node.application.set_mode(ApplicationMode::Drop);
+        }
+        let answer = mesh.ask(0, &TestCall::post("p", "/a/pay/", b"x")).await.expect("an answer");
+        assert_eq!(answer.status, 502);
+        let runs: usize = mesh.nodes.iter().map(|node| node.application.runs().len()).sum();
+        assert_eq!(runs, 1, "a payment ran more than once");
+
+        // Calls save up repeats.
+        mesh.nodes[0].application.set_mode(ApplicationMode::Serve);
+        mesh.nodes[1].application.set_mode(ApplicationMode::Serve);
+        for index in 0..40 {
+            let answer = mesh.ask(0, &TestCall::get(&format!("s{index}"), "/a/")).await;
+            assert_eq!(answer.expect("an answer").status, 200);
+        }
+        mesh.nodes[1].application.set_mode(ApplicationMode::Drop);
+        for index in 0..3 {
+            let answer = mesh.ask(0, &TestCall::get(&format!("g{index}"), "/a/")).await;
+            assert_eq!(answer.expect("an answer").status, 200, "request {index}");
+        }
+    });
+}
+
+/// Guards against an answer "run" for a request that a target rejected, and against losing one that
+/// another target can take.
+#[test]
+fn rejected_request_goes_elsewhere() {
+    task::block_on(async {
+        let mesh = Mesh::start(&["alpha", "alpha"]).await;
+        for index in 0..40 {
+            mesh.ask(0, &TestCall::get(&format!("s{index}"), "/a/")).await.expect("an answer");
+        }
+        mesh.nodes[0].application.set_mode(ApplicationMode::Full);
+        for index in 0..3 {
+            let call = TestCall::post(&format!("p{index}"), "/a/pay/", b"x");
+            assert_eq!(mesh.ask(0, &call).await.expect("an answer").status, 200);
+        }
+        mesh.nodes[1].application.set_mode(ApplicationMode::Full);
+        let answer = mesh.ask(0, &TestCall::post("p", "/a/pay/", b"x")).await.expect("an answer");
+        assert_eq!(answer.status, 503);
+    });
+}
+
+/// Guards against a success without the target's proof.
+#[test]
+fn unsigned_success_is_not_passed_on() {
+    task::block_on(async {
+        let mesh = Mesh::start(&["alpha"]).await;
+        mesh.nodes[0].application.set_mode(ApplicationMode::Unsigned);
+        let answer = mesh.ask(0, &TestCall::get("u", "/a/")).await.expect("an answer");
+        assert_eq!(answer.status, 502);
+    });
+}
+
+/// Guards against requests that are held past their time, and against work for nobody.
+#[test]
+fn slow_target_is_cut_at_the_timeout() {
+    task::block_on(async {
+        let mesh = Mesh::start(&["alpha", "beta"]).await;
+        mesh.nodes[1].application.set_work(Duration::from_secs(3));
+        let started = Instant::now();
+        let answer = mesh.ask(0, &TestCall::get("t", "/b/")).await.expect("an answer");
+        assert_eq!(answer.status, 504);
+        let taken = started.elapsed();
+        assert!(
+            taken >= Duration::from_millis(950) && taken < Duration::from_millis(1_250),
+            "{taken:?}"
+        );
+        task::sleep(Duration::from_millis(2_500)).await;
+        assert!(!mesh.nodes[1].application.runs()[0].finished, "the target worked for nobody");
+    });
+}
+
+/// Guards against work for a client that has left, also behind a pipelined request.
+#[test]
+fn leaving_client_cancels_its_request() {
+    task::block_on(async {
+        let mesh = Mesh::start(&["alpha", "beta"]).await;
+        mesh.nodes[1].application.set_work(Duration::from_millis(900));
+        let head = |id| {
+            format!(
+                "GET /b/ HTTP/1.1\r\nhost: mesh.example\r\nx-fescuestack-request-id: {id}\r\n\r\n"
+            )
+        };
+        let mut stream = TcpStream::connect(mesh.address(0, 0)).await.expect("a node");
+        let both = head("c1") + &head("c2");
+        stream.write_all(both.as_bytes()).await.expect("the node reads");
+        eventually("the request runs", async || mesh.nodes[1].application.runs().len() == 1).await;
+        drop(stream);
+        task::sleep(Duration::from_millis(1_200)).await;
+        let runs = mesh.nodes[1].application.runs();
+        assert!(!runs[0].finished, "the target worked for a client that had left");
+        assert_eq!(runs.len(), 1, "a request of a client that had left was sent on");
+    });
+}
+
+/// Answers to pipelined requests come in the order of the requests.
+#[test]
+fn pipelined_requests_are_answered_in_order() {
+    task::block_on(async {
+        let mesh = Mesh::start(&["alpha"]).await;
+        let mut stream = TcpStream::connect(mesh.address(0, 0)).await.expect("a node");
+        let mut requests = String::new();
+        for index in 0..5 {
+            requests += &format!(
+                "GET /a/{index} HTTP/1.1\r\nhost: mesh.example\r\nx-fescuestack-request-id: q{index}\r\n\r\n"
+            );
+        }
+        stream.write_all(requests.as_bytes()).await.expect("the node reads");
+        let mut text = String::new();
+        let mut buffer = [0; 4096];
+        while text.matches("answer").count() < 5 {
+            let count = stream.read(&mut buffer).await.expect("answers");
+            assert!(count > 0, "the connection ended: {text}");
+            text += &String::from_utf8_lossy(&buffer[..count]);
+        }
+        let places: Vec<_> =
+            (0..5).map(|index| text.find(&format!("x-fescuestack-request-id: q{index}"))).collect();
+        assert!(places.iter().all(Option::is_some) && places.is_sorted(), "{text}");
+    });
+}
+
+/// Guards against work for a target that leaves, and against an address that another target has.
+#[test]
+fn leaving_and_replaced_targets_get_no_work() {
+    task::block_on(async {
+        let mesh = Mesh::start(&["alpha", "alpha"]).await;
+        mesh.list(1, "alpha", "draining");
+        task::sleep(Duration::from_millis(500)).await;
+        for index in 0..20 {
+            let answer = mesh.ask(1, &TestCall::get(&format!("d{index}"), "/a/")).await;
+            assert_eq!(answer.expect("an answer").status, 200);
+        }
+        assert!(mesh.nodes[1].application.runs().is_empty(), "a leaving target got work");
+
+        // Another target is listed at the first one's address: that one answers 421.
+        let address = mesh.nodes[0].application.address();
+        mesh.store.remove("servers/t1");
+        mesh.store.put(
+            "servers/other",
+            serde_json::json!({
+                "address": address, "born": 1_790_000_000_001_u64,
+                "info": {"service": "alpha", "version": "v1", "zone": "here", "capacity": 4},
+                "status": {"state": "ready", "sequence": 1, "warmup_left_s": 0},
+            })
+            .to_string(),
+        );
+        task::sleep(Duration::from_millis(500)).await;
+        let before = mesh.nodes[0].application.arrivals();
+        for index in 0..5 {
+            let answer = mesh.ask(0, &TestCall::get(&format!("w{index}"), "/a/")).await;
+            assert_eq!(answer.expect("an answer").status, 503);
+        }
+        let arrivals = mesh.nodes[0].application.arrivals() - before;
+        assert!(arrivals <= 1, "{arrivals} requests reached a target that is not the listed one");
+    });
+}
+
+/// A new version is in force on each node, also on one that only another node tells, and an older or
+/// broken one is never taken over.
+#[test]
+fn versions_only_move_forward() {
+    task::block_on(async {
+        let mesh = Mesh::start(&["alpha", "beta", "beta"]).await;
+        let status = async |node: usize, path: &str| {
+            mesh.ask(node, &TestCall::get("v", path)).await.expect("an answer").status
+        };
+        mesh.store.put("op/config", config(5, &[("/c/", "alpha")]).to_string());
+        for node in 0..3 {
+            eventually("version 5 is in force", async || status(node, "/c/").await == 200).await;
+        }
+        mesh.store.put("op/config", config(4, &[("/d/", "alpha")]).to_string());
+        mesh.store.put("op/config", "{\"version\": 9, ");
+        let broken = config(9, &[("/d/", "no such service")]);
+        mesh.store.put("op/config", broken.to_string());
+        task::sleep(Duration::from_millis(700)).await;
+        for node in 0..3 {
+            assert_eq!(status(node, "/c/").await, 200);
+            assert_eq!(status(node, "/d/").await, 404);
+        }
+    });
+}
+
+/// Guards against a node that stops serving, or never catches up, when the store is away.
+#[test]
+fn store_outage_is_bridged() {
+    task::block_on(async {
+        let mesh = Mesh::start(&["alpha", "beta"]).await;
+        for mode in [StoreMode::Busy, StoreMode::Silent] {
+            mesh.store.set_mode(mode);
+            task::sleep(Duration::from_millis(1_500)).await;
+            let answer = mesh.ask(0, &TestCall::get("o", "/b/")).await.expect("an answer");
+            assert_eq!(answer.status, 200, "{mode:?}");
+            let version = if mode == StoreMode::Busy { 2 } else { 3 };
+            let route = format!("/v{version}/");
+            let routes = [("/b/", "beta"), (route.as_str(), "beta")];
+            mesh.store.put("op/config", config(version, &routes).to_string());
+            mesh.store.set_mode(StoreMode::Up);
+            for node in 0..2 {
+                eventually("the new version is in force", async || {
+                    let answer = mesh.ask(node, &TestCall::get("n", &route)).await;
+                    answer.is_ok_and(|answer| answer.status == 200)
+                })
+                .await;
+            }
+        }
+        mesh.store.compact();
+        mesh.store.put("op/config", config(7, &[("/last/", "beta")]).to_string());
+        eventually("the version after lost history is in force", async || {
+            let answer = mesh.ask(1, &TestCall::get("h", "/last/")).await;
+            answer.is_ok_and(|answer| answer.status == 200)
+        })
+        .await;
+    });
+}
+
+/// Guards against entries of other writers that stop the use of good ones.
+#[test]
+fn entries_of_other_writers_are_ignored() {
+    task::block_on(async {
+        let mesh = Mesh::start(&["alpha", "beta"]).await;
+        for (index, value) in [
+            "no json", "{}", "[1]", "{\"address\": 5}",
+            "{\"address\":\"127.0.0.1:1\",\"info\":{\"service\":\"beta\",\"zone\":\"here\",\"capacity\":\"x\"},\"status\":{\"state\":\"ready\"}}",
+            "{\"address\":\"127.0.0.1:1\",\"info\":{\"service\":\"beta\",\"version\":\"v\",\"zone\":\"here\",\"capacity\":6},\"status\":{\"state\":\"sleeping\",\"sequence\":1,\"warmup_left_s\":0}}",
+        ].iter().enumerate() {
+            mesh.store.put(&format!("servers/forged-{index}"), *value);
+        }
+        mesh.store.put("servers/", "x");
+        mesh.store.put("other/key", vec![0xff, 0xfe]);
+        task::sleep(Duration::from_millis(400)).await;
+        for index in 0..20 {
+            let answer = mesh.ask(0, &TestCall::get(&format!("f{index}"), "/b/")).await;
+            assert_eq!(answer.expect("an answer").status, 200);
+        }
+    });
+}
+
+/// A stopping node is not ready, serves what it has and what still comes, and ends.
+#[test]
+fn stop_cuts_nothing_off() {
+    task::block_on(async {
+        let mut mesh = Mesh::start(&["alpha", "alpha"]).await;
+        mesh.nodes[0].application.set_work(Duration::from_millis(700));
+        mesh.nodes[1].application.set_work(Duration::from_millis(700));
+        let running = mesh.stop(0);
+        let started = Instant::now();
+        eventually("the node is not ready", async || !mesh.is_ready(0).await).await;
+        let mut served = 0;
+        while started.elapsed() < Duration::from_millis(2_000) {
+            let answer = mesh.ask(0, &TestCall::get("s", "/a/")).await.expect("an answer");
+            assert_eq!(answer.status, 200);
+            served += 1;
+        }
+        assert!(served > 1);
+        running.await;
+        assert!(started.elapsed() < Duration::from_secs(6), "the stop took longer than the grace");
+    });
+}
+
+/// Guards against a flood of bytes that are no request, and against heads beyond the limit.
+#[test]
+fn garbage_does_not_stop_a_node() {
+    task::block_on(async {
+        let mesh = Mesh::start(&["alpha"]).await;
+        let garbage: [Vec<u8>; 4] = [
+            vec![0; 1_000],
+            b"GET / HTTP/1.1\r\nhost: a\r\nhost: b\r\ncontent-length: x\r\n\r\n".to_vec(),
+            [b"GET / HTTP/1.1\r\nx: ".to_vec(), vec![b'a'; 200_000]].concat(),
+            b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".to_vec(),
+        ];
+        for port in 0..3 {
+            for bytes in &garbage {
+                let address = mesh.address(0, port);
+                let mut stream = TcpStream::connect(address).await.expect("a node");
+                // The node may close before all is written.
+                let _ = stream.write_all(bytes).await;
+            }
+        }
+        let answer = mesh.ask(0, &TestCall::get("g", "/a/")).await.expect("an answer");
+        assert_eq!(answer.status, 200);
+    });
+}
--- /dev/null
+++ b/standins/src/store.rs
@@ -0,0 +1,264 @@
+//! Stand-in of the store of the users' platform: `kv-key`, `kv-range` and `kv-watch` over HTTP/1.1.
+
+use std::collections::{BTreeMap, HashMap};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use async_std::net::TcpListener;
+use async_std::task;
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
+use bytes::Bytes;
+use event_listener::Event;
+use fescuestack_http::{ServedStream, TaskTimer, within};
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use serde_json::{Value, json};
+
+/// Items of one page of a listing. Small, so that tests read several pages.
+const PAGE_ITEMS: usize = 3;
+
+/// How the store behaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum StoreMode {
+    /// It answers.
+    #[default]
+    Up,
+    /// It answers 503.
+    Busy,
+    /// It says nothing.
+    Silent,
+}
+
+#[derive(Debug, Default)]
+struct StoreState {
+    revision: u64,
+    items: BTreeMap<String, (u64, Vec<u8>)>,
+    events: Vec<(u64, String, Option<Vec<u8>>)>,
+    /// The oldest revision that a watch can go on from.
+    oldest: u64,
+    mode: StoreMode,
+    calls: u64,
+}
+
+/// A store that runs in this process.
+#[derive(Debug, Clone)]
+pub struct StandinStore {
+    address: SocketAddr,
+    state: Arc<Mutex<StoreState>>,
+    changed: Arc<Event>,
+}
+
+impl StandinStore {
+    /// Starts a store on a free port of the loopback address. Fails when there is none.
+    pub async fn start() -> std::io::Result<StandinStore> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let store = StandinStore { address, state: Arc::default(), changed: Arc::default() };
+        let served = store.clone();
+        task::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let store = served.clone();
+                task::spawn(async move {
+                    let service = service_fn(move |request: Request<Incoming>| {
+                        let store = store.clone();
+                        async move { Ok::<_, Infallible>(store.answer(&request).await) }
+                    });
+                    let stream = ServedStream::new(stream);
+                    // A client that leaves ends its connection.
+                    let _ = http1::Builder::new()
+                        .timer(TaskTimer)
+                        .serve_connection(stream, service)
+                        .await;
+                });
+            }
+        });
+        Ok(store)
+    }
+
+    /// Where the store listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Writes a value.
+    pub fn put(&self, key: &str, value: impl Into<Vec<u8>>) {
+        let value = value.into();
+        self.change(|state| {
+            state.revision += 1;
+            state.items.insert(key.to_owned(), (state.revision, value.clone()));
+            state.events.push((state.revision, key.to_owned(), Some(value)));
+        });
+    }
+
+    /// Removes a key.
+    pub fn remove(&self, key: &str) {
+        self.change(|state| {
+            state.revision += 1;
+            state.items.remove(key);
+            state.events.push((state.revision, key.to_owned(), None));
+        });
+    }
+
+    /// Drops the history, so that watches have to start anew.
+    pub fn compact(&self) {
+        self.change(|state| {
+            state.events.clear();
+            state.oldest = state.revision + 1;
+            state.revision += 1;
+        });
+    }
+
+    /// Sets how the store behaves.
+    pub fn set_mode(&self, mode: StoreMode) {
+        self.change(|state| state.mode = mode);
+    }
+
+    /// Calls so far, refused ones included.
+    pub fn calls(&self) -> u64 {
+        self.with(|state| state.calls)
+    }
+
+    fn change(&self, change: impl FnOnce(&mut StoreState)) {
+        self.with(change);
+        self.changed.notify(usize::MAX);
+    }
+
+    fn with<T>(&self, work: impl FnOnce(&mut StoreState) -> T) -> T {
+        work(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    async fn answer(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+        let query = parse_query(request.uri().query().unwrap_or(""));
+        self.with(|state| state.calls += 1);
+        loop {
+            match self.with(|state| state.mode) {
+                StoreMode::Up => break,
+                StoreMode::Busy => return status(StatusCode::SERVICE_UNAVAILABLE),
+                StoreMode::Silent => std::future::pending::<()>().await,
+            }
+        }
+        match request.uri().path() {
+            "/-/kv-key" => self.key(&query),
+            "/-/kv-range" => self.range(&query),
+            "/-/kv-watch" => self.watch(&query).await,
+            _ => status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn key(&self, query: &HashMap<String, String>) -> Response<Full<Bytes>> {
+        let key = query.get("key").map_or("", String::as_str);
+        self.with(|state| match state.items.get(key) {
+            Some((revision, value)) => body(&item(key, *revision, value, state.revision)),
+            None => status(StatusCode::NOT_FOUND),
+        })
+    }
+
+    fn range(&self, query: &HashMap<String, String>) -> Response<Full<Bytes>> {
+        let prefix = query.get("prefix").map_or("", String::as_str);
+        let after = query.get("after").map_or("", String::as_str);
+        self.with(|state| {
+            let mut items: Vec<_> = state
+                .items
+                .iter()
+                .filter(|(key, _)| {
+                    key.starts_with(prefix) && (after.is_empty() || key.as_str() > after)
+                })
+                .map(|(key, (revision, value))| item(key, *revision, value, state.revision))
+                .collect();
+            let more = items.len() > PAGE_ITEMS;
+            items.truncate(PAGE_ITEMS);
+            body(&json!({"items": items, "more_pages": more, "at": state.revision}))
+        })
+    }
+
+    async fn watch(&self, query: &HashMap<String, String>) -> Response<Full<Bytes>> {
+        let number = |name| query.get(name).and_then(|text: &String| text.parse::<u64>().ok());
+        let (after, wait) = (number("after").unwrap_or(0), number("wait_ms").unwrap_or(0));
+        let prefix = query.get("prefix").cloned().unwrap_or_default();
+        let waiting = async {
+            loop {
+                let listener = self.changed.listen();
+                if let Some(answer) = self.watch_now(&prefix, after, false) {
+                    return answer;
+                }
+                listener.await;
+            }
+        };
+        match within(Duration::from_millis(wait), waiting).await {
+            Some(answer) => answer,
+            None => self
+                .watch_now(&prefix, after, true)
+                .unwrap_or_else(|| status(StatusCode::SERVICE_UNAVAILABLE)),
+        }
+    }
+
+    fn watch_now(&self, prefix: &str, after: u64, empty: bool) -> Option<Response<Full<Bytes>>> {
+        self.with(|state| {
+            match state.mode {
+                StoreMode::Up => (),
+                StoreMode::Busy => return Some(status(StatusCode::SERVICE_UNAVAILABLE)),
+                StoreMode::Silent => return None,
+            }
+            if after < state.oldest {
+                return Some(status(StatusCode::GONE));
+            }
+            let events: Vec<_> = state
+                .events
+                .iter()
+                .filter(|(revision, key, _)| *revision > after && key.starts_with(prefix))
+                .map(|(revision, key, value)| match value {
+                    Some(value) => item(key, *revision, value, state.revision),
+                    None => json!({"key": key, "rev": revision, "deleted": true}),
+                })
+                .collect();
+            let ready = empty || !events.is_empty();
+            ready.then(|| body(&json!({"events": events, "at": state.revision})))
+        })
+    }
+}
+
+fn item(key: &str, revision: u64, value: &[u8], at: u64) -> Value {
+    let value = BASE64_STANDARD.encode(value);
+    json!({"key": key, "value": value, "rev": revision, "create_revision": revision, "lease": 0,
+        "at": at})
+}
+
+fn body(value: &Value) -> Response<Full<Bytes>> {
+    Response::new(Full::new(value.to_string().into()))
+}
+
+fn status(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
+
+fn parse_query(query: &str) -> HashMap<String, String> {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.map(|(name, value)| (name.to_owned(), unescape(value))).collect()
+}
+
+fn unescape(text: &str) -> String {
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.as_bytes();
+    while let Some((first, after)) = rest.split_first() {
+        let digits = after.get(..2).and_then(|digits| std::str::from_utf8(digits).ok());
+        match digits.and_then(|digits| u8::from_str_radix(digits, 16).ok()) {
+            Some(byte) if *first == b'%' => {
+                bytes.push(byte);
+                rest = &after[2..];
+            }
+            _ => {
+                bytes.push(*first);
+                rest = after;
+            }
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
