Serve store content from large VMs only, and let repeats of rejected calls cost less

Small VMs now follow but are not followed; a repeat after a run costs two of a rejected call's; a stopping node serves for 3 s and ends early when it is idle; a refused call is given up after a third of its aim.

--- a/routing/src/budget.rs
+++ b/routing/src/budget.rs
@@ -1,14 +1,18 @@
 //! How many requests may be sent to a second target.
 
-/// Share of the fleet's allowance that first sends may use up directly. The rest is for the calls
-/// that a repeated request makes again at other services.
-const DIRECT_SHARE: f64 = 0.5;
+/// Share of the fleet's allowance that is used. Nodes do not know of each other's repeats, and
+/// windows of requests and repeats differ.
+const USED_SHARE: f64 = 0.8;
+
+/// What a repeat costs after a run, in repeats: the second run makes the calls of the first one
+/// again, which count as repeats at other services.
+const RUN_COST: f64 = 2.0;
 
 /// Most repeats that one node saves up.
 const SAVED_MAX: f64 = 10.0;
 
 /// Fewest repeats that one node can save up, so that a large fleet repeats at all.
-const SAVED_MIN: f64 = 1.0;
+const SAVED_MIN: f64 = RUN_COST;
 
 /// What the operators allow the whole fleet to repeat, as the part of one node.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -21,8 +25,8 @@
     /// The part of one of `nodes` nodes. The fleet may repeat `ratio` of its calls and `slack` more
     /// in each window.
     pub fn new(ratio: f64, slack: f64, nodes: usize) -> RepeatAllowance {
-        let saved = slack * DIRECT_SHARE / nodes.max(1) as f64;
-        RepeatAllowance { per_call: ratio * DIRECT_SHARE, saved: saved.clamp(SAVED_MIN, SAVED_MAX) }
+        let saved = slack * USED_SHARE / nodes.max(1) as f64;
+        RepeatAllowance { per_call: ratio * USED_SHARE, saved: saved.clamp(SAVED_MIN, SAVED_MAX) }
     }
 }
 
@@ -43,11 +47,13 @@
         self.saved = (self.saved + allowance.per_call).min(allowance.saved);
     }
 
-    /// Takes one repeat. False when none is left.
-    pub fn take(&mut self) -> bool {
-        let enough = self.saved >= 1.0;
+    /// Takes one repeat, of a request that may have run or of one that a target rejected. False when
+    /// too little is left.
+    pub fn take(&mut self, may_have_run: bool) -> bool {
+        let cost = if may_have_run { RUN_COST } else { 1.0 };
+        let enough = self.saved >= cost;
         if enough {
-            self.saved -= 1.0;
+            self.saved -= cost;
         }
         enough
     }
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -22,7 +22,7 @@
 pub use picker::{TargetChoice, TargetPicker, TargetSignal};
 pub use plan::{AttemptEnd, CallPlan, PlanCall, PlanStep};
 pub use random::RandomSource;
-pub use readers::{ReaderChoice, ViewSource};
+pub use readers::{ReaderChoice, ViewSource, is_small};
 pub use registry::{TargetEntry, TargetRegistry, TargetState};
 pub use routes::{ClientLimits, RepeatKind, RouteRule, RouteTable, ServiceRule, SplitPart};
 pub use view::{StoreView, StoredItem, ViewChange};
--- a/routing/src/plan.rs
+++ b/routing/src/plan.rs
@@ -18,6 +18,10 @@
 /// one costs less than a millisecond.
 const NEAR_WAIT: ClockSpan = ClockSpan::new(25);
 
+/// Share of the time to its aim after which a request that was refused is given up. Its caller can
+/// come back in time only if it learns of the refusal early.
+const SEARCH_SHARE: u64 = 3;
+
 /// When a caller comes back that found no target to send to. Entries and links return within this.
 const NO_TARGET_RETRY: ClockSpan = ClockSpan::new(250);
 
@@ -37,6 +41,8 @@
     pub attempts: u32,
     /// Until when an answer has its full use.
     pub aim_at: ClockTime,
+    /// When it arrived.
+    pub arrived: ClockTime,
     /// When its caller stops waiting.
     pub deadline: ClockTime,
     /// Length of its body.
@@ -185,7 +191,7 @@
         let choice = picker.choose(now, &call.service, &call.route, call.body_bytes, &self.tried);
         let Some(target) = choice else { return self.give_up() };
         // A repeat is paid for when it is sent, also if the node beside the target refuses it.
-        if repeats && !budget.take() {
+        if repeats && !budget.take(self.may_have_run) {
             return self.give_up();
         }
         if self.last.is_none() {
@@ -201,6 +207,12 @@
         self.arrivals >= self.call.attempts.max(1)
             || self.refusals >= REFUSAL_LIMIT
             || self.call.deadline.since(now) < LEFT_MIN
+            || (matches!(self.last, Some(AttemptEnd::Refused { .. })) && self.is_late(now))
+    }
+
+    fn is_late(&self, now: ClockTime) -> bool {
+        let aim = self.call.aim_at.since(self.call.arrived).millis();
+        now.since(self.call.arrived).millis() > aim / SEARCH_SHARE
     }
 
     /// The first nodes say at once if the wait is long, while another target may be better. One that
--- a/routing/src/readers.rs
+++ b/routing/src/readers.rs
@@ -18,6 +18,22 @@
 /// Nodes that follow one node.
 const FOLLOWERS: usize = 4;
 
+/// How long a node is passed over that is too small to serve others.
+const SMALL_SPAN: ClockSpan = ClockSpan::new(60_000);
+
+/// Least share of a core with which a node serves others. Reading a configuration of many routes
+/// several times a second takes a good part of a smaller one.
+const CORE_MIN: f64 = 0.15;
+
+/// Least bandwidth in Mbit/s with which a node serves others, for the same reason.
+const LINK_MIN: f64 = 20.0;
+
+/// Whether a VM with this share of a core and this bandwidth in Mbit/s is too small to serve other
+/// nodes.
+pub fn is_small(core_share: f64, link_mbps: f64) -> bool {
+    core_share < CORE_MIN || link_mbps < LINK_MIN
+}
+
 /// Where a node learns what the store holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ViewSource {
@@ -52,10 +68,10 @@
         }
     }
 
-    /// Passes over a node that cannot be followed.
-    pub fn pass_over(&mut self, now: ClockTime, vm: IpAddr) {
+    /// Passes over a node that cannot be followed, for longer if it is too small to serve others.
+    pub fn pass_over(&mut self, now: ClockTime, vm: IpAddr, small: bool) {
         self.unfit.retain(|_, until| *until > now);
-        self.unfit.insert(vm, now + UNFIT_SPAN);
+        self.unfit.insert(vm, now + if small { SMALL_SPAN } else { UNFIT_SPAN });
     }
 }
 
--- a/routing/tests/plan.rs
+++ b/routing/tests/plan.rs
@@ -39,6 +39,7 @@
         route: "r".into(),
         kind,
         attempts,
+        arrived: NOW,
         aim_at: NOW + ClockSpan::new(400),
         deadline: NOW + ClockSpan::new(1_000),
         body_bytes: 0,
--- a/routing/tests/state.rs
+++ b/routing/tests/state.rs
@@ -192,7 +192,7 @@
     let mut choice = ReaderChoice::new(own);
     for _ in 0..4 {
         let ViewSource::Node(parent) = choice.source(NOW, vms.iter().copied()) else { break };
-        choice.pass_over(NOW, parent);
+        choice.pass_over(NOW, parent, false);
     }
     assert_eq!(choice.source(NOW, vms.iter().copied()), ViewSource::Store);
     let later = NOW + ClockSpan::new(2_500);
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -137,6 +137,7 @@
         route: route.name.clone(),
         kind: route.kind,
         attempts: route.attempts,
+        arrived,
         aim_at: arrived + route.aim,
         deadline,
         body_bytes: call.request.body.len(),
--- a/sidecar/src/follower.rs
+++ b/sidecar/src/follower.rs
@@ -35,7 +35,7 @@
 const FOLLOW_SLACK: Duration = Duration::from_millis(400);
 
 /// Pause after a change, in which changes that follow closely are collected into one call.
-const MERGE_PAUSE: Duration = Duration::from_millis(150);
+const MERGE_PAUSE: Duration = Duration::from_millis(250);
 
 /// First pause after a failed read.
 const RETRY_FIRST: Duration = Duration::from_millis(100);
@@ -149,6 +149,7 @@
         let note = SyncNote { after: lock(&self.state.view).at(), wait: FOLLOW_WAIT.millis() };
         let limit = Duration::from_millis(FOLLOW_WAIT.millis()) + FOLLOW_SLACK;
         let answer = within(limit, ask_sync(&self.state, vm, true, note)).await.flatten();
+        let small = answer.as_ref().is_some_and(|answer| answer.small);
         let age = answer.as_ref().and_then(|answer| answer.age);
         if let Some(answer) = answer {
             self.take_over(answer);
@@ -159,7 +160,7 @@
                 self.answered = Some(self.state.clock.now());
                 self.state.confirm_view(ClockSpan::new(age));
             }
-            None => self.readers.pass_over(self.state.clock.now(), vm),
+            None => self.readers.pass_over(self.state.clock.now(), vm, small),
         }
     }
 
--- a/sidecar/src/links.rs
+++ b/sidecar/src/links.rs
@@ -21,11 +21,11 @@
 /// How long a connection with open calls may be silent before it is asked for a sign of life, and how
 /// long that may take, within a data centre. A VM that has used up its processor time answers after
 /// up to 100 ms, and uploads on a slow link hold up what is sent after them.
-const NEAR_PING: (Duration, Duration) = (Duration::from_millis(200), Duration::from_millis(500));
+const NEAR_PING: (Duration, Duration) = (Duration::from_millis(200), Duration::from_millis(700));
 
 /// The same between data centres, where traffic is costly and packets are lost now and then. A lost
 /// packet is sent again after 200 ms or more.
-const FAR_PING: (Duration, Duration) = (Duration::from_millis(400), Duration::from_millis(600));
+const FAR_PING: (Duration, Duration) = (Duration::from_millis(400), Duration::from_millis(700));
 
 /// First pause before a lost connection is opened again.
 const REOPEN_FIRST: Duration = Duration::from_millis(100);
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -6,11 +6,13 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use async_channel::{Receiver, Sender};
+use bytes::Bytes;
 use event_listener::Event;
 use fescuestack_core::{ClockSpan, ClockTime};
 use fescuestack_http::CallClock;
 use fescuestack_platform::MachineSettings;
 use fescuestack_routing::{RepeatAllowance, RepeatBudget, RouteTable, StoreView, TargetPicker};
+use http_body_util::Full;
 use rustc_hash::FxHashMap;
 
 use crate::guard::lock;
@@ -34,6 +36,8 @@
     pub(crate) view: Mutex<StoreView>,
     /// Notified when the view has changed, or whether this node reads the store.
     pub(crate) view_changed: Event,
+    /// The last content that was sent to other nodes, by the revisions that it leads from and to.
+    pub(crate) encoded: Mutex<Option<((u64, u64), Full<Bytes>)>>,
     /// Whether this node reads the store itself and has contact with it.
     reading: AtomicBool,
     /// When the store confirmed the content that was learned from another node, by this node's clock.
@@ -82,6 +86,7 @@
             links: LinkTable::new(),
             view: Mutex::default(),
             view_changed: Event::new(),
+            encoded: Mutex::new(None),
             reading: AtomicBool::new(false),
             confirmed: AtomicU64::new(0),
             lapse_until: AtomicU64::new(0),
--- a/sidecar/src/peer.rs
+++ b/sidecar/src/peer.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use fescuestack_core::ClockSpan;
 use fescuestack_http::{WholeAnswer, WholeRequest, remove_connection_headers, within};
-use fescuestack_routing::{StoredItem, TargetChoice};
+use fescuestack_routing::{StoredItem, TargetChoice, is_small};
 use http::header::HOST;
 use http::{HeaderValue, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
@@ -137,6 +137,8 @@
     pub(crate) at: u64,
     /// How long ago the store confirmed this content, in ms. `None` if the node is out of contact.
     pub(crate) age: Option<u64>,
+    /// Whether the node is too small to serve others.
+    pub(crate) small: bool,
     /// How much longer missing entries may come back, in ms.
     pub(crate) lapse: u64,
     /// All keys, if the node knows a newer revision than asked.
@@ -172,9 +174,29 @@
             listener.await;
         }
     };
+    let settings = state.settings.load();
+    if is_small(settings.core_share, settings.link_mbps) {
+        let (at, lapse) = (0, 0);
+        return sync_response(&SyncAnswer { at, age: None, small: true, lapse, items: None });
+    }
     within(limit, changed).await;
     let answer = sync_answer(state, note.after);
-    match encode_answer(&answer) {
+    if answer.items.is_none() {
+        return sync_response(&answer);
+    }
+    // Most followers ask for the same revisions, and compressing takes longer than all the rest.
+    let key = (note.after, answer.at);
+    let kept = lock(&state.encoded).as_ref().filter(|(kept, _)| *kept == key).cloned();
+    let items = match kept {
+        Some((_, items)) => items,
+        None => sync_response(&answer).into_body(),
+    };
+    *lock(&state.encoded) = Some((key, items.clone()));
+    Response::new(items)
+}
+
+fn sync_response(answer: &SyncAnswer) -> Response<Full<Bytes>> {
+    match encode_answer(answer) {
         Ok(bytes) => Response::new(Full::new(bytes.into())),
         Err(err) => {
             log::error!("801 cannot encode the store's content: {err}");
@@ -193,6 +215,7 @@
     SyncAnswer {
         at: view.at(),
         age: state.view_age().filter(|_| !state.is_stopping()).map(ClockSpan::millis),
+        small: false,
         lapse: state.lapse_until().since(state.clock.now()).millis(),
         items: (view.at() > after).then(|| view.iter().map(item).collect()),
     }
--- a/sidecar/src/run.rs
+++ b/sidecar/src/run.rs
@@ -34,8 +34,14 @@
 const SETTINGS_PERIOD: Duration = Duration::from_millis(1_000);
 
 /// How long clients may take to notice that a stopping node is not ready: two questions, one second
-/// apart, and the requests under way meanwhile.
-const NOTICE_SPAN: Duration = Duration::from_millis(2_600);
+/// apart. A node without calls may end after it.
+const NOTICE_SPAN: Duration = Duration::from_millis(2_200);
+
+/// How long a stopping node takes requests of clients that have not noticed.
+const SERVE_SPAN: Duration = Duration::from_millis(3_000);
+
+/// How long a stopping node has to be without calls to end early.
+const QUIET_SPAN: Duration = Duration::from_millis(250);
 
 /// Time before the platform kills the process that is kept for the end of the stop.
 const GRACE_MARGIN: Duration = Duration::from_millis(300);
@@ -123,7 +129,16 @@
         self.state.begin_stop();
         let uptime = self.started.elapsed().as_millis() as u64;
         log::info!(uptime_ms = uptime, calls = self.state.calls(); "graceful stop begins");
-        task::sleep(NOTICE_SPAN.min(bound)).await;
+        let mut busy = Instant::now();
+        while begun.elapsed() < SERVE_SPAN.min(bound) {
+            task::sleep(TICK).await;
+            if self.state.calls() > 0 {
+                busy = Instant::now();
+            }
+            if begun.elapsed() >= NOTICE_SPAN && busy.elapsed() >= QUIET_SPAN {
+                break;
+            }
+        }
         self.state.close_connections();
         while self.state.calls() > 0 && begun.elapsed() < bound {
             task::sleep(TICK).await;
--- a/sidecar/tests/mesh/mod.rs
+++ b/sidecar/tests/mesh/mod.rs
@@ -206,7 +206,7 @@
     let listen = |port| SocketAddr::new(vm, port);
     json!({
         "self": {"node_name": format!("node-{vm}"), "zone": "here", "service": service,
-            "app_addr": application.address(), "limits": {"memory_mb": 260}, "unknown": 1},
+            "app_addr": application.address(), "limits": {"memory_mb": 260, "cpu_share": 0.2, "bandwidth_mbps": 1000.0}, "unknown": 1},
         "network": {"listen_addrs": {"outbound": listen(ports[0]), "inbound": listen(ports[1]),
             "ready": listen(ports[2])}, "seeds": []},
         "platform": {"heartbeat_s": 1.5, "platform": {"address": store.address()}},
