Hold requests that crash the targets that run them

A target that breaks a connection and takes no new one has crashed; the node beside it tells all others the hash of each request that it ran. After three crashes without a completed run between them a request is refused. Requests of other bodies are not held up.

--- a/routing/src/held.rs
+++ b/routing/src/held.rs
@@ -18,8 +18,8 @@
     last: ClockTime,
 }
 
-/// Counts the crashes in which each request took part. Requests are named by a hash of caller,
-/// method, path and body.
+/// Counts the crashes in which each request took part. Requests are named by a hash of method,
+/// path and body.
 #[derive(Debug, Default)]
 pub struct CrashHistory {
     counts: FxHashMap<u64, CrashCount>,
@@ -46,18 +46,14 @@
         count.crashes
     }
 
-    /// Takes over the crashes that another node counted.
-    pub fn learn(&mut self, now: ClockTime, request: u64, crashes: u32) {
-        let count = self.counts.entry(request).or_insert(CrashCount { crashes: 0, last: now });
-        count.crashes = count.crashes.max(crashes);
-        count.last = now;
+    /// Whether no request is suspected, so that none needs to be hashed.
+    pub fn is_empty(&self) -> bool {
+        self.counts.is_empty()
     }
 
     /// Notes a run that came to its end, which clears the request.
     pub fn complete(&mut self, request: u64) {
-        if !self.counts.is_empty() {
-            self.counts.remove(&request);
-        }
+        self.counts.remove(&request);
     }
 
     /// Whether the request has crashed too many targets to be sent to another.
--- a/routing/src/picker.rs
+++ b/routing/src/picker.rs
@@ -186,6 +186,15 @@
         }
     }
 
+    /// The VMs of all targets.
+    pub fn vms(&self) -> Vec<IpAddr> {
+        let mut vms: Vec<_> =
+            self.records.values().map(|record| record.entry.address.ip()).collect();
+        vms.sort_unstable();
+        vms.dedup();
+        vms
+    }
+
     /// Number of targets of a service that could be chosen.
     pub fn candidates(&self, now: ClockTime, service: &str) -> usize {
         let ids = self.services.get(service).map_or(&[][..], Vec::as_slice);
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -19,7 +19,7 @@
 use crate::guard::lock;
 use crate::node::NodeState;
 use crate::note::{CallNote, ReplyEnd, ReplyNote};
-use crate::peer::send_call;
+use crate::peer::{hash_request, run_beside, send_call};
 
 /// When a client comes back to a node that has no configuration yet.
 const NOT_READY_RETRY: ClockSpan = ClockSpan::new(300);
@@ -27,6 +27,9 @@
 /// When a client comes back to a node that is about to end. Its successor starts within a second.
 const STOPPING_RETRY: ClockSpan = ClockSpan::new(800);
 
+/// When a client comes back whose request has crashed several targets.
+const HELD_RETRY: ClockSpan = ClockSpan::new(5_000);
+
 /// How long an answer is awaited after the deadline. One that is on its way is still delivered.
 const ANSWER_SLACK: Duration = Duration::from_millis(60);
 
@@ -178,6 +181,9 @@
         progress: &mut EntryProgress<'_>,
     ) -> Result<WholeAnswer, EntryFault> {
         let mut answer = None;
+        if self.is_held(state) {
+            return Err(EntryFault::NotRun { retry_after: HELD_RETRY });
+        }
         loop {
             let step = {
                 let mut routing = lock(&state.routing);
@@ -232,7 +238,7 @@
             wait_limit: wait_limit.millis(),
         };
         let (reply, answer) = if state.is_own(target.vm) {
-            let reply = state.target.run(&note, self.request.clone()).await;
+            let reply = run_beside(state, &note, self.request.clone()).await;
             (Some(reply.note), reply.answer)
         } else {
             match send_call(state, target, &note, &self.request).await {
@@ -252,9 +258,25 @@
         }
         let (end, signal) = attempt_end(&reply, answer.as_ref());
         account.signal = signal;
+        if reply.end == ReplyEnd::Answered {
+            self.clear_suspicion(state);
+        }
         (end, answer)
     }
 
+    /// Whether the request has crashed too many targets. Hashing is spared while none is suspected.
+    fn is_held(&self, state: &NodeState) -> bool {
+        let crashes = lock(&state.crashes);
+        !crashes.is_empty() && crashes.is_held(state.clock.now(), hash_request(&self.request))
+    }
+
+    fn clear_suspicion(&self, state: &NodeState) {
+        let mut crashes = lock(&state.crashes);
+        if !crashes.is_empty() {
+            crashes.complete(hash_request(&self.request));
+        }
+    }
+
     fn id(&self) -> &str {
         self.request.headers.get(&REQUEST_ID).and_then(|id| id.to_str().ok()).unwrap_or("")
     }
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -11,7 +11,9 @@
 use fescuestack_core::{ClockSpan, ClockTime};
 use fescuestack_http::CallClock;
 use fescuestack_platform::MachineSettings;
-use fescuestack_routing::{RepeatAllowance, RepeatBudget, RouteTable, StoreView, TargetPicker};
+use fescuestack_routing::{
+    CrashHistory, RepeatAllowance, RepeatBudget, RouteTable, StoreView, TargetPicker,
+};
 use http_body_util::Full;
 use rustc_hash::FxHashMap;
 
@@ -44,6 +46,8 @@
     confirmed: AtomicU64,
     /// Until when entries that are missing may come back.
     lapse_until: AtomicU64,
+    /// Requests that crash the targets that run them.
+    pub(crate) crashes: Mutex<CrashHistory>,
     /// Start of this node's splits, so that nodes do not split in step.
     pub(crate) split_offset: u32,
     stopping: AtomicBool,
@@ -90,6 +94,7 @@
             reading: AtomicBool::new(false),
             confirmed: AtomicU64::new(0),
             lapse_until: AtomicU64::new(0),
+            crashes: Mutex::default(),
             split_offset: seed as u32,
             stopping: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
--- a/sidecar/src/note.rs
+++ b/sidecar/src/note.rs
@@ -15,6 +15,9 @@
 /// Header of its answer.
 const REPLY_HEADER: HeaderName = HeaderName::from_static("fescuestack-reply");
 
+/// Header of the news that a request has crashed a target.
+const CRASH_HEADER: HeaderName = HeaderName::from_static("fescuestack-crash");
+
 /// Header of a question for the store's content.
 const SYNC_HEADER: HeaderName = HeaderName::from_static("fescuestack-sync");
 
@@ -71,6 +74,8 @@
     pub(crate) queued: u32,
     /// Mean time of a call.
     pub(crate) service: u64,
+    /// Whether the target crashed while it ran the call.
+    pub(crate) crashed: bool,
     /// After a refusal, when there is likely to be room.
     pub(crate) retry_after: u64,
 }
@@ -107,6 +112,16 @@
     }
 }
 
+/// Marks a message as the news that a request, named by its hash, has crashed a target.
+pub(crate) fn write_crash(headers: &mut HeaderMap, request: u64) {
+    headers.insert(CRASH_HEADER, HeaderValue::from(request));
+}
+
+/// The request that a message is about, if it is such news.
+pub(crate) fn scan_crash(headers: &HeaderMap) -> Option<u64> {
+    headers.get(&CRASH_HEADER)?.to_str().ok()?.parse().ok()
+}
+
 /// A question for what the store holds. It is answered when there is something newer.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct SyncNote {
--- a/sidecar/src/peer.rs
+++ b/sidecar/src/peer.rs
@@ -1,9 +1,11 @@
 //! Calls between nodes: sending one, and serving those of others.
 
+use std::hash::{Hash, Hasher};
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_std::task;
 use bytes::Bytes;
 use fescuestack_core::ClockSpan;
 use fescuestack_http::{WholeAnswer, WholeRequest, remove_connection_headers, within};
@@ -12,13 +14,15 @@
 use http::{HeaderValue, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use rustc_hash::FxHasher;
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
 use crate::guard::lock;
 use crate::links::LinkError;
 use crate::node::NodeState;
-use crate::note::{CallNote, ReplyEnd, ReplyNote, SyncNote};
+use crate::note::{CallNote, ReplyEnd, ReplyNote, SyncNote, scan_crash, write_crash};
+use crate::target::TargetReply;
 
 /// Longest body that another node passes on. The configuration's limit is checked where the call
 /// began, possibly by another version.
@@ -84,6 +88,10 @@
     if let Some(note) = SyncNote::take(&mut parts.headers) {
         return answer_sync(&state, note).await;
     }
+    if let Some(request) = scan_crash(&parts.headers) {
+        note_crash(&state, request);
+        return status_only(StatusCode::NO_CONTENT);
+    }
     let _place = state.begin_call();
     let Some(note) = CallNote::take(&mut parts.headers) else {
         return status_only(StatusCode::BAD_REQUEST);
@@ -107,7 +115,7 @@
     let reply = if state.is_refusing() {
         state.target.refuse_leaving()
     } else {
-        state.target.run(&note, call).await
+        run_beside(&state, &note, call).await
     };
     let mut response = match reply.answer {
         Some(answer) => {
@@ -124,6 +132,52 @@
     response
 }
 
+/// Runs a call at the target beside this node, and tells other nodes if that crashed it.
+pub(crate) async fn run_beside(
+    state: &Arc<NodeState>,
+    note: &CallNote,
+    call: WholeRequest,
+) -> TargetReply {
+    let reply = state.target.run(note, call.clone()).await;
+    if reply.note.crashed {
+        let request = hash_request(&call);
+        note_crash(state, request);
+        spread_crash(state, request);
+    }
+    reply
+}
+
+/// A hash of what stays the same when a request is sent again at any VM: its method, path and body.
+pub(crate) fn hash_request(call: &WholeRequest) -> u64 {
+    let mut hasher = FxHasher::default();
+    (call.method.as_str(), call.target.as_str(), &call.body[..]).hash(&mut hasher);
+    hasher.finish()
+}
+
+fn note_crash(state: &NodeState, request: u64) {
+    let crashes = lock(&state.crashes).crash(state.clock.now(), request);
+    log::info!(hash = request, crashes = crashes; "request crashed a target");
+}
+
+/// Tells the nodes beside the targets of all services, since the request may come again anywhere.
+fn spread_crash(state: &Arc<NodeState>, request: u64) {
+    for vm in lock(&state.routing).picker.vms() {
+        if state.is_own(vm) {
+            continue;
+        }
+        let state = state.clone();
+        task::spawn(async move {
+            let mut message = Request::new(Full::new(Bytes::new()));
+            *message.uri_mut() = Uri::from_static("http://node/");
+            write_crash(message.headers_mut(), request);
+            // A node that is out of reach learns of the request by its next crash.
+            if let Err(err) = state.links.send(state.node_address(vm), false, message).await {
+                log::debug!(node = vm.to_string().as_str(); "news of a crash not delivered: {err}");
+            }
+        });
+    }
+}
+
 fn status_only(status: StatusCode) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::new()));
     *response.status_mut() = status;
--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -25,6 +25,10 @@
 /// How long a connection to the target may take. It is on the same VM.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 
+/// How long a target that has broken a connection may take to accept another, before it counts as
+/// crashed.
+const CRASH_LIMIT: Duration = Duration::from_millis(150);
+
 /// How long an unused connection serves requests that must not run twice. The target may close an
 /// older one just when the request arrives, which leaves its outcome unknown.
 const FRESH: Duration = Duration::from_millis(800);
@@ -142,6 +146,7 @@
             // The answer would come too late. The target learns of it by the closed connection.
             return self.reply(ReplyEnd::Lost, ClockSpan::ZERO);
         };
+        let mut crashed = false;
         let (end, answer) = match outcome {
             Ok(answer) if answer.status == 421 => {
                 self.note_actual(note, &answer);
@@ -154,14 +159,23 @@
                 (ReplyEnd::NotSent, None)
             }
             Err(err) => {
+                crashed = matches!(err, ExchangeError::Broken { .. }) && self.is_down().await;
                 log::info!(target = &*note.target, request = request_id(&request),
-                    reason = err.to_string().as_str(); "answer lost");
+                    reason = err.to_string().as_str(), crashed = crashed; "answer lost");
                 (ReplyEnd::Lost, None)
             }
         };
         let measured = matches!(end, ReplyEnd::Answered);
         ticket.end(if measured { CallEnd::Answered } else { CallEnd::Broken });
-        TargetReply { answer, ..self.reply(end, ClockSpan::ZERO) }
+        let mut reply = self.reply(end, ClockSpan::ZERO);
+        reply.note.crashed = crashed;
+        TargetReply { answer, ..reply }
+    }
+
+    /// Whether the target takes no connections.
+    async fn is_down(&self) -> bool {
+        let address = lock(&self.state).address;
+        ExchangeConnection::open(address, CRASH_LIMIT).await.is_err()
     }
 
     /// Whether another target than `id` is known to be here.
@@ -263,6 +277,7 @@
             running: load.running,
             queued: load.queued,
             service: load.service.millis(),
+            crashed: false,
             retry_after: retry_after.millis(),
         };
         TargetReply { note, answer: None }
--- a/sidecar/tests/path.rs
+++ b/sidecar/tests/path.rs
@@ -339,3 +339,29 @@
         assert_eq!(answer.status, 200);
     });
 }
+
+/// Guards against a request that crashes target after target: after the third crash, no node sends
+/// it on, while other requests of its route are served.
+#[test]
+fn crashing_request_is_held_everywhere() {
+    task::block_on(async {
+        let mesh = Mesh::start(&["alpha", "beta", "beta", "beta", "beta"]).await;
+        for node in &mesh.nodes {
+            node.application.set_poison("poison");
+        }
+        let call = TestCall::post("x", "/b/pay/", b"poison");
+        for _ in 0..3 {
+            let answer = mesh.ask(0, &call).await.expect("an answer");
+            assert_eq!(answer.status, 502);
+            task::sleep(Duration::from_millis(400)).await;
+        }
+        let runs = || mesh.nodes.iter().map(|node| node.application.runs().len()).sum::<usize>();
+        assert_eq!(runs(), 3);
+        for node in 0..2 {
+            assert_eq!(mesh.ask(node, &call).await.expect("an answer").status, 503);
+        }
+        assert_eq!(runs(), 3, "the request was sent on after its third crash");
+        let other = TestCall::post("y", "/b/pay/", b"other");
+        assert_eq!(mesh.ask(1, &other).await.expect("an answer").status, 200);
+    });
+}
--- a/standins/src/application.rs
+++ b/standins/src/application.rs
@@ -53,6 +53,9 @@
     work: Duration,
     runs: Vec<ApplicationRun>,
     arrivals: u64,
+    /// A body that crashes the application.
+    poison: Option<String>,
+    crashed: bool,
 }
 
 /// An application that runs in this process.
@@ -72,6 +75,9 @@
         let served = application.clone();
         task::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                if served.with(|state| state.crashed) {
+                    return;
+                }
                 let application = served.clone();
                 task::spawn(async move {
                     let service = service_fn(move |request: Request<Incoming>| {
@@ -105,6 +111,12 @@
         self.with(|state| state.work = work);
     }
 
+    /// Sets a body that crashes the application when it begins to run it. It takes no connections
+    /// from then on.
+    pub fn set_poison(&self, body: &str) {
+        self.with(|state| state.poison = Some(body.to_owned()));
+    }
+
     /// The requests that it began to run.
     pub fn runs(&self) -> Vec<ApplicationRun> {
         self.with(|state| state.runs.clone())
@@ -156,6 +168,16 @@
             });
             state.runs.len() - 1
         });
+        let poisoned = self.with(|state| {
+            state.crashed |= state.poison.as_ref().is_some_and(|poison| poison.as_bytes() == body);
+            state.crashed
+        });
+        if poisoned {
+            // Wakes the listener, which then ends; connections break once it has.
+            let _ = async_std::net::TcpStream::connect(self.address).await;
+            task::sleep(Duration::from_millis(50)).await;
+            return Err(ApplicationError);
+        }
         task::sleep(work).await;
         self.with(|state| state.runs[index].finished = true);
         if mode == ApplicationMode::Drop {
