Expect less urgent calls to wait for the more urgent ones to come

Their expected wait counted what waited before them, but more urgent calls that came later passed them and used over half of the slots. The wait now divides by the slots that the more urgent ranks left over lately.

--- a/routing/src/admission.rs
+++ b/routing/src/admission.rs
@@ -33,6 +33,12 @@
 /// Share of a mean service time that a call is expected to take longer once it has exceeded it.
 const OVERDUE_SHARE: f64 = 0.2;
 
+/// Time constant over which the use of slots is averaged.
+const USAGE_SPAN: ClockSpan = ClockSpan::new(1_500);
+
+/// Share of the slots that less urgent calls are expected to have at least.
+const LEFT_SHARE_MIN: f64 = 0.15;
+
 /// Names a call at its target's node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct CallTicket(u64);
@@ -111,6 +117,7 @@
 #[derive(Debug)]
 struct RunningCall {
     route: Arc<str>,
+    rank: u8,
     started: ClockTime,
 }
 
@@ -124,6 +131,7 @@
     means: FxHashMap<Arc<str>, f64>,
     mean: f64,
     last_ticket: u64,
+    usage: RankUsage,
 }
 
 impl AdmissionQueue {
@@ -137,6 +145,7 @@
             means: FxHashMap::default(),
             mean: FIRST_SERVICE_MS,
             last_ticket: 0,
+            usage: RankUsage::default(),
         }
     }
 
@@ -204,6 +213,7 @@
             return;
         }
         let taken = now.since(running.started).millis() as f64;
+        self.usage.add(now, running.rank, taken);
         self.mean += (taken - self.mean) * MEAN_WEIGHT;
         let mean = self.means.entry(running.route).or_insert(taken);
         *mean += (taken - *mean) * MEAN_WEIGHT;
@@ -222,8 +232,10 @@
             && let Some(index) = self.next_waiting(now)
         {
             let waiting = self.waiting.swap_remove(index);
-            self.running
-                .insert(waiting.ticket, RunningCall { route: waiting.call.route, started: now });
+            self.running.insert(
+                waiting.ticket,
+                RunningCall { route: waiting.call.route, rank: waiting.call.rank, started: now },
+            );
             actions.push(AdmissionAction::Run(waiting.ticket));
         }
     }
@@ -236,12 +248,11 @@
         }
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.sort_by_key(|waiting| self.order(now, waiting));
-        let slots = f64::from(self.slots);
         let mut wait = self.first_free(now);
         for call in waiting {
             let service = self.service_time(&call.call.route);
             if self.open && now + span(wait + service * START_SHARE) <= latest_end(&call.call) {
-                wait += service / slots;
+                wait += service / self.slots_left(now, call.call.rank);
                 self.waiting.push(call);
             } else {
                 let retry_after = self.retry_after(wait);
@@ -265,7 +276,10 @@
 
     fn start(&mut self, now: ClockTime, call: &QueuedCall) -> CallTicket {
         let ticket = self.next_ticket();
-        self.running.insert(ticket, RunningCall { route: call.route.clone(), started: now });
+        self.running.insert(
+            ticket,
+            RunningCall { route: call.route.clone(), rank: call.rank, started: now },
+        );
         ticket
     }
 
@@ -287,7 +301,13 @@
     fn expected_wait(&self, now: ClockTime, rank: u8) -> f64 {
         let ahead = self.waiting.iter().filter(|waiting| waiting.call.rank <= rank);
         let ahead: f64 = ahead.map(|waiting| self.service_time(&waiting.call.route)).sum();
-        ahead / f64::from(self.slots) + self.first_free(now)
+        ahead / self.slots_left(now, rank) + self.first_free(now)
+    }
+
+    /// Slots that calls of `rank` can have, since more urgent ones that will come pass them.
+    fn slots_left(&self, now: ClockTime, rank: u8) -> f64 {
+        let slots = f64::from(self.slots);
+        (slots - self.usage.above(now, rank)).max(slots * LEFT_SHARE_MIN)
     }
 
     /// Expected time in ms until the first slot becomes free.
@@ -313,6 +333,36 @@
     }
 }
 
+/// Slots that the calls of each rank have used lately.
+#[derive(Debug, Default)]
+struct RankUsage {
+    /// Rank, slot time in ms with older time fading, and when that was computed.
+    ranks: Vec<(u8, f64, ClockTime)>,
+}
+
+impl RankUsage {
+    fn add(&mut self, now: ClockTime, rank: u8, taken: f64) {
+        match self.ranks.iter_mut().find(|(known, ..)| *known == rank) {
+            Some((_, time, at)) => {
+                *time = fade(*time, now.since(*at)) + taken;
+                *at = now;
+            }
+            None => self.ranks.push((rank, taken, now)),
+        }
+    }
+
+    /// Mean number of slots that more urgent calls than those of `rank` have used.
+    fn above(&self, now: ClockTime, rank: u8) -> f64 {
+        let above = self.ranks.iter().filter(|(known, ..)| *known < rank);
+        let time: f64 = above.map(|(_, time, at)| fade(*time, now.since(*at))).sum();
+        time / USAGE_SPAN.millis() as f64
+    }
+}
+
+fn fade(time: f64, age: ClockSpan) -> f64 {
+    time * (-(age.millis() as f64) / USAGE_SPAN.millis() as f64).exp()
+}
+
 /// When a call has to end at the latest to be worth its place.
 fn latest_end(call: &QueuedCall) -> ClockTime {
     let late = call.deadline.since(call.aim_at).millis() as f64 * LATE_SHARE;
