--- a/routing/src/picker.rs
+++ b/routing/src/picker.rs
@@ -18,7 +18,7 @@
 
 /// Surcharge in ms for a target in another data centre. Traffic between data centres is costly, and
 /// the links have delays of several ms each way.
-const CROSSING_MS: f64 = 150.0;
+const CROSSING_MS: f64 = 230.0;
 
 /// Further surcharge in ms for each KB of a body that crosses.
 const CROSSING_MS_PER_KB: f64 = 12.0;
