--- a/fescuestack/src/cli.rs
+++ b/fescuestack/src/cli.rs
@@ -6,6 +6,7 @@
 
 use async_std::task;
 use clap::{Parser, Subcommand};
+use fescuestack_platform::MachineSettings;
 use fescuestack_questionnaire::QuestionnaireCommand;
 use fescuestack_sidecar::SidecarNode;
 
@@ -89,6 +90,9 @@
     Check {
         /// Settings file.
         file: PathBuf,
+        /// Take the file for the settings that the users' platform writes.
+        #[arg(long)]
+        platform: bool,
     },
 }
 
@@ -99,7 +103,10 @@
             MainCommand::Questionnaire(command) => command.run(),
             MainCommand::Node { settings } => run_node(&settings),
             MainCommand::Sidecar { settings, log } => run_sidecar(settings, &log),
-            MainCommand::Settings(SettingsCommand::Check { file }) => check_settings(&file),
+            MainCommand::Settings(SettingsCommand::Check { file, platform: true }) => {
+                check_machine(&file)
+            }
+            MainCommand::Settings(SettingsCommand::Check { file, .. }) => check_settings(&file),
             MainCommand::Status { node } => print_answer(node, "/status"),
             MainCommand::Explain { node, request } => {
                 print_answer(node, &format!("/explain/{request}"))
@@ -160,8 +167,27 @@
         Ok(settings) => settings,
         Err(err) => return fail(&err),
     };
+    report_check(path, &settings.node, settings.listen.named())
+}
+
+fn check_machine(path: &std::path::Path) -> ExitCode {
+    let settings = match MachineSettings::load(path) {
+        Ok(settings) => settings,
+        Err(err) => return fail(&err),
+    };
+    let addresses =
+        [("outbound", settings.outbound), ("inbound", settings.inbound), ("ready", settings.ready)];
+    report_check(path, &settings.node, addresses)
+}
+
+/// Tells whether the addresses of valid settings are free.
+fn report_check(
+    path: &std::path::Path,
+    node: &str,
+    addresses: impl IntoIterator<Item = (&'static str, SocketAddr)>,
+) -> ExitCode {
     let mut free = true;
-    for (name, address) in settings.listen.named() {
+    for (name, address) in addresses {
         if let Err(err) = std::net::TcpListener::bind(address) {
             eprintln!("604 listen.{name}: cannot listen on {address}: {err}");
             free = false;
@@ -170,7 +196,7 @@
     if !free {
         return ExitCode::FAILURE;
     }
-    println!("{}: settings of node {} are valid", path.display(), settings.node);
+    println!("{}: settings of node {node} are valid", path.display());
     ExitCode::SUCCESS
 }
 
--- a/operators/src/metrics.rs
+++ b/operators/src/metrics.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 use snafu::{ResultExt, Snafu};
@@ -42,6 +42,11 @@
     control_bytes: Counter<u64>,
     versions: Counter<u64>,
     dropped: Counter<u64>,
+    attempts: Counter<u64>,
+    store_calls: Gauge<u64>,
+    version: Gauge<u64>,
+    targets: Gauge<u64>,
+    queue: Gauge<u64>,
 }
 
 impl NodeMetrics {
@@ -63,8 +68,26 @@
         let control_bytes = meter.u64_counter("fescuestack_control").with_unit("By").build();
         let versions = meter.u64_counter("fescuestack_versions_installed").build();
         let dropped = meter.u64_counter("fescuestack_records_dropped").build();
+        let attempts = meter.u64_counter("fescuestack_attempts").build();
+        let store_calls = meter.u64_gauge("fescuestack_store_calls").build();
+        let version = meter.u64_gauge("fescuestack_version").build();
+        let targets = meter.u64_gauge("fescuestack_targets").build();
+        let queue = meter.u64_gauge("fescuestack_target_calls").build();
         let _provider = provider;
-        Ok(NodeMetrics { registry, _provider, latency, calls, control_bytes, versions, dropped })
+        Ok(NodeMetrics {
+            registry,
+            _provider,
+            latency,
+            calls,
+            control_bytes,
+            versions,
+            dropped,
+            attempts,
+            store_calls,
+            version,
+            targets,
+            queue,
+        })
     }
 
     /// Counts a finished call.
@@ -76,6 +99,26 @@
         self.calls.add(1, &[tenant, class, code]);
     }
 
+    /// Counts an attempt at a target, by how it ended.
+    pub fn record_attempt(&self, service: &str, end: &'static str) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.attempts.add(1, &[service, KeyValue::new("end", end)]);
+    }
+
+    /// Sets the version in force, the number of known targets and the calls made to the platform's
+    /// store so far.
+    pub fn record_state(&self, version: u64, targets: usize, store_calls: u64) {
+        self.version.record(version, &[]);
+        self.targets.record(targets as u64, &[]);
+        self.store_calls.record(store_calls, &[]);
+    }
+
+    /// Sets the calls that run at the target beside the node and those that wait for it.
+    pub fn record_queue(&self, running: u32, waiting: u32) {
+        self.queue.record(running.into(), &[KeyValue::new("state", "running")]);
+        self.queue.record(waiting.into(), &[KeyValue::new("state", "waiting")]);
+    }
+
     /// Counts control traffic since the last call, in bytes.
     pub fn record_control(&self, direction: &'static str, bytes: u64) {
         self.control_bytes.add(bytes, &[KeyValue::new("direction", direction)]);
--- a/routing/src/picker.rs
+++ b/routing/src/picker.rs
@@ -195,6 +195,16 @@
         vms
     }
 
+    /// Number of known targets.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether no target is known.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
     /// Number of targets of a service that could be chosen.
     pub fn candidates(&self, now: ClockTime, service: &str) -> usize {
         let ids = self.services.get(service).map_or(&[][..], Vec::as_slice);
--- a/routing/src/plan.rs
+++ b/routing/src/plan.rs
@@ -72,6 +72,21 @@
     Lost,
 }
 
+impl AttemptEnd {
+    /// The end as a label of metrics.
+    pub const fn label(self) -> &'static str {
+        match self {
+            AttemptEnd::Answered { failed: false } => "answered",
+            AttemptEnd::Answered { failed: true } => "failed",
+            AttemptEnd::Busy => "busy",
+            AttemptEnd::Refused { .. } => "refused",
+            AttemptEnd::Rejected => "rejected",
+            AttemptEnd::NotSent => "not sent",
+            AttemptEnd::Lost => "lost",
+        }
+    }
+}
+
 /// What to do next.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PlanStep {
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -83,6 +83,7 @@
             refusal(fault, id)
         }
     };
+    record_call(&state, &trace, arrived, answer.status());
     if state.is_stopping() {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -338,6 +339,16 @@
     response
 }
 
+fn record_call(state: &NodeState, trace: &EntryTrace, arrived: ClockTime, status: StatusCode) {
+    let service = trace.service.as_deref().unwrap_or("");
+    let route = trace.route.as_ref().map_or("", |route| &*route.name);
+    let taken = Duration::from_millis(state.clock.now().since(arrived).millis());
+    state.metrics.record_call(service, route, status.as_u16(), taken);
+    for (_, end) in &trace.attempts {
+        state.metrics.record_attempt(service, end.label());
+    }
+}
+
 fn refusal(fault: EntryFault, id: Option<HeaderValue>) -> ClientAnswer {
     let status = match fault {
         EntryFault::Invalid => StatusCode::BAD_REQUEST,
--- a/sidecar/src/follower.rs
+++ b/sidecar/src/follower.rs
@@ -2,6 +2,7 @@
 
 use std::net::IpAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_std::task;
@@ -104,6 +105,7 @@
                 self.follow_node(vm).await;
                 continue;
             }
+            self.state.store_calls.store(self.client.calls(), Ordering::Relaxed);
             let result = if self.listed { self.watch().await } else { self.list().await };
             match result {
                 Ok(()) => {
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -10,6 +10,7 @@
 use event_listener::Event;
 use fescuestack_core::{ClockSpan, ClockTime};
 use fescuestack_http::CallClock;
+use fescuestack_operators::{MetricsError, NodeMetrics};
 use fescuestack_platform::MachineSettings;
 use fescuestack_routing::{
     CrashHistory, RepeatAllowance, RepeatBudget, RouteTable, StoreView, TargetPicker,
@@ -34,12 +35,15 @@
     pub(crate) routing: Mutex<RoutingState>,
     pub(crate) target: Arc<TargetSide>,
     pub(crate) links: Arc<LinkTable>,
+    pub(crate) metrics: NodeMetrics,
+    /// Calls made to the store so far.
+    pub(crate) store_calls: AtomicU64,
     /// A copy of the store, for this node and for others that cannot reach it.
     pub(crate) view: Mutex<StoreView>,
     /// Notified when the view has changed, or whether this node reads the store.
     pub(crate) view_changed: Event,
-    /// The last content that was sent to other nodes, by the revisions that it leads from and to.
-    pub(crate) encoded: Mutex<Option<((u64, u64), Full<Bytes>)>>,
+    /// The last content that was sent to other nodes.
+    pub(crate) encoded: Mutex<Option<EncodedContent>>,
     /// Whether this node reads the store itself and has contact with it.
     reading: AtomicBool,
     /// When the store confirmed the content that was learned from another node, by this node's clock.
@@ -58,6 +62,15 @@
     closing: (Sender<()>, Receiver<()>),
 }
 
+/// Content of the store as it was sent to another node.
+pub(crate) struct EncodedContent {
+    /// The revision that it leads on from.
+    pub(crate) after: u64,
+    /// The revision that it leads to.
+    pub(crate) at: u64,
+    pub(crate) body: Full<Bytes>,
+}
+
 /// What the choice of targets is based on.
 pub(crate) struct RoutingState {
     pub(crate) picker: TargetPicker,
@@ -74,7 +87,7 @@
 }
 
 impl NodeState {
-    pub(crate) fn new(settings: MachineSettings) -> Arc<NodeState> {
+    pub(crate) fn new(settings: MachineSettings, metrics: NodeMetrics) -> Arc<NodeState> {
         let clock = CallClock::new();
         let seed = seed(&settings.node, clock.now().millis());
         let picker = TargetPicker::new(settings.data_centre.as_str().into(), seed);
@@ -88,6 +101,8 @@
             routing: Mutex::new(routing),
             target,
             links: LinkTable::new(),
+            metrics,
+            store_calls: AtomicU64::new(0),
             view: Mutex::default(),
             view_changed: Event::new(),
             encoded: Mutex::new(None),
@@ -181,6 +196,16 @@
         self.closing.1.clone()
     }
 
+    /// All metrics in the text format of Prometheus.
+    pub(crate) fn encode_metrics(&self) -> Result<String, MetricsError> {
+        let version = self.routes.load().as_ref().map_or(0, |routes| routes.version);
+        let targets = lock(&self.routing).picker.len();
+        let load = self.target.load();
+        self.metrics.record_state(version, targets, self.store_calls.load(Ordering::Relaxed));
+        self.metrics.record_queue(load.running, load.queued);
+        self.metrics.encode()
+    }
+
     /// Calls that are being served.
     pub(crate) fn calls(&self) -> usize {
         self.calls.load(Ordering::Acquire)
--- a/sidecar/src/peer.rs
+++ b/sidecar/src/peer.rs
@@ -20,7 +20,7 @@
 
 use crate::guard::lock;
 use crate::links::LinkError;
-use crate::node::NodeState;
+use crate::node::{EncodedContent, NodeState};
 use crate::note::{CallNote, ReplyEnd, ReplyNote, SyncNote, scan_crash, write_crash};
 use crate::target::TargetReply;
 
@@ -239,14 +239,16 @@
         return sync_response(&answer);
     }
     // Most followers ask for the same revisions, and compressing takes longer than all the rest.
-    let key = (note.after, answer.at);
-    let kept = lock(&state.encoded).as_ref().filter(|(kept, _)| *kept == key).cloned();
-    let items = match kept {
-        Some((_, items)) => items,
-        None => sync_response(&answer).into_body(),
-    };
-    *lock(&state.encoded) = Some((key, items.clone()));
-    Response::new(items)
+    let mut encoded = lock(&state.encoded);
+    if let Some(kept) = &*encoded
+        && (kept.after, kept.at) == (note.after, answer.at)
+    {
+        return Response::new(kept.body.clone());
+    }
+    let response = sync_response(&answer);
+    let body = response.body().clone();
+    *encoded = Some(EncodedContent { after: note.after, at: answer.at, body });
+    response
 }
 
 fn sync_response(answer: &SyncAnswer) -> Response<Full<Bytes>> {
--- a/sidecar/src/run.rs
+++ b/sidecar/src/run.rs
@@ -10,6 +10,7 @@
 use async_std::task;
 use bytes::Bytes;
 use fescuestack_http::{ServedStream, TaskExecutor, TaskTimer, prepare_socket};
+use fescuestack_operators::{MetricsError, NodeMetrics};
 use fescuestack_platform::headers::READY_PATH;
 use fescuestack_platform::{MachineError, MachineSettings};
 use futures_lite::future;
@@ -24,6 +25,9 @@
 use crate::node::NodeState;
 use crate::{entry, peer};
 
+/// Path of the metrics on the address at which the platform asks whether the node is ready.
+const METRICS_PATH: &str = "/metrics";
+
 /// Pause after a failed accept, which usually means that file descriptors ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -73,6 +77,12 @@
         /// The reason.
         source: MachineError,
     },
+    /// The metrics exporter cannot be set up.
+    #[snafu(display("605 {source}"))]
+    Metrics {
+        /// The reason.
+        source: MetricsError,
+    },
     /// An address is in use or does not belong to this VM.
     #[snafu(display("604 {port}: cannot listen on {address}: {source}"))]
     Listen {
@@ -93,12 +103,13 @@
 }
 
 impl SidecarNode {
-    /// Reads the settings at `path` and starts to serve. Fails with 604, 607 and 608.
+    /// Reads the settings at `path` and starts to serve. Fails with 604, 605, 607 and 608.
     pub async fn start(path: PathBuf) -> Result<SidecarNode, SidecarError> {
         let settings = MachineSettings::load(&path).context(SettingsSnafu)?;
         let (ready, outbound, inbound) = (settings.ready, settings.outbound, settings.inbound);
         let name = settings.node.clone();
-        let state = NodeState::new(settings);
+        let metrics = NodeMetrics::new().context(MetricsSnafu)?;
+        let state = NodeState::new(settings, metrics);
         let ready = bind("ready", ready).await?;
         let outbound = bind("outbound", outbound).await?;
         let inbound = bind("inbound", inbound).await?;
@@ -176,13 +187,7 @@
 
 async fn serve_ready(state: Arc<NodeState>, stream: TcpStream) {
     let service = service_fn(move |request: Request<Incoming>| {
-        let status = match request.uri().path() {
-            READY_PATH if state.is_ready() => StatusCode::OK,
-            READY_PATH => StatusCode::SERVICE_UNAVAILABLE,
-            _ => StatusCode::NOT_FOUND,
-        };
-        let mut answer = Response::new(Full::new(Bytes::new()));
-        *answer.status_mut() = status;
+        let answer = answer_ready(&state, request.uri().path());
         async { Ok::<_, Infallible>(answer) }
     });
     let stream = ServedStream::new(stream);
@@ -191,6 +196,25 @@
     note_end("ready", connection.await);
 }
 
+/// The platform's question whether clients may come, and the metrics.
+fn answer_ready(state: &NodeState, path: &str) -> Response<Full<Bytes>> {
+    let (status, text) = match path {
+        READY_PATH if state.is_ready() => (StatusCode::OK, String::new()),
+        READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
+        METRICS_PATH => match state.encode_metrics() {
+            Ok(text) => (StatusCode::OK, text),
+            Err(err) => {
+                log::error!("605 {err}");
+                (StatusCode::INTERNAL_SERVER_ERROR, String::new())
+            }
+        },
+        _ => (StatusCode::NOT_FOUND, String::new()),
+    };
+    let mut answer = Response::new(Full::new(Bytes::from(text)));
+    *answer.status_mut() = status;
+    answer
+}
+
 async fn serve_client(state: Arc<NodeState>, stream: TcpStream) {
     let stream = ServedStream::new(stream);
     let (idle, head_bytes) = match &*state.routes.load() {
--- a/sidecar/tests/path.rs
+++ b/sidecar/tests/path.rs
@@ -7,9 +7,10 @@
 use async_std::io::{ReadExt, WriteExt};
 use async_std::net::TcpStream;
 use async_std::task;
+use fescuestack_http::ExchangeConnection;
 use fescuestack_standins::{ApplicationMode, StoreMode};
 
-use mesh::{Mesh, TestCall, config, eventually};
+use mesh::{LIMIT, Mesh, TestCall, config, eventually};
 
 /// A request goes from any node to a target of its service, unchanged but for the headers that the
 /// node sets, and the target's answer comes back unchanged.
@@ -365,3 +366,27 @@
         assert_eq!(mesh.ask(1, &other).await.expect("an answer").status, 200);
     });
 }
+
+/// Guards against metrics that the pages name and the program lacks.
+#[test]
+fn metrics_are_those_of_the_page() {
+    task::block_on(async {
+        let mesh = Mesh::start(&["alpha"]).await;
+        mesh.ask(0, &TestCall::get("m", "/a/")).await.expect("an answer");
+        let mut connection =
+            ExchangeConnection::open(mesh.address(0, 2), LIMIT).await.expect("a node");
+        let request = TestCall::get("metrics", "/metrics").request();
+        let answer = connection.exchange(&request, None).await.expect("an answer");
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        let page = include_str!("../../docs/OPERATIONS.md");
+        let named: Vec<_> = page
+            .lines()
+            .filter_map(|line| line.strip_prefix("| `fescuestack_"))
+            .filter_map(|line| line.split('`').next())
+            .collect();
+        assert!(named.len() >= 6, "the page lists {} metrics", named.len());
+        for name in named {
+            assert!(text.contains(&format!("fescuestack_{name}")), "{name} is missing:\n{text}");
+        }
+    });
+}
