--- a/fescuestack/src/cli.rs
+++ b/fescuestack/src/cli.rs
@@ -152,10 +152,12 @@
         match SidecarNode::start(path).await {
             Ok(node) => {
                 node.run(wait_for_stop(), wait_for_reload).await;
+                log::logger().flush();
                 ExitCode::SUCCESS
             }
             Err(err) => {
                 log::error!("{err}");
+                log::logger().flush();
                 fail(&err)
             }
         }
--- a/fescuestack/src/logging.rs
+++ b/fescuestack/src/logging.rs
@@ -8,7 +8,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use flexi_logger::writers::LogWriter;
 use flexi_logger::{DeferredNow, FlexiLoggerError, Logger, LoggerHandle};
@@ -44,9 +44,19 @@
     Logger::try_with_str(specification)?.log_to_writer(writer).start()
 }
 
+/// Longest wait for the lines that are still to be written when the process ends.
+const FLUSH_LIMIT: Duration = Duration::from_millis(250);
+
+/// What the writing thread is handed.
+enum LogItem {
+    Line(String),
+    /// Answered when all lines before it have been written.
+    Flush(SyncSender<()>),
+}
+
 /// Formats records and hands them to the writing thread.
 struct LineWriter {
-    lines: SyncSender<String>,
+    lines: SyncSender<LogItem>,
     rate: Mutex<RateWindow>,
     limit: u64,
     dropped: AtomicU64,
@@ -79,7 +89,7 @@
     }
 
     fn send(&self, line: String) {
-        if self.lines.try_send(line).is_err() {
+        if self.lines.try_send(LogItem::Line(line)).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
@@ -104,6 +114,11 @@
     }
 
     fn flush(&self) -> std::io::Result<()> {
+        let (done, written) = sync_channel(1);
+        if self.lines.try_send(LogItem::Flush(done)).is_ok() {
+            // A reader that does not read must not keep the process from ending.
+            let _ = written.recv_timeout(FLUSH_LIMIT);
+        }
         Ok(())
     }
 }
@@ -135,8 +150,16 @@
     }
 }
 
-fn write_lines(stream: LogStream, lines: &Receiver<String>) {
-    while let Ok(mut line) = lines.recv() {
+fn write_lines(stream: LogStream, items: &Receiver<LogItem>) {
+    while let Ok(item) = items.recv() {
+        let mut line = match item {
+            LogItem::Line(line) => line,
+            LogItem::Flush(done) => {
+                // Nobody waits any more if this fails.
+                let _ = done.try_send(());
+                continue;
+            }
+        };
         line.push('\n');
         let written = match stream {
             LogStream::Output => std::io::stdout().lock().write_all(line.as_bytes()),
--- /dev/null
+++ b/fescuestack/tests/sidecar.rs
@@ -0,0 +1,104 @@
+//! The node of the users' platform as a process: settings, logs and a graceful stop.
+
+use std::io::{BufRead, BufReader, Read};
+use std::net::TcpListener;
+use std::process::{Child, Command, Output, Stdio};
+
+use serde_json::{Value, json};
+
+fn settings(ports: [u16; 3], store: u16) -> Value {
+    let listen = |port| format!("127.0.0.1:{port}");
+    json!({
+        "self": {"node_name": "n1", "zone": "z", "service": "s", "app_addr": "127.0.0.1:9",
+            "limits": {"memory_mb": 260, "cpu_share": 0.2, "bandwidth_mbps": 1000.0}},
+        "network": {"listen_addrs": {"outbound": listen(ports[0]), "inbound": listen(ports[1]),
+            "ready": listen(ports[2])}, "seeds": []},
+        "platform": {"heartbeat_s": 1.5, "platform": {"address": listen(store)}},
+        "terms": {"bounds": {"grace_s": 3, "budget_ratio": 0.2, "budget_slack": 60}},
+    })
+}
+
+fn free_ports() -> [u16; 4] {
+    let listeners: [TcpListener; 4] =
+        std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"));
+    listeners.map(|listener| listener.local_addr().expect("a bound port").port())
+}
+
+struct SettingsFile(std::path::PathBuf);
+
+impl SettingsFile {
+    fn new(name: &str, settings: &Value) -> SettingsFile {
+        let path = std::env::temp_dir().join(format!("{name}-{}.json", std::process::id()));
+        std::fs::write(&path, settings.to_string()).expect("a writable directory");
+        SettingsFile(path)
+    }
+}
+
+impl Drop for SettingsFile {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+fn check(file: &SettingsFile) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_fescuestack"))
+        .args(["settings", "check", "--platform"])
+        .arg(&file.0)
+        .output()
+        .expect("the binary runs")
+}
+
+/// Guards against settings whose fault is only found when the node runs.
+#[test]
+fn check_names_what_is_wrong() {
+    let [a, b, c, store] = free_ports();
+    let whole = settings([a, b, c], store);
+    let output = check(&SettingsFile::new("fescuestack-whole", &whole));
+    assert!(output.status.success(), "{output:?}");
+    let mut lacking = whole.clone();
+    lacking["self"].as_object_mut().expect("a table").remove("service");
+    let output = check(&SettingsFile::new("fescuestack-lacking", &lacking));
+    let errors = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(!output.status.success() && errors.contains("608"), "{errors}");
+    assert!(errors.contains("service"), "{errors}");
+}
+
+struct NodeProcess(Child);
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Guards against logs that are lost at the end, that are no JSON, or that lack their fields; and
+/// against a stop that outlasts the grace of the platform.
+#[test]
+fn stop_is_logged_to_its_end() {
+    let [a, b, c, store] = free_ports();
+    let file = SettingsFile::new("fescuestack-stop", &settings([a, b, c], store));
+    let child = Command::new(env!("CARGO_BIN_EXE_fescuestack"))
+        .arg("sidecar")
+        .env("FESCUESTACK_SETTINGS", &file.0)
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the binary runs");
+    let mut node = NodeProcess(child);
+    let mut output = BufReader::new(node.0.stdout.take().expect("a pipe"));
+    let mut first = String::new();
+    output.read_line(&mut first).expect("a line");
+    let first: Value = serde_json::from_str(&first).expect("a JSON line");
+    assert_eq!((&first["text"], &first["node"]), (&json!("node started"), &json!("n1")));
+    let id = node.0.id().to_string();
+    Command::new("kill").args(["-TERM", &id]).status().expect("the signal is sent");
+    let mut rest = String::new();
+    output.read_to_string(&mut rest).expect("lines");
+    assert!(node.0.wait().expect("the process ends").success());
+    let lines: Vec<Value> =
+        rest.lines().map(|line| serde_json::from_str(line).expect("a JSON line")).collect();
+    let texts: Vec<_> = lines.iter().filter_map(|line| line["text"].as_str()).collect();
+    assert!(texts.contains(&"graceful stop begins"), "{texts:?}");
+    assert_eq!(texts.last(), Some(&"node stopped"), "{texts:?}");
+    assert!(texts.iter().any(|text| text.starts_with("store lost: 701")), "{texts:?}");
+}
--- a/sidecar/src/follower.rs
+++ b/sidecar/src/follower.rs
@@ -113,7 +113,7 @@
                     pause = RETRY_FIRST;
                 }
                 Err(StoreError::HistoryGone) => {
-                    log::info!("702 the store has dropped its history, reading it anew");
+                    log::info!("708 the store has dropped its history, reading it anew");
                     self.note_answer();
                     self.listed = false;
                 }
--- a/sidecar/src/peer.rs
+++ b/sidecar/src/peer.rs
@@ -295,7 +295,7 @@
     match decode_answer(answer.body()) {
         Ok(answer) => Some(answer),
         Err(err) => {
-            log::warn!(node = vm.to_string().as_str(); "802 store content cannot be read: {err}");
+            log::warn!(node = vm.to_string().as_str(); "801 store content cannot be read: {err}");
             None
         }
     }
