Let small VMs follow large ones in turn

Small ones now serve too, behind the large ones in the order. The test for it also guards against a node that follows itself. RouteRule is built by with_ methods, and both kinds of connections share their end.

--- a/routing/src/readers.rs
+++ b/routing/src/readers.rs
@@ -2,7 +2,7 @@
 //!
 //! The store's rate grows more slowly than the fleet, and each call is billed. One node of each data
 //! centre reads the store, the others form a tree below it, because the link of one VM is too slow for
-//! a copy to each. A node that is out of reach, or that has lost the store, is passed over for a
+//! a copy to each. Small VMs follow large ones, if there are any. A node that is out of reach, or that has lost the store, is passed over for a
 //! while, so that another takes its place. All nodes compute the same tree from the same entries.
 //! Where their entries differ they may follow each other in a circle; then the age of what they
 //! know grows, and a node whose content is too old is passed over as well.
@@ -10,26 +10,26 @@
 use std::net::IpAddr;
 
 use fescuestack_core::{ClockSpan, ClockTime};
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 /// How long a node is passed over.
 const UNFIT_SPAN: ClockSpan = ClockSpan::new(2_000);
 
-/// Nodes that follow one node.
+/// Nodes that follow one node where all are alike.
 const FOLLOWERS: usize = 4;
 
-/// How long a node is passed over that is too small to serve others.
-const SMALL_SPAN: ClockSpan = ClockSpan::new(60_000);
+/// Small nodes that follow one large node.
+const SMALL_FOLLOWERS: usize = 24;
 
-/// Least share of a core with which a node serves others. Reading a configuration of many routes
-/// several times a second takes a good part of a smaller one.
+/// Least share of a core of a large node. Reading a configuration of many routes several times a
+/// second takes a good part of a smaller one.
 const CORE_MIN: f64 = 0.15;
 
-/// Least bandwidth in Mbit/s with which a node serves others, for the same reason.
+/// Least bandwidth in Mbit/s of a large node, for the same reason.
 const LINK_MIN: f64 = 20.0;
 
-/// Whether a VM with this share of a core and this bandwidth in Mbit/s is too small to serve other
-/// nodes.
+/// Whether a VM with this share of a core and this bandwidth in Mbit/s should not serve other nodes
+/// while there are larger ones.
 pub fn is_small(core_share: f64, link_mbps: f64) -> bool {
     core_share < CORE_MIN || link_mbps < LINK_MIN
 }
@@ -47,31 +47,55 @@
 #[derive(Debug)]
 pub struct ReaderChoice {
     own: IpAddr,
+    small: FxHashSet<IpAddr>,
     unfit: FxHashMap<IpAddr, ClockTime>,
 }
 
 impl ReaderChoice {
     /// Creates the choice of the node on `own`.
     pub fn new(own: IpAddr) -> ReaderChoice {
-        ReaderChoice { own, unfit: FxHashMap::default() }
+        ReaderChoice { own, small: FxHashSet::default(), unfit: FxHashMap::default() }
     }
 
     /// Where to learn from, given the VMs of the node's data centre.
     pub fn source(&self, now: ClockTime, vms: impl Iterator<Item = IpAddr>) -> ViewSource {
         let is_fit = |vm: &IpAddr| self.unfit.get(vm).is_none_or(|until| *until <= now);
         let mut fit: Vec<_> = vms.filter(is_fit).chain([self.own]).collect();
-        fit.sort_unstable_by_key(|vm| (order(*vm), *vm));
+        fit.sort_unstable_by_key(|vm| (self.small.contains(vm), order(*vm), *vm));
         fit.dedup();
+        let large = fit.iter().filter(|vm| !self.small.contains(*vm)).count();
         match fit.iter().position(|vm| *vm == self.own) {
-            Some(position) if position > 0 => ViewSource::Node(fit[(position - 1) / FOLLOWERS]),
+            Some(position) if position > 0 => ViewSource::Node(fit[parent(position, large)]),
             _ => ViewSource::Store,
         }
     }
 
-    /// Passes over a node that cannot be followed, for longer if it is too small to serve others.
-    pub fn pass_over(&mut self, now: ClockTime, vm: IpAddr, small: bool) {
+    /// Passes over a node that cannot be followed.
+    pub fn pass_over(&mut self, now: ClockTime, vm: IpAddr) {
         self.unfit.retain(|_, until| *until > now);
-        self.unfit.insert(vm, now + if small { SMALL_SPAN } else { UNFIT_SPAN });
+        self.unfit.insert(vm, now + UNFIT_SPAN);
+    }
+
+    /// Notes whether a VM is small. Unknown ones count as large until they say so.
+    pub fn note_small(&mut self, vm: IpAddr, small: bool) {
+        if small {
+            self.small.insert(vm);
+        } else {
+            self.small.remove(&vm);
+        }
+    }
+}
+
+/// The place of the node that the node at `position` follows, where the first `large` are large.
+/// Small nodes follow the large ones in turn; the rest, and the large ones, form a tree.
+fn parent(position: usize, large: usize) -> usize {
+    if position < large || large == 0 {
+        return (position - 1) / FOLLOWERS;
+    }
+    let index = position - large;
+    match index.checked_sub(large * SMALL_FOLLOWERS) {
+        None => index % large,
+        Some(rest) => large + rest / FOLLOWERS,
     }
 }
 
--- a/routing/src/routes.rs
+++ b/routing/src/routes.rs
@@ -61,20 +61,34 @@
 }
 
 impl RouteRule {
-    /// Creates a rule. `parts` must have an entry.
-    #[allow(clippy::too_many_arguments)]
-    pub fn new(
-        name: Arc<str>,
-        prefix: Box<str>,
-        kind: RepeatKind,
-        priority: u8,
-        aim: ClockSpan,
-        timeout: ClockSpan,
-        attempts: u32,
-        parts: Vec<SplitPart>,
-    ) -> RouteRule {
-        let count = AtomicU32::new(0);
-        RouteRule { name, prefix, kind, priority, aim, timeout, attempts, parts, count }
+    /// Creates a rule without times and services, for one attempt of the highest urgency.
+    pub fn new(name: Arc<str>, prefix: Box<str>, kind: RepeatKind) -> RouteRule {
+        RouteRule {
+            name,
+            prefix,
+            kind,
+            priority: 0,
+            aim: ClockSpan::ZERO,
+            timeout: ClockSpan::ZERO,
+            attempts: 1,
+            parts: Vec::new(),
+            count: AtomicU32::new(0),
+        }
+    }
+
+    /// Sets the time of full use and the longest time.
+    pub fn with_times(self, aim: ClockSpan, timeout: ClockSpan) -> RouteRule {
+        RouteRule { aim, timeout, ..self }
+    }
+
+    /// Sets the urgency and the most targets that a request may be sent to.
+    pub fn with_limits(self, priority: u8, attempts: u32) -> RouteRule {
+        RouteRule { priority, attempts, ..self }
+    }
+
+    /// Sets where the calls go.
+    pub fn with_parts(self, parts: Vec<SplitPart>) -> RouteRule {
+        RouteRule { parts, ..self }
     }
 
     /// The service of the next call.
--- a/routing/tests/state.rs
+++ b/routing/tests/state.rs
@@ -26,16 +26,10 @@
 fn rule(prefix: &str, parts: &[(&str, u32)]) -> RouteRule {
     let part =
         |(service, weight): &(&str, u32)| SplitPart { service: (*service).into(), weight: *weight };
-    RouteRule::new(
-        prefix.into(),
-        prefix.into(),
-        RepeatKind::Safe,
-        1,
-        ClockSpan::new(400),
-        ClockSpan::new(1_000),
-        2,
-        parts.iter().map(part).collect(),
-    )
+    RouteRule::new(prefix.into(), prefix.into(), RepeatKind::Safe)
+        .with_times(ClockSpan::new(400), ClockSpan::new(1_000))
+        .with_limits(1, 2)
+        .with_parts(parts.iter().map(part).collect())
 }
 
 /// Guards against a shorter prefix, or another host's route, that takes a request.
@@ -181,6 +175,37 @@
     }
 }
 
+/// Guards against small VMs that serve others while there are large ones, and against a node that
+/// follows itself.
+#[test]
+fn small_nodes_follow_large_ones() {
+    let vms: Vec<IpAddr> = (1..=100).map(|host| [10, 0, 0, host].into()).collect();
+    let is_large = |vm: &IpAddr| vms[..2].contains(vm);
+    let mut followers: BTreeMap<IpAddr, usize> = BTreeMap::new();
+    let mut readers = 0;
+    for own in &vms {
+        let mut choice = ReaderChoice::new(*own);
+        for vm in &vms {
+            choice.note_small(*vm, !is_large(vm));
+        }
+        match choice.source(NOW, vms.iter().copied()) {
+            ViewSource::Store => {
+                assert!(is_large(own), "a small node reads");
+                readers += 1;
+            }
+            ViewSource::Node(parent) => {
+                assert_ne!(parent, *own);
+                *followers.entry(parent).or_default() += 1;
+            }
+        }
+    }
+    assert_eq!(readers, 1);
+    for (vm, count) in followers {
+        let most = if is_large(&vm) { 25 } else { 4 };
+        assert!(count <= most, "{vm} has {count} followers");
+    }
+}
+
 /// Guards against a data centre that stays without news when its reader fails.
 #[test]
 fn next_node_takes_over_reading() {
@@ -192,7 +217,7 @@
     let mut choice = ReaderChoice::new(own);
     for _ in 0..4 {
         let ViewSource::Node(parent) = choice.source(NOW, vms.iter().copied()) else { break };
-        choice.pass_over(NOW, parent, false);
+        choice.pass_over(NOW, parent);
     }
     assert_eq!(choice.source(NOW, vms.iter().copied()), ViewSource::Store);
     let later = NOW + ClockSpan::new(2_500);
--- a/sidecar/src/follower.rs
+++ b/sidecar/src/follower.rs
@@ -81,12 +81,15 @@
 impl StoreFollower {
     pub(crate) fn new(state: Arc<NodeState>) -> StoreFollower {
         let client = StoreClient::new(state.settings.load().store);
+        let own = state.settings.load().target.ip();
+        let mut readers = ReaderChoice::new(own);
+        readers.note_small(own, state.is_small());
         StoreFollower {
             random: RandomSource::new(u64::from(state.split_offset)),
             client,
             registry: TargetRegistry::new(),
             answered: None,
-            readers: ReaderChoice::new(state.settings.load().target.ip()),
+            readers,
             source: ViewSource::Store,
             listed: false,
             away: false,
@@ -151,7 +154,9 @@
         let note = SyncNote { after: lock(&self.state.view).at(), wait: FOLLOW_WAIT.millis() };
         let limit = Duration::from_millis(FOLLOW_WAIT.millis()) + FOLLOW_SLACK;
         let answer = within(limit, ask_sync(&self.state, vm, true, note)).await.flatten();
-        let small = answer.as_ref().is_some_and(|answer| answer.small);
+        if let Some(answer) = &answer {
+            self.readers.note_small(vm, answer.small);
+        }
         let age = answer.as_ref().and_then(|answer| answer.age);
         if let Some(answer) = answer {
             self.take_over(answer);
@@ -162,7 +167,7 @@
                 self.answered = Some(self.state.clock.now());
                 self.state.confirm_view(ClockSpan::new(age));
             }
-            None => self.readers.pass_over(self.state.clock.now(), vm, small),
+            None => self.readers.pass_over(self.state.clock.now(), vm),
         }
     }
 
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -13,7 +13,7 @@
 use fescuestack_operators::{MetricsError, NodeMetrics};
 use fescuestack_platform::MachineSettings;
 use fescuestack_routing::{
-    CrashHistory, RepeatAllowance, RepeatBudget, RouteTable, StoreView, TargetPicker,
+    CrashHistory, RepeatAllowance, RepeatBudget, RouteTable, StoreView, TargetPicker, is_small,
 };
 use http_body_util::Full;
 use rustc_hash::FxHashMap;
@@ -166,6 +166,12 @@
         self.lapse_until.fetch_max(until.millis(), Ordering::AcqRel);
     }
 
+    /// Whether other nodes should rather follow larger ones.
+    pub(crate) fn is_small(&self) -> bool {
+        let settings = self.settings.load();
+        is_small(settings.core_share, settings.link_mbps)
+    }
+
     /// Whether clients should send requests here.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_stopping() && self.routes.load().is_some()
--- a/sidecar/src/peer.rs
+++ b/sidecar/src/peer.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use fescuestack_core::ClockSpan;
 use fescuestack_http::{WholeAnswer, WholeRequest, remove_connection_headers, within};
-use fescuestack_routing::{StoredItem, TargetChoice, is_small};
+use fescuestack_routing::{StoredItem, TargetChoice};
 use http::header::HOST;
 use http::{HeaderValue, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
@@ -191,7 +191,7 @@
     pub(crate) at: u64,
     /// How long ago the store confirmed this content, in ms. `None` if the node is out of contact.
     pub(crate) age: Option<u64>,
-    /// Whether the node is too small to serve others.
+    /// Whether the node should not serve others while there are larger ones.
     pub(crate) small: bool,
     /// How much longer missing entries may come back, in ms.
     pub(crate) lapse: u64,
@@ -228,11 +228,6 @@
             listener.await;
         }
     };
-    let settings = state.settings.load();
-    if is_small(settings.core_share, settings.link_mbps) {
-        let (at, lapse) = (0, 0);
-        return sync_response(&SyncAnswer { at, age: None, small: true, lapse, items: None });
-    }
     within(limit, changed).await;
     let answer = sync_answer(state, note.after);
     if answer.items.is_none() {
@@ -271,7 +266,7 @@
     SyncAnswer {
         at: view.at(),
         age: state.view_age().filter(|_| !state.is_stopping()).map(ClockSpan::millis),
-        small: false,
+        small: state.is_small(),
         lapse: state.lapse_until().since(state.clock.now()).millis(),
         items: (view.at() > after).then(|| view.iter().map(item).collect()),
     }
--- a/sidecar/src/run.rs
+++ b/sidecar/src/run.rs
@@ -3,9 +3,11 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use async_channel::Receiver;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use bytes::Bytes;
@@ -234,19 +236,9 @@
         .timer(TaskTimer)
         .header_read_timeout(idle)
         .max_buf_size(head_bytes + BUFFER_SLACK_BYTES);
-    let mut connection = std::pin::pin!(builder.serve_connection(stream, service));
-    let closed = async {
-        let _ = closing.recv().await;
-        None
-    };
-    let ended = future::or(async { Some(connection.as_mut().await) }, closed).await;
-    match ended {
-        Some(ended) => note_end("client", ended),
-        None => {
-            connection.as_mut().graceful_shutdown();
-            note_end("client", connection.await);
-        }
-    }
+    let connection = builder.serve_connection(stream, service);
+    run_connection("client", connection, closing, |connection| connection.graceful_shutdown())
+        .await;
 }
 
 async fn serve_node(state: Arc<NodeState>, stream: TcpStream) {
@@ -264,17 +256,31 @@
         .initial_stream_window_size(WINDOWS.0)
         .initial_connection_window_size(WINDOWS.1);
     let stream = ServedStream::new(stream);
-    let mut connection = std::pin::pin!(builder.serve_connection(stream, service));
+    let connection = builder.serve_connection(stream, service);
+    run_connection("node", connection, closing, |connection| connection.graceful_shutdown()).await;
+}
+
+/// Serves a connection to its end. Once `closing` is closed, `shut_down` ends it after its present
+/// requests.
+async fn run_connection<C>(
+    peer: &'static str,
+    connection: C,
+    closing: Receiver<()>,
+    shut_down: impl FnOnce(Pin<&mut C>),
+) where
+    C: Future<Output = hyper::Result<()>>,
+{
+    let mut connection = std::pin::pin!(connection);
     let closed = async {
+        // Nothing is ever sent: the channel only tells that it is closed.
         let _ = closing.recv().await;
         None
     };
-    let ended = future::or(async { Some(connection.as_mut().await) }, closed).await;
-    match ended {
-        Some(ended) => note_end("node", ended),
+    match future::or(async { Some(connection.as_mut().await) }, closed).await {
+        Some(ended) => note_end(peer, ended),
         None => {
-            connection.as_mut().graceful_shutdown();
-            note_end("node", connection.await);
+            shut_down(connection.as_mut());
+            note_end(peer, connection.await);
         }
     }
 }
