Take over a changed service at once and tell clients that left from late requests

Found while reading: the target beside the node was compared with the settings only when the store changed, so that a changed service took effect late; and a request whose client left was logged as late.

--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -53,6 +53,8 @@
     Lost,
     /// 504: its time is over and it may have run.
     Late,
+    /// Its client has left, so that nobody reads the answer.
+    ClientGone,
 }
 
 /// What the log says of a request that is not served.
@@ -151,7 +153,7 @@
     let limit = Duration::from_millis(left.millis()) + ANSWER_SLACK;
     let gone = async {
         watch.closed().await;
-        Some(Err(EntryFault::Late))
+        Some(Err(EntryFault::ClientGone))
     };
     match future::or(within(limit, call.follow(state, &mut progress)), gone).await {
         Some(outcome) => outcome,
@@ -357,7 +359,7 @@
         EntryFault::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
         EntryFault::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
         EntryFault::Lost => StatusCode::BAD_GATEWAY,
-        EntryFault::Late => StatusCode::GATEWAY_TIMEOUT,
+        EntryFault::Late | EntryFault::ClientGone => StatusCode::GATEWAY_TIMEOUT,
     };
     let mut response = Response::new(Full::new(Bytes::new()));
     *response.status_mut() = status;
--- a/sidecar/src/follower.rs
+++ b/sidecar/src/follower.rs
@@ -104,6 +104,8 @@
         loop {
             self.choose_source();
             self.sweep();
+            // The settings may name another service or target since the last change of the store.
+            self.update_target();
             if let ViewSource::Node(vm) = self.source {
                 self.follow_node(vm).await;
                 continue;
@@ -376,9 +378,6 @@
         for entry in &gone {
             self.forget(&entry.id);
         }
-        if !gone.is_empty() {
-            self.update_target();
-        }
     }
 
     fn forget(&self, id: &str) {
