--- a/http/src/exchange.rs
+++ b/http/src/exchange.rs
@@ -171,8 +171,8 @@
                 writer.write_all(&head).await?;
                 writer.write_all(&request.body).await
             };
-            // A server may answer before it has read a long body and close, so its answer is read
-            // also after a failed write. If there is none, reading fails as well.
+            // An early answer to an upload may come together with a close, so reading goes on after a
+            // failed write. Without an answer, it fails as well.
             written = sent.await.is_ok();
             future::pending().await
         };
--- a/http/tests/exchange.rs
+++ b/http/tests/exchange.rs
@@ -72,7 +72,7 @@
     }
 }
 
-/// An answer may have no length and end with its connection.
+/// A body without declared framing extends to the end of the stream.
 #[test]
 fn answer_until_the_end_is_whole() {
     let answer = one_exchange(b"HTTP/1.1 200 OK\r\nid: 1\r\n\r\nwhole").expect("an answer");
--- a/routing/src/picker.rs
+++ b/routing/src/picker.rs
@@ -45,8 +45,8 @@
 /// within about a second.
 const LEAVING_SPAN: ClockSpan = ClockSpan::new(1_200);
 
-/// How long a target is left alone when another one is in its place. Its entry is removed within a
-/// few heartbeats.
+/// How long a target is left alone when another one is in its place. Its entry
+/// expires within a few seconds.
 const GONE_SPAN: ClockSpan = ClockSpan::new(3_000);
 
 /// Longest time for which a refusal holds for further calls of the same route. Load changes quickly,
@@ -131,7 +131,7 @@
 
     /// Takes over the entry of a target.
     pub fn insert(&mut self, now: ClockTime, entry: &TargetEntry) {
-        let warm_at = now + entry.warmup_left;
+        let warm_at = now + entry.cold_left;
         if let Some(record) = self.records.get_mut(&entry.id) {
             let moved = record.entry.service != entry.service;
             if record.entry.started != entry.started {
--- a/routing/src/registry.rs
+++ b/routing/src/registry.rs
@@ -31,7 +31,7 @@
     /// Whether it takes new work.
     pub state: TargetState,
     /// How much longer it is slow after its start.
-    pub warmup_left: ClockSpan,
+    pub cold_left: ClockSpan,
     /// When it started, in milliseconds since the Unix epoch by its own clock.
     pub started: u64,
     /// The store's revision of the entry.
--- a/routing/tests/plan.rs
+++ b/routing/tests/plan.rs
@@ -19,7 +19,7 @@
         data_centre: data_centre.into(),
         slots: 6,
         state: TargetState::Ready,
-        warmup_left: ClockSpan::ZERO,
+        cold_left: ClockSpan::ZERO,
         started: 1,
         revision: 1,
     }
--- a/routing/tests/state.rs
+++ b/routing/tests/state.rs
@@ -78,7 +78,7 @@
         data_centre: "here".into(),
         slots: 6,
         state: TargetState::Ready,
-        warmup_left: ClockSpan::ZERO,
+        cold_left: ClockSpan::ZERO,
         started,
         revision,
     }
