--- a/callers/src/balancers.rs
+++ b/callers/src/balancers.rs
@@ -1,12 +1,13 @@
 //! Balancers and retry budgets by service.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 
 use fescuestack_core::{
     ClockSpan, ClockTime, ConfigSnapshot, NodeName, PlanStep, RequestPlan, RetryBudget,
     ServiceView, TargetBalancer, TargetEntry, TargetLiveness, VersionId,
 };
+use fescuestack_http::lock;
 
 /// The balancers of the services that this node has called.
 #[derive(Debug)]
@@ -148,8 +149,3 @@
     let index = view.targets.binary_search_by(|target| target.name.as_ref().cmp(name)).ok()?;
     view.targets.get(index)
 }
-
-/// Locks state whose changes are complete at every point where a panic could happen.
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/callers/src/service.rs
+++ b/callers/src/service.rs
@@ -11,11 +11,11 @@
 use fescuestack_core::{
     ClockSpan, ConfigSnapshot, LoadReport, NodeName, RequestFingerprint, TargetLiveness,
 };
-use fescuestack_http::{ServerSettings, serve_listener};
+use fescuestack_http::{ServerSettings, lock, serve_listener};
 use fescuestack_upstreams::{PeerKind, PoolSettings, PoolTable};
 use http_types::Response;
 
-use crate::balancers::{BalancerTable, lock};
+use crate::balancers::BalancerTable;
 use crate::record::{CallObserver, CallSide};
 use crate::target::TargetSide;
 use fescuestack_http::CallClock;
--- a/callers/src/target.rs
+++ b/callers/src/target.rs
@@ -16,12 +16,12 @@
 use http_types::{Body, Method, Response, StatusCode};
 
 use crate::ask::KeyAsker;
-use crate::balancers::{find_target, lock};
+use crate::balancers::find_target;
 use crate::content::CallContent;
 use crate::headers::{CLASS_HEADER, LEFT_HEADER, REQUEST_HEADER, RETRY_HEADER};
 use crate::record::{CallObserver, CallStep, CallTrace};
 use crate::ticket::{AnswerContent, TicketGuard};
-use fescuestack_http::CallClock;
+use fescuestack_http::{CallClock, lock};
 
 /// Most targets of other versions whose relay ports are remembered for questions about keys.
 const PAST_RELAYS: usize = 256;
--- a/fescuestack/tests/sidecar.rs
+++ b/fescuestack/tests/sidecar.rs
@@ -1,21 +1,24 @@
 //! The node of the users' platform as a process: settings, logs and a graceful stop.
 
 use std::io::{BufRead, BufReader, Read};
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command, Output, Stdio};
 
+use fescuestack_platform_standin::SettingsEntry;
 use serde_json::{Value, json};
 
-fn settings(ports: [u16; 3], store: u16) -> Value {
-    let listen = |port| format!("127.0.0.1:{port}");
-    json!({
-        "self": {"node_name": "n1", "zone": "z", "service": "s", "app_addr": "127.0.0.1:9",
-            "limits": {"memory_mb": 260, "cpu_share": 0.2, "bandwidth_mbps": 1000.0}},
-        "network": {"listen_addrs": {"outbound": listen(ports[0]), "inbound": listen(ports[1]),
-            "ready": listen(ports[2])}, "seeds": []},
-        "platform": {"heartbeat_s": 1.5, "platform": {"address": listen(store)}},
-        "terms": {"bounds": {"grace_s": 3, "budget_ratio": 0.2, "budget_slack": 60}},
-    })
+fn settings([outbound, inbound, ready, store]: [u16; 4]) -> Value {
+    let local = |port| SocketAddr::from(([127, 0, 0, 1], port));
+    let settings = SettingsEntry {
+        vm: local(0).ip(),
+        ports: [outbound, inbound, ready],
+        service: "alpha",
+        // Nothing listens there.
+        target: local(9),
+        store: local(store),
+        grace: 3,
+    };
+    settings.value()
 }
 
 fn free_ports() -> [u16; 4] {
@@ -51,8 +54,7 @@
 /// Guards against settings whose fault is only found when the node runs.
 #[test]
 fn check_names_what_is_wrong() {
-    let [a, b, c, store] = free_ports();
-    let whole = settings([a, b, c], store);
+    let whole = settings(free_ports());
     let output = check(&SettingsFile::new("fescuestack-whole", &whole));
     assert!(output.status.success(), "{output:?}");
     let mut lacking = whole.clone();
@@ -76,8 +78,7 @@
 /// against a stop that outlasts the grace of the platform.
 #[test]
 fn stop_is_logged_to_its_end() {
-    let [a, b, c, store] = free_ports();
-    let file = SettingsFile::new("fescuestack-stop", &settings([a, b, c], store));
+    let file = SettingsFile::new("fescuestack-stop", &settings(free_ports()));
     let child = Command::new(env!("CARGO_BIN_EXE_fescuestack"))
         .arg("sidecar")
         .env("FESCUESTACK_SETTINGS", &file.0)
@@ -89,7 +90,10 @@
     let mut first = String::new();
     output.read_line(&mut first).expect("a line");
     let first: Value = serde_json::from_str(&first).expect("a JSON line");
-    assert_eq!((&first["text"], &first["node"]), (&json!("node started"), &json!("n1")));
+    assert_eq!(
+        (&first["text"], &first["node"]),
+        (&json!("node started"), &json!("node-127.0.0.1"))
+    );
     let id = node.0.id().to_string();
     Command::new("kill").args(["-TERM", &id]).status().expect("the signal is sent");
     let mut rest = String::new();
--- a/fescuestack/tests/soak.rs
+++ b/fescuestack/tests/soak.rs
@@ -13,12 +13,17 @@
 use std::time::{Duration, Instant};
 
 use async_std::task;
-use bytes::Bytes;
-use fescuestack_http::{AnswerTag, ExchangeConnection, WholeRequest, within};
-use fescuestack_routing::RandomSource;
-use fescuestack_standins::{ApplicationMode, StandinApplication, StandinStore, StoreMode};
-use http::{HeaderMap, HeaderName, HeaderValue, Method};
-use serde_json::{Value, json};
+use fescuestack_http::{ExchangeConnection, within};
+use fescuestack_platform_standin::{
+    ApplicationMode, CONFIG_KEY, RouteEntry, SettingsEntry, StandinApplication, StandinStore,
+    StoreMode, TargetRecord, client_request, config_value, header_value, target_key,
+};
+use http::Method;
+use rand::{Rng, RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+/// The host of all routes.
+const HOST: &str = "soak.example";
 
 const NODES: usize = 6;
 
@@ -107,7 +112,7 @@
     nodes: Vec<SoakNode>,
     ports: [u16; 3],
     version: u64,
-    random: RandomSource,
+    random: Pcg64,
 }
 
 impl Soak {
@@ -118,8 +123,13 @@
             let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
             *port = listener.local_addr().expect("a bound port").port();
         }
-        let mut soak =
-            Soak { store, nodes: Vec::new(), ports, version: 0, random: RandomSource::new(seed) };
+        let mut soak = Soak {
+            store,
+            nodes: Vec::new(),
+            ports,
+            version: 0,
+            random: Pcg64::seed_from_u64(seed),
+        };
         soak.change_config();
         for index in 0..NODES {
             let low = [(std::process::id() % 200) as u8 + 2, (seed % 250) as u8 + 1];
@@ -132,51 +142,42 @@
             let name = format!("fescuestack-soak-{}-{seed}-{index}.json", std::process::id());
             let settings = std::env::temp_dir().join(name);
             let mut node = SoakNode { vm, application, settings, process: None, paused: false };
-            let text = soak.settings(&node).to_string();
+            let text = soak.settings(&node);
             std::fs::write(&node.settings, text).expect("a writable directory");
-            soak.store.put(&format!("servers/t{index}"), entry(&node, "ready"));
+            let record = TargetRecord::new(node.application.address(), "alpha");
+            soak.store.put(&target_key(&format!("t{index}")), record.value());
             node.start();
             soak.nodes.push(node);
         }
         soak
     }
 
-    fn settings(&self, node: &SoakNode) -> Value {
-        let listen = |port| SocketAddr::new(node.vm, port);
-        let ports = self.ports;
-        json!({
-            "self": {"node_name": node.vm.to_string(), "zone": "z", "service": "s",
-                "app_addr": node.application.address(),
-                "limits": {"memory_mb": 260, "cpu_share": 0.2, "bandwidth_mbps": 1000.0}},
-            "network": {"listen_addrs": {"outbound": listen(ports[0]), "inbound": listen(ports[1]),
-                "ready": listen(ports[2])}, "seeds": []},
-            "platform": {"heartbeat_s": 1.0, "platform": {"address": self.store.address()}},
-            "terms": {"bounds": {"grace_s": 4, "budget_ratio": 0.2, "budget_slack": 60}},
-        })
+    fn settings(&self, node: &SoakNode) -> String {
+        let settings = SettingsEntry {
+            vm: node.vm,
+            ports: self.ports,
+            service: "alpha",
+            target: node.application.address(),
+            store: self.store.address(),
+            grace: 4,
+        };
+        settings.value().to_string()
     }
 
     fn change_config(&mut self) {
-        self.version += 1 + self.random.next_number() % 3;
-        let policy = |name: &str, kind: &str| {
-            json!({"name": name, "route_type": kind, "aim_s": 0.4,
-            "priority": 1, "match": {"prefix": format!("/{name}/")},
-            "action": {"service": "s", "timeout_s": 1.0, "max_attempts": 2}})
-        };
-        let config = json!({
-            "version": self.version,
-            "limits": {"max_header_bytes": 16384, "max_body_bytes": 1048576,
-                "header_timeout_s": 3, "idle_timeout_s": 15},
-            "listeners": [{"host": "soak.example",
-                "policies": [policy("read", "safe"), policy("pay", "unsafe")]}],
-            "clusters": [{"name": "s", "health_path": "/health", "max_connections": 100}],
+        self.version += 1 + self.random.next_u64() % 3;
+        let routes = [("/read/", "safe"), ("/pay/", "unsafe")].map(|(prefix, kind)| RouteEntry {
+            prefix,
+            kind,
+            service: "alpha",
         });
-        self.store.put("op/config", config.to_string());
+        self.store.put(CONFIG_KEY, config_value(self.version, HOST, &routes));
     }
 
     /// Injects one fault, or ends one.
     fn disturb(&mut self) {
-        let index = (self.random.next_number() % NODES as u64) as usize;
-        let choice = self.random.next_number() % 12;
+        let index = (self.random.next_u64() % NODES as u64) as usize;
+        let choice = self.random.next_u64() % 12;
         let node = &mut self.nodes[index];
         match choice {
             0 => node.signal("-KILL"),
@@ -212,15 +213,6 @@
     }
 }
 
-fn entry(node: &SoakNode, state: &str) -> String {
-    json!({
-        "address": node.application.address(), "born": 1_790_000_000_000_u64,
-        "info": {"service": "s", "version": "v1", "zone": "z", "capacity": 4},
-        "status": {"state": state, "sequence": 1, "warmup_left_s": 0},
-    })
-    .to_string()
-}
-
 /// Sends requests until told to stop. Checks each answer by itself.
 async fn call(
     caller: usize,
@@ -229,12 +221,12 @@
     stop: Arc<AtomicBool>,
     record: Arc<Mutex<CallerRecord>>,
 ) {
-    let mut random = RandomSource::new(caller as u64);
+    let mut random = Pcg64::seed_from_u64(caller as u64);
     while !stop.load(Ordering::Relaxed) {
         let number = count.fetch_add(1, Ordering::Relaxed);
-        let unsafe_kind = random.next_share() < 0.5;
+        let unsafe_kind = random.random::<f64>() < 0.5;
         let id = format!("{}{number}", if unsafe_kind { "p" } else { "r" });
-        let node = nodes[(random.next_number() % nodes.len() as u64) as usize];
+        let node = nodes[(random.next_u64() % nodes.len() as u64) as usize];
         let status = ask(node, &id, unsafe_kind).await;
         record.lock().expect("no caller panics").note(id, status);
         task::sleep(Duration::from_millis(5)).await;
@@ -243,30 +235,20 @@
 
 /// The status of the answer, `None` without one. Fails when the answer breaks a promise.
 async fn ask(node: SocketAddr, id: &str, unsafe_kind: bool) -> Result<Option<u16>, String> {
-    let mut headers = HeaderMap::new();
-    let mut add = |name: &'static str, value: &str| {
-        let value = HeaderValue::from_str(value).expect("plain text");
-        headers.insert(HeaderName::from_static(name), value);
-    };
-    add("host", "soak.example");
-    add("x-fescuestack-request-id", id);
-    add("x-fescuestack-deadline-ms", &CLIENT_MS.to_string());
-    let (method, target) =
-        if unsafe_kind { (Method::POST, "/pay/") } else { (Method::GET, "/read/") };
-    let body = Bytes::from(if unsafe_kind { id.to_owned() } else { String::new() });
-    let request = WholeRequest { method, target: target.to_owned(), headers, body };
+    let (method, path, body) =
+        if unsafe_kind { (Method::POST, "/pay/", id) } else { (Method::GET, "/read/", "") };
+    let request = client_request(HOST, id, method, path, CLIENT_MS, body.as_bytes());
     let limit = Duration::from_millis(CLIENT_MS);
     let exchange = async {
         let mut connection = ExchangeConnection::open(node, limit).await.ok()?;
-        connection.exchange(&request, None::<&AnswerTag>).await.ok()
+        connection.exchange(&request, None).await.ok()
     };
     let Some(Some(answer)) = within(limit, exchange).await else { return Ok(None) };
-    let echoed = answer.headers.get("x-fescuestack-request-id");
+    let (echoed, proof) = header_value(&answer.headers);
     if echoed.is_some_and(|echoed| echoed != id) {
         return Err("the answer belongs to another request".to_owned());
     }
-    let signed = answer.headers.contains_key("x-fescuestack-response-signature");
-    if answer.status == 200 && (!signed || &answer.body[..] != b"answer") {
+    if answer.status == 200 && (proof.is_none() || &answer.body[..] != b"answer") {
         return Err("a success without the target's proof or whole body".to_owned());
     }
     if answer.status == 404 {
@@ -287,7 +269,7 @@
     let callers: Vec<_> = (0..CALLERS).map(spawn).collect();
     let started = Instant::now();
     while started.elapsed() < length {
-        task::sleep(Duration::from_millis(100 + soak.random.next_number() % 400)).await;
+        task::sleep(Duration::from_millis(100 + soak.random.next_u64() % 400)).await;
         soak.disturb();
     }
     soak.calm();
--- a/http/src/body.rs
+++ b/http/src/body.rs
@@ -64,8 +64,9 @@
     }
 }
 
-/// Locks a connection. A panic while it was locked leaves counters only, which stay usable.
-pub(crate) fn lock<S>(source: &Mutex<S>) -> MutexGuard<'_, S> {
+/// Locks state whose changes are complete at every point where a panic could happen, so that a panic
+/// elsewhere leaves it usable.
+pub fn lock<S: ?Sized>(source: &Mutex<S>) -> MutexGuard<'_, S> {
     source.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -19,6 +19,7 @@
 mod ticks;
 mod writer;
 
+pub use body::lock;
 pub use chunk::ChunkScanner;
 pub use client::{ClientConnection, LossCause, SendError};
 pub use clock::{CallClock, wall_time};
--- a/routing/src/held.rs
+++ b/routing/src/held.rs
@@ -1,6 +1,10 @@
 //! Requests that crash the targets that run them.
+//!
+//! `QuarantineList` of the core package weighs each crash by the number of suspects and holds a request
+//! from one and a half crashes on. Here the operators name the number of crashes, and a request that
+//! ran to its end anywhere is cleared, so the crashes are counted.
 
-use fescuestack_core::{ClockSpan, ClockTime};
+use fescuestack_core::{ClockSpan, ClockTime, RequestFingerprint};
 use rustc_hash::FxHashMap;
 
 /// How long a request stays suspected after a crash.
@@ -18,11 +22,10 @@
     last: ClockTime,
 }
 
-/// Counts the crashes in which each request took part. Requests are named by a hash of method,
-/// path and body.
+/// Counts the crashes in which each request took part.
 #[derive(Debug, Default)]
 pub struct CrashHistory {
-    counts: FxHashMap<u64, CrashCount>,
+    counts: FxHashMap<RequestFingerprint, CrashCount>,
 }
 
 impl CrashHistory {
@@ -32,7 +35,7 @@
     }
 
     /// Notes a target that crashed while it ran the request. Returns the crashes counted so far.
-    pub fn crash(&mut self, now: ClockTime, request: u64) -> u32 {
+    pub fn crash(&mut self, now: ClockTime, request: RequestFingerprint) -> u32 {
         self.counts.retain(|_, count| now.since(count.last) < HELD_SPAN);
         if self.counts.len() >= SUSPECT_LIMIT
             && let Some(oldest) = self.counts.iter().min_by_key(|(_, count)| count.last)
@@ -52,12 +55,12 @@
     }
 
     /// Notes a run that came to its end, which clears the request.
-    pub fn complete(&mut self, request: u64) {
+    pub fn complete(&mut self, request: RequestFingerprint) {
         self.counts.remove(&request);
     }
 
     /// Whether the request has crashed too many targets to be sent to another.
-    pub fn is_held(&self, now: ClockTime, request: u64) -> bool {
+    pub fn is_held(&self, now: ClockTime, request: RequestFingerprint) -> bool {
         self.counts
             .get(&request)
             .is_some_and(|count| count.crashes >= CRASH_LIMIT && now.since(count.last) < HELD_SPAN)
--- a/routing/src/picker.rs
+++ b/routing/src/picker.rs
@@ -10,10 +10,11 @@
 use std::sync::Arc;
 
 use fescuestack_core::{ClockSpan, ClockTime};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
 use rustc_hash::FxHashMap;
 
 use crate::admission::LoadReport;
-use crate::random::RandomSource;
 use crate::registry::{TargetEntry, TargetState};
 
 /// Surcharge in ms for a target in another data centre. Traffic between data centres is costly, and
@@ -114,7 +115,7 @@
     records: FxHashMap<Arc<str>, TargetRecord>,
     services: FxHashMap<Arc<str>, Vec<Arc<str>>>,
     down: FxHashMap<IpAddr, ()>,
-    random: RandomSource,
+    random: Pcg32,
 }
 
 impl TargetPicker {
@@ -125,7 +126,7 @@
             records: FxHashMap::default(),
             services: FxHashMap::default(),
             down: FxHashMap::default(),
-            random: RandomSource::new(seed),
+            random: Pcg32::seed_from_u64(seed),
         }
     }
 
@@ -233,7 +234,8 @@
                 continue;
             }
             let crosses = record.entry.data_centre != self.data_centre;
-            let mut sum = record.expected_time(now) + self.random.next_share() * record.spread(now);
+            let mut sum =
+                record.expected_time(now) + self.random.random::<f64>() * record.spread(now);
             if crosses {
                 sum += crossing;
             }
--- a/routing/src/readers.rs
+++ b/routing/src/readers.rs
@@ -7,10 +7,11 @@
 //! Where their entries differ they may follow each other in a circle; then the age of what they
 //! know grows, and a node whose content is too old is passed over as well.
 
+use std::hash::{Hash, Hasher};
 use std::net::IpAddr;
 
 use fescuestack_core::{ClockSpan, ClockTime};
-use rustc_hash::{FxHashMap, FxHashSet};
+use rustc_hash::{FxHashMap, FxHashSet, FxHasher};
 
 /// How long a node is passed over.
 const UNFIT_SPAN: ClockSpan = ClockSpan::new(2_000);
@@ -99,13 +100,10 @@
     }
 }
 
-/// A hash of the address (FNV-1a), so that the order does not follow the age of the VMs.
+/// A hash of the address, so that the order does not follow the age of the VMs. It has no key, since
+/// all nodes have to compute the same one.
 fn order(vm: IpAddr) -> u64 {
-    let mut hash = 0xcbf2_9ce4_8422_2325u64;
-    let mut add = |byte: u8| hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-    match vm {
-        IpAddr::V4(vm) => vm.octets().into_iter().for_each(&mut add),
-        IpAddr::V6(vm) => vm.octets().into_iter().for_each(&mut add),
-    }
-    hash
+    let mut hasher = FxHasher::default();
+    vm.hash(&mut hasher);
+    hasher.finish()
 }
--- a/routing/src/view.rs
+++ b/routing/src/view.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use rustc_hash::FxHashSet;
+
 /// A value of the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StoredItem {
@@ -73,23 +75,20 @@
         self.at = self.at.max(at);
     }
 
-    /// Takes over a whole listing of the keys below `prefix`, read when the store was at `at`. Keys
+    /// Takes over a listing of all keys as of revision `at`. Keys without an item have not changed. Keys
     /// that the listing lacks are removed, unless they were written after it.
     pub fn replace(
         &mut self,
-        prefix: &str,
         at: u64,
-        items: Vec<(Arc<str>, StoredItem)>,
+        items: Vec<(Arc<str>, Option<StoredItem>)>,
     ) -> Vec<ViewChange> {
-        let missing: Vec<_> = self
-            .items
-            .iter()
-            .filter(|(key, known)| key.starts_with(prefix) && known.revision <= at)
-            .filter(|(key, _)| !items.iter().any(|(listed, _)| listed == *key))
-            .map(|(key, _)| key.clone())
-            .collect();
+        let listed: FxHashSet<_> = items.iter().map(|(key, _)| key.clone()).collect();
+        let missing: Vec<_> =
+            self.items.keys().filter(|key| !listed.contains(*key)).cloned().collect();
         let mut changes: Vec<_> = missing.iter().filter_map(|key| self.remove(key, at)).collect();
-        changes.extend(items.into_iter().filter_map(|(key, item)| self.write(&key, item)));
+        let written = items.into_iter().filter_map(|(key, item)| self.write(&key, item?));
+        changes.extend(written);
+        self.advance(at);
         changes
     }
 }
--- a/routing/tests/admission.rs
+++ b/routing/tests/admission.rs
@@ -5,8 +5,10 @@
 
 use fescuestack_core::{ClockSpan, ClockTime};
 use fescuestack_routing::{
-    AdmissionAction, AdmissionQueue, AdmissionStep, CallEnd, CallTicket, QueuedCall, RandomSource,
+    AdmissionAction, AdmissionQueue, AdmissionStep, CallEnd, CallTicket, QueuedCall,
 };
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
 
 const SLOTS: u32 = 6;
 
@@ -44,7 +46,7 @@
 /// Plays ten seconds in steps of one ms.
 fn play(loads: &[RouteLoad]) -> BTreeMap<&'static str, RouteResult> {
     let mut queue = AdmissionQueue::new(SLOTS);
-    let mut random = RandomSource::new(7);
+    let mut random = Pcg32::seed_from_u64(7);
     let mut results: BTreeMap<&'static str, RouteResult> = BTreeMap::new();
     let mut calls: BTreeMap<CallTicket, (usize, u64)> = BTreeMap::new();
     let mut running: Vec<(u64, CallTicket)> = Vec::new();
@@ -65,7 +67,7 @@
         }
         let mut started = Vec::new();
         for (index, load) in loads.iter().enumerate() {
-            if random.next_share() >= load.rate / 1000.0 {
+            if random.random::<f64>() >= load.rate / 1000.0 {
                 continue;
             }
             let result = results.entry(load.name).or_default();
@@ -97,7 +99,7 @@
         }
         for ticket in started {
             let (index, _) = calls[&ticket];
-            let factor = 0.7 + 0.6 * random.next_share();
+            let factor = 0.7 + 0.6 * random.random::<f64>();
             running.push((now + (loads[index].service as f64 * factor) as u64, ticket));
         }
         assert!(running.len() <= SLOTS as usize, "more calls run than there are slots");
--- a/routing/tests/state.rs
+++ b/routing/tests/state.rs
@@ -4,7 +4,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
-use fescuestack_core::{ClockSpan, ClockTime};
+use fescuestack_core::{ClockSpan, ClockTime, RequestFingerprint};
 use fescuestack_routing::{
     ClientLimits, CrashHistory, ReaderChoice, RepeatKind, RouteRule, RouteTable, ServiceRule,
     SplitPart, StoreView, StoredItem, TargetEntry, TargetRegistry, TargetState, ViewChange,
@@ -126,10 +126,10 @@
     view.advance(9);
     view.advance(7);
     assert_eq!(view.at(), 9);
-    let changes = view.replace("", 6, vec![("j".into(), item(6))]);
+    let changes = view.replace(6, vec![("j".into(), Some(item(6)))]);
     assert!(changes.contains(&ViewChange::Removed("k".into())));
     view.write("late", item(8));
-    let changes = view.replace("", 7, Vec::new());
+    let changes = view.replace(7, Vec::new());
     assert!(!changes.contains(&ViewChange::Removed("late".into())), "{changes:?}");
 }
 
@@ -229,15 +229,16 @@
 #[test]
 fn crashing_request_is_held() {
     let mut history = CrashHistory::new();
+    let [one, two] = [1, 2].map(RequestFingerprint::from_number);
     for _ in 0..2 {
-        history.crash(NOW, 1);
-        history.crash(NOW, 2);
+        history.crash(NOW, one);
+        history.crash(NOW, two);
     }
-    assert!(!history.is_held(NOW, 1));
-    history.complete(2);
-    history.crash(NOW, 1);
-    history.crash(NOW, 2);
-    assert!(history.is_held(NOW, 1));
-    assert!(!history.is_held(NOW, 2));
-    assert!(!history.is_held(NOW + fescuestack_routing::HELD_SPAN, 1));
+    assert!(!history.is_held(NOW, one));
+    history.complete(two);
+    history.crash(NOW, one);
+    history.crash(NOW, two);
+    assert!(history.is_held(NOW, one));
+    assert!(!history.is_held(NOW, two));
+    assert!(!history.is_held(NOW + fescuestack_routing::HELD_SPAN, one));
 }
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -5,7 +5,9 @@
 
 use bytes::Bytes;
 use fescuestack_core::{ClockSpan, ClockTime};
-use fescuestack_http::{CloseWatch, WholeAnswer, WholeRequest, remove_connection_headers, within};
+use fescuestack_http::{
+    CloseWatch, WholeAnswer, WholeRequest, lock, remove_connection_headers, within,
+};
 use fescuestack_platform::headers::{CALLER_SERVICE, EXPECTED_TARGET, REQUEST_ID, TIME_LEFT};
 use fescuestack_routing::{
     AttemptEnd, CallPlan, PlanCall, PlanStep, RouteRule, TargetChoice, TargetSignal,
@@ -16,10 +18,9 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
-use crate::guard::lock;
 use crate::node::NodeState;
 use crate::note::{CallNote, ReplyEnd, ReplyNote};
-use crate::peer::{hash_request, run_beside, send_call};
+use crate::peer::{fingerprint, run_beside, send_call};
 
 /// When a client comes back to a node that has no configuration yet.
 const NOT_READY_RETRY: ClockSpan = ClockSpan::new(300);
@@ -270,13 +271,13 @@
     /// Whether the request has crashed too many targets. Hashing is spared while none is suspected.
     fn is_held(&self, state: &NodeState) -> bool {
         let crashes = lock(&state.crashes);
-        !crashes.is_empty() && crashes.is_held(state.clock.now(), hash_request(&self.request))
+        !crashes.is_empty() && crashes.is_held(state.clock.now(), fingerprint(&self.request))
     }
 
     fn clear_suspicion(&self, state: &NodeState) {
         let mut crashes = lock(&state.crashes);
         if !crashes.is_empty() {
-            crashes.complete(hash_request(&self.request));
+            crashes.complete(fingerprint(&self.request));
         }
     }
 
--- a/sidecar/src/follower.rs
+++ b/sidecar/src/follower.rs
@@ -7,17 +7,15 @@
 
 use async_std::task;
 use fescuestack_core::{ClockSpan, ClockTime};
-use fescuestack_http::within;
+use fescuestack_http::{lock, within};
 use fescuestack_platform::{
     CONFIG_KEY, StoreClient, StoreError, StoreEvent, TARGET_PREFIX, decode_config, decode_target,
     target_id,
 };
-use fescuestack_routing::{
-    RandomSource, ReaderChoice, RepeatAllowance, TargetRegistry, ViewChange, ViewSource,
-};
-use rustc_hash::FxHashSet;
+use fescuestack_routing::{ReaderChoice, RepeatAllowance, TargetRegistry, ViewChange, ViewSource};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
 
-use crate::guard::lock;
 use crate::node::NodeState;
 use crate::note::SyncNote;
 use crate::peer::{SyncAnswer, SyncItem, ask_sync};
@@ -65,7 +63,7 @@
     state: Arc<NodeState>,
     client: StoreClient,
     registry: TargetRegistry,
-    random: RandomSource,
+    random: Pcg32,
     /// When the store answered last.
     answered: Option<ClockTime>,
     readers: ReaderChoice,
@@ -85,7 +83,9 @@
         let mut readers = ReaderChoice::new(own);
         readers.note_small(own, state.is_small());
         StoreFollower {
-            random: RandomSource::new(u64::from(state.split_offset)),
+            random: Pcg32::seed_from_u64(
+                state.clock.origin().millis() ^ u64::from(state.split_offset),
+            ),
             client,
             registry: TargetRegistry::new(),
             answered: None,
@@ -104,8 +104,6 @@
         loop {
             self.choose_source();
             self.sweep();
-            // The settings may name another service or target since the last change of the store.
-            self.update_target();
             if let ViewSource::Node(vm) = self.source {
                 self.follow_node(vm).await;
                 continue;
@@ -176,12 +174,8 @@
     async fn list(&mut self) -> Result<(), StoreError> {
         let listing = self.client.list(ALL_KEYS).await?;
         self.note_answer();
-        let changes = {
-            let mut view = lock(&self.state.view);
-            let changes = view.replace(ALL_KEYS, listing.at, listing.items);
-            view.advance(listing.at);
-            changes
-        };
+        let items = listing.items.into_iter().map(|(key, item)| (key, Some(item))).collect();
+        let changes = lock(&self.state.view).replace(listing.at, items);
         self.apply(changes);
         Ok(())
     }
@@ -238,7 +232,7 @@
 
     /// Waits before the next read. Meanwhile other nodes may know more.
     async fn bridge(&mut self, pause: Duration) {
-        let jitter = 0.75 + self.random.next_share() / 2.0;
+        let jitter = 0.75 + self.random.random::<f64>() / 2.0;
         task::sleep(pause.mul_f64(jitter)).await;
         let now = self.state.clock.now();
         if self.answered.is_some_and(|answered| now.since(answered) < ASK_AFTER) {
@@ -255,24 +249,13 @@
     fn take_over(&mut self, answer: SyncAnswer) {
         self.state.extend_lapse(self.state.clock.now() + ClockSpan::new(answer.lapse));
         let Some(items) = answer.items else { return };
-        let (at, changes) = {
+        let at = answer.at;
+        let changes = {
             let mut view = lock(&self.state.view);
-            let at = answer.at;
             if at <= view.at() {
                 return;
             }
-            let listed: FxHashSet<_> = items.iter().map(|item| item.key.clone()).collect();
-            let missing: Vec<_> = view
-                .iter()
-                .map(|(key, _)| key.clone())
-                .filter(|key| !listed.contains(key))
-                .collect();
-            let mut changes: Vec<_> =
-                missing.iter().filter_map(|key| view.remove(key, at)).collect();
-            let items = items.into_iter().filter_map(SyncItem::into_item);
-            changes.extend(items.filter_map(|(key, item)| view.write(&key, item)));
-            view.advance(at);
-            (at, changes)
+            view.replace(at, items.into_iter().map(SyncItem::into_item).collect())
         };
         self.listed = true;
         log::debug!(revision = at, changes = changes.len(); "store content learned from a node");
@@ -282,7 +265,7 @@
     /// A node that may know more: of the own data centre in three of four cases.
     fn random_node(&mut self) -> Option<IpAddr> {
         let settings = self.state.settings.load();
-        let near = self.random.next_share() < 0.75;
+        let near = self.random.random::<f64>() < 0.75;
         let own = settings.target.ip();
         let listed = |near: bool| {
             let entries = self.registry.iter().filter(|entry| entry.address.ip() != own);
@@ -297,7 +280,7 @@
         if nodes.is_empty() {
             nodes = settings.seeds.iter().copied().filter(|seed| *seed != own).collect();
         }
-        let index = (self.random.next_share() * nodes.len() as f64) as usize;
+        let index = (self.random.random::<f64>() * nodes.len() as f64) as usize;
         nodes.get(index).copied()
     }
 
@@ -378,6 +361,9 @@
         for entry in &gone {
             self.forget(&entry.id);
         }
+        if !gone.is_empty() {
+            self.update_target();
+        }
     }
 
     fn forget(&self, id: &str) {
@@ -389,7 +375,6 @@
     fn update_target(&self) {
         let settings = self.state.settings.load();
         let entry = self.registry.at(settings.target);
-        let entry = entry.filter(|entry| *entry.service == *settings.service);
         self.state.target.update(settings.target, entry);
         let (ratio, slack) = (settings.repeat_ratio, settings.repeat_slack);
         lock(&self.state.routing).allowance =
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -6,7 +6,6 @@
 
 mod entry;
 mod follower;
-mod guard;
 mod links;
 mod node;
 mod note;
--- a/sidecar/src/links.rs
+++ b/sidecar/src/links.rs
@@ -6,15 +6,13 @@
 
 use async_std::task;
 use bytes::Bytes;
-use fescuestack_http::{ServedStream, TaskExecutor, TaskTimer, connect, within};
+use fescuestack_http::{ServedStream, TaskExecutor, TaskTimer, connect, lock, within};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http2;
 use rustc_hash::FxHashMap;
 use snafu::Snafu;
 
-use crate::guard::lock;
-
 /// How long a connection may take to open. Data centres are some ms apart.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 
@@ -38,10 +36,10 @@
 
 /// Bytes of a body that may be under way in one call, so that uploads go out without a round trip
 /// for each piece.
-const STREAM_WINDOW: u32 = 1 << 20;
+pub(crate) const STREAM_WINDOW: u32 = 1 << 20;
 
 /// Bytes that may be under way in all calls of a connection.
-const CONNECTION_WINDOW: u32 = 4 << 20;
+pub(crate) const CONNECTION_WINDOW: u32 = 4 << 20;
 
 /// Why a call to another node has no answer.
 #[derive(Debug, Snafu)]
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -1,5 +1,6 @@
 //! What the parts of a node share.
 
+use std::hash::{Hash, Hasher};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -9,16 +10,15 @@
 use bytes::Bytes;
 use event_listener::Event;
 use fescuestack_core::{ClockSpan, ClockTime};
-use fescuestack_http::CallClock;
+use fescuestack_http::{CallClock, lock};
 use fescuestack_operators::{MetricsError, NodeMetrics};
 use fescuestack_platform::MachineSettings;
 use fescuestack_routing::{
     CrashHistory, RepeatAllowance, RepeatBudget, RouteTable, StoreView, TargetPicker, is_small,
 };
 use http_body_util::Full;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHasher};
 
-use crate::guard::lock;
 use crate::links::{LinkObserver, LinkTable};
 use crate::target::TargetSide;
 
@@ -240,9 +240,7 @@
 
 /// A seed that differs between nodes and between their starts.
 fn seed(node: &str, now: u64) -> u64 {
-    let mut hash = 0xcbf2_9ce4_8422_2325u64 ^ now;
-    for byte in node.bytes() {
-        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-    }
-    hash
+    let mut hasher = FxHasher::default();
+    (node, now).hash(&mut hasher);
+    hasher.finish()
 }
--- a/sidecar/src/note.rs
+++ b/sidecar/src/note.rs
@@ -4,6 +4,7 @@
 
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD_NO_PAD;
+use fescuestack_core::{ClockSpan, RequestFingerprint};
 use fescuestack_routing::LoadReport;
 use http::{HeaderMap, HeaderName, HeaderValue};
 use serde::de::DeserializeOwned;
@@ -85,7 +86,7 @@
         LoadReport {
             running: self.running,
             queued: self.queued,
-            service: fescuestack_core::ClockSpan::new(self.service),
+            service: ClockSpan::new(self.service),
         }
     }
 }
@@ -112,14 +113,15 @@
     }
 }
 
-/// Marks a message as the news that a request, named by its hash, has crashed a target.
-pub(crate) fn write_crash(headers: &mut HeaderMap, request: u64) {
-    headers.insert(CRASH_HEADER, HeaderValue::from(request));
+/// Marks a message as the news that a request has crashed a target.
+pub(crate) fn write_crash(headers: &mut HeaderMap, request: RequestFingerprint) {
+    headers.insert(CRASH_HEADER, HeaderValue::from(request.number()));
 }
 
 /// The request that a message is about, if it is such news.
-pub(crate) fn scan_crash(headers: &HeaderMap) -> Option<u64> {
-    headers.get(&CRASH_HEADER)?.to_str().ok()?.parse().ok()
+pub(crate) fn scan_crash(headers: &HeaderMap) -> Option<RequestFingerprint> {
+    let number = headers.get(&CRASH_HEADER)?.to_str().ok()?.parse().ok()?;
+    Some(RequestFingerprint::from_number(number))
 }
 
 /// A question for what the store holds. It is answered when there is something newer.
--- a/sidecar/src/peer.rs
+++ b/sidecar/src/peer.rs
@@ -1,24 +1,21 @@
 //! Calls between nodes: sending one, and serving those of others.
 
-use std::hash::{Hash, Hasher};
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_std::task;
 use bytes::Bytes;
-use fescuestack_core::ClockSpan;
-use fescuestack_http::{WholeAnswer, WholeRequest, remove_connection_headers, within};
+use fescuestack_core::{ClockSpan, RequestFingerprint};
+use fescuestack_http::{WholeAnswer, WholeRequest, lock, remove_connection_headers, within};
 use fescuestack_routing::{StoredItem, TargetChoice};
 use http::header::HOST;
 use http::{HeaderValue, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use rustc_hash::FxHasher;
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
-use crate::guard::lock;
 use crate::links::LinkError;
 use crate::node::{EncodedContent, NodeState};
 use crate::note::{CallNote, ReplyEnd, ReplyNote, SyncNote, scan_crash, write_crash};
@@ -140,27 +137,26 @@
 ) -> TargetReply {
     let reply = state.target.run(note, call.clone()).await;
     if reply.note.crashed {
-        let request = hash_request(&call);
+        let request = fingerprint(&call);
         note_crash(state, request);
         spread_crash(state, request);
     }
     reply
 }
 
-/// A hash of what stays the same when a request is sent again at any VM: its method, path and body.
-pub(crate) fn hash_request(call: &WholeRequest) -> u64 {
-    let mut hasher = FxHasher::default();
-    (call.method.as_str(), call.target.as_str(), &call.body[..]).hash(&mut hasher);
-    hasher.finish()
+/// What stays the same when a request is sent again at any VM: its host, method, path and body.
+pub(crate) fn fingerprint(call: &WholeRequest) -> RequestFingerprint {
+    let host = call.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or("");
+    RequestFingerprint::from_whole(host, call.method.as_str(), &call.target, &call.body)
 }
 
-fn note_crash(state: &NodeState, request: u64) {
+fn note_crash(state: &NodeState, request: RequestFingerprint) {
     let crashes = lock(&state.crashes).crash(state.clock.now(), request);
-    log::info!(hash = request, crashes = crashes; "request crashed a target");
+    log::info!(hash = request.number(), crashes = crashes; "request crashed a target");
 }
 
 /// Tells the nodes beside the targets of all services, since the request may come again anywhere.
-fn spread_crash(state: &Arc<NodeState>, request: u64) {
+fn spread_crash(state: &Arc<NodeState>, request: RequestFingerprint) {
     for vm in lock(&state.routing).picker.vms() {
         if state.is_own(vm) {
             continue;
@@ -209,10 +205,11 @@
 }
 
 impl SyncItem {
-    /// The item, if its value was sent.
-    pub(crate) fn into_item(self) -> Option<(Arc<str>, StoredItem)> {
-        let value = self.value?.into();
-        Some((self.key, StoredItem { revision: self.revision, value }))
+    /// The key, with the item if its value was sent.
+    pub(crate) fn into_item(self) -> (Arc<str>, Option<StoredItem>) {
+        let revision = self.revision;
+        let item = self.value.map(|value| StoredItem { revision, value: value.into() });
+        (self.key, item)
     }
 }
 
--- a/sidecar/src/run.rs
+++ b/sidecar/src/run.rs
@@ -24,6 +24,7 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::follower::StoreFollower;
+use crate::links::{CONNECTION_WINDOW, STREAM_WINDOW};
 use crate::node::NodeState;
 use crate::{entry, peer};
 
@@ -67,9 +68,6 @@
 /// Cancelled calls of a connection that were not yet looked at. Many clients may leave at once.
 const RESET_LIMIT: usize = 4_096;
 
-/// Bytes of a body under way in one call, and in all calls of a connection.
-const WINDOWS: (u32, u32) = (1 << 20, 4 << 20);
-
 /// Why a node cannot start.
 #[derive(Debug, Snafu)]
 pub enum SidecarError {
@@ -253,8 +251,8 @@
         .auto_date_header(false)
         .max_concurrent_streams(STREAM_LIMIT)
         .max_pending_accept_reset_streams(RESET_LIMIT)
-        .initial_stream_window_size(WINDOWS.0)
-        .initial_connection_window_size(WINDOWS.1);
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW);
     let stream = ServedStream::new(stream);
     let connection = builder.serve_connection(stream, service);
     run_connection("node", connection, closing, |connection| connection.graceful_shutdown()).await;
--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -7,7 +7,8 @@
 use async_channel::{Receiver, Sender};
 use fescuestack_core::{ClockSpan, ClockTime};
 use fescuestack_http::{
-    AnswerTag, CallClock, ExchangeConnection, ExchangeError, WholeAnswer, WholeRequest, within,
+    AnswerTag, CallClock, ExchangeConnection, ExchangeError, WholeAnswer, WholeRequest, lock,
+    within,
 };
 use fescuestack_platform::headers::{
     EXPECTED_TARGET, NOT_RUN, REQUEST_ID, SIGNATURE, TARGET_ID, TIME_LEFT,
@@ -19,7 +20,6 @@
 use http::HeaderValue;
 use rustc_hash::FxHashMap;
 
-use crate::guard::lock;
 use crate::note::{CallNote, ReplyEnd, ReplyNote};
 
 /// How long a connection to the target may take. It is on the same VM.
--- a/sidecar/tests/mesh/mod.rs
+++ b/sidecar/tests/mesh/mod.rs
@@ -7,15 +7,19 @@
 
 use async_std::net::TcpListener;
 use async_std::task::{self, JoinHandle};
-use bytes::Bytes;
 use fescuestack_http::{ExchangeConnection, ExchangeError, WholeAnswer, WholeRequest};
+use fescuestack_platform_standin::{
+    CONFIG_KEY, READY_PATH, RouteEntry, SettingsEntry, StandinApplication, StandinStore,
+    TargetRecord, client_request, config_value, target_key,
+};
 use fescuestack_sidecar::SidecarNode;
-use fescuestack_standins::{StandinApplication, StandinStore};
-use http::{HeaderMap, HeaderName, HeaderValue, Method};
-use serde_json::{Value, json};
+use http::Method;
 
 pub const LIMIT: Duration = Duration::from_secs(5);
 
+/// The host of all routes.
+pub const HOST: &str = "mesh.example";
+
 static NEXT_MESH: AtomicU8 = AtomicU8::new(1);
 
 /// A node with the target beside it.
@@ -44,7 +48,7 @@
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
             *port = listener.local_addr().expect("a bound port").port();
         }
-        store.put("op/config", config(1, &[("/a/", "alpha"), ("/b/", "beta")]).to_string());
+        store.put(CONFIG_KEY, config(1, &[("/a/", "alpha"), ("/b/", "beta")]));
         let mut nodes = Vec::new();
         for (index, service) in services.iter().enumerate() {
             let host = index as u8 + 1;
@@ -53,11 +57,19 @@
             let application = StandinApplication::start(&id, SocketAddr::new(vm, 0))
                 .await
                 .expect("a loopback address");
-            store.put(&format!("servers/{id}"), entry(&application, service, "ready"));
-            let settings = settings(&store, vm, &application, service, ports);
+            let record = TargetRecord::new(application.address(), service);
+            store.put(&target_key(&id), record.value());
+            let settings = SettingsEntry {
+                vm,
+                ports,
+                service,
+                target: application.address(),
+                store: store.address(),
+                grace: 6,
+            };
             let path = std::env::temp_dir()
                 .join(format!("fescuestack-{}-{mesh}-{host}.json", std::process::id()));
-            std::fs::write(&path, settings.to_string()).expect("a writable directory");
+            std::fs::write(&path, settings.value().to_string()).expect("a writable directory");
             let (stop, stopping) = async_channel::bounded(1);
             let node = SidecarNode::start(path.clone()).await.expect("free addresses");
             let running = task::spawn(async move {
@@ -97,7 +109,7 @@
         let Ok(mut connection) = ExchangeConnection::open(address, LIMIT).await else {
             return false;
         };
-        let call = TestCall::get("ready", "/-/ready");
+        let call = TestCall::get("ready", READY_PATH);
         let answer = connection.exchange(&call.request(), None).await;
         answer.is_ok_and(|answer| answer.status == 200)
     }
@@ -109,10 +121,10 @@
         node.running.take().expect("a node is stopped once")
     }
 
-    pub fn list(&self, node: usize, service: &str, state: &str) {
-        let application = &self.nodes[node].application;
-        let id = format!("t{}", node + 1);
-        self.store.put(&format!("servers/{id}"), entry(application, service, state));
+    /// Lists a target at a node's place.
+    pub fn list(&self, id: &str, node: usize, change: fn(TargetRecord) -> TargetRecord) {
+        let record = TargetRecord::new(self.nodes[node].application.address(), "alpha");
+        self.store.put(&target_key(id), change(record).value());
     }
 }
 
@@ -143,75 +155,26 @@
     }
 
     pub fn request(&self) -> WholeRequest {
-        let mut headers = HeaderMap::new();
-        let mut add = |name: &'static str, value: &str| {
-            let value = HeaderValue::from_str(value).expect("plain text");
-            headers.insert(HeaderName::from_static(name), value);
-        };
-        add("host", "mesh.example");
-        add("x-fescuestack-request-id", &self.id);
-        add("x-fescuestack-deadline-ms", &self.left.to_string());
-        add("x-fescuestack-caller-service", "forged");
-        WholeRequest {
-            method: self.method.clone(),
-            target: self.path.clone(),
-            headers,
-            body: Bytes::from(self.body.clone()),
-        }
+        let method = self.method.clone();
+        client_request(HOST, &self.id, method, &self.path, self.left, &self.body)
     }
 }
 
 /// A configuration with a safe route for each prefix, an unsafe one under `/pay` and an upload
 /// under `/up` of it.
-pub fn config(version: u64, routes: &[(&str, &str)]) -> Value {
-    let mut policies = Vec::new();
-    for (prefix, service) in routes {
-        for (part, kind) in [("", "safe"), ("pay/", "unsafe"), ("up/", "upload")] {
-            policies.push(json!({
-                "name": format!("r{prefix}{part}"), "route_type": kind, "aim_s": 0.5, "priority": 1,
-                "match": {"prefix": format!("{prefix}{part}")},
-                "action": {"service": service, "timeout_s": 1.0, "max_attempts": 2},
-            }));
-        }
-    }
-    let cluster = |name: &str| {
-        json!({"name": name, "health_path": "/health",
-        "max_connections": 100, "protocol": "h1", "tls": false})
-    };
-    json!({
-        "version": version,
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": 1048576, "header_timeout_s": 3,
-            "idle_timeout_s": 15},
-        "listeners": [{"host": "mesh.example", "policies": policies}],
-        "clusters": [cluster("alpha"), cluster("beta")],
-    })
-}
-
-fn entry(application: &StandinApplication, service: &str, state: &str) -> String {
-    json!({
-        "address": application.address(), "born": 1_790_000_000_000_u64,
-        "info": {"service": service, "version": "v1", "zone": "here", "capacity": 4},
-        "status": {"state": state, "sequence": 1, "warmup_left_s": 0},
-    })
-    .to_string()
-}
-
-fn settings(
-    store: &StandinStore,
-    vm: IpAddr,
-    application: &StandinApplication,
-    service: &str,
-    ports: [u16; 3],
-) -> Value {
-    let listen = |port| SocketAddr::new(vm, port);
-    json!({
-        "self": {"node_name": format!("node-{vm}"), "zone": "here", "service": service,
-            "app_addr": application.address(), "limits": {"memory_mb": 260, "cpu_share": 0.2, "bandwidth_mbps": 1000.0}, "unknown": 1},
-        "network": {"listen_addrs": {"outbound": listen(ports[0]), "inbound": listen(ports[1]),
-            "ready": listen(ports[2])}, "seeds": []},
-        "platform": {"heartbeat_s": 1.5, "platform": {"address": store.address()}},
-        "terms": {"bounds": {"grace_s": 6, "budget_ratio": 0.2, "budget_slack": 60}},
-    })
+pub fn config(version: u64, routes: &[(&str, &str)]) -> String {
+    let kinds = [("", "safe"), ("pay/", "unsafe"), ("up/", "upload")];
+    let prefixes: Vec<_> = routes
+        .iter()
+        .flat_map(|(prefix, service)| {
+            kinds.map(|(part, kind)| (format!("{prefix}{part}"), kind, *service))
+        })
+        .collect();
+    let entries: Vec<_> = prefixes
+        .iter()
+        .map(|(prefix, kind, service)| RouteEntry { prefix, kind, service })
+        .collect();
+    config_value(version, HOST, &entries)
 }
 
 /// Waits until `check` holds. Fails after [`LIMIT`].
--- a/sidecar/tests/path.rs
+++ b/sidecar/tests/path.rs
@@ -8,7 +8,9 @@
 use async_std::net::TcpStream;
 use async_std::task;
 use fescuestack_http::ExchangeConnection;
-use fescuestack_standins::{ApplicationMode, StoreMode};
+use fescuestack_platform_standin::{
+    ApplicationMode, CONFIG_KEY, StoreMode, TargetRecord, header_value, target_key,
+};
 
 use mesh::{LIMIT, Mesh, TestCall, config, eventually};
 
@@ -21,8 +23,7 @@
         let answer = mesh.ask(0, &TestCall::post("p1", "/b/pay/x?q=1", b"body")).await;
         let answer = answer.expect("an answer");
         assert_eq!((answer.status, &answer.body[..]), (200, &b"answer"[..]));
-        assert_eq!(answer.headers["x-fescuestack-response-signature"], "t2");
-        assert_eq!(answer.headers["x-fescuestack-request-id"], "p1");
+        assert_eq!(header_value(&answer.headers), (Some("p1"), Some("t2")));
         let runs = mesh.nodes[1].application.runs();
         assert_eq!(runs.len(), 1);
         assert_eq!(runs[0].line, "POST /b/pay/x?q=1");
@@ -130,17 +131,23 @@
     });
 }
 
+/// A request as bytes, for connections that carry several at a time.
+fn raw_request(id: &str, path: &str) -> String {
+    let request = TestCall::get(id, path).request();
+    let mut text = format!("GET {path} HTTP/1.1\r\n");
+    for (name, value) in &request.headers {
+        text += &format!("{name}: {}\r\n", value.to_str().expect("plain text"));
+    }
+    text + "\r\n"
+}
+
 /// Guards against work for a client that has left, also behind a pipelined request.
 #[test]
 fn leaving_client_cancels_its_request() {
     task::block_on(async {
         let mesh = Mesh::start(&["alpha", "beta"]).await;
         mesh.nodes[1].application.set_work(Duration::from_millis(900));
-        let head = |id| {
-            format!(
-                "GET /b/ HTTP/1.1\r\nhost: mesh.example\r\nx-fescuestack-request-id: {id}\r\n\r\n"
-            )
-        };
+        let head = |id| raw_request(id, "/b/");
         let mut stream = TcpStream::connect(mesh.address(0, 0)).await.expect("a node");
         let both = head("c1") + &head("c2");
         stream.write_all(both.as_bytes()).await.expect("the node reads");
@@ -161,9 +168,7 @@
         let mut stream = TcpStream::connect(mesh.address(0, 0)).await.expect("a node");
         let mut requests = String::new();
         for index in 0..5 {
-            requests += &format!(
-                "GET /a/{index} HTTP/1.1\r\nhost: mesh.example\r\nx-fescuestack-request-id: q{index}\r\n\r\n"
-            );
+            requests += &raw_request(&format!("q{index}"), &format!("/a/{index}"));
         }
         stream.write_all(requests.as_bytes()).await.expect("the node reads");
         let mut text = String::new();
@@ -173,8 +178,7 @@
             assert!(count > 0, "the connection ended: {text}");
             text += &String::from_utf8_lossy(&buffer[..count]);
         }
-        let places: Vec<_> =
-            (0..5).map(|index| text.find(&format!("x-fescuestack-request-id: q{index}"))).collect();
+        let places: Vec<_> = (0..5).map(|index| text.find(&format!(": q{index}\r\n"))).collect();
         assert!(places.iter().all(Option::is_some) && places.is_sorted(), "{text}");
     });
 }
@@ -184,7 +188,7 @@
 fn leaving_and_replaced_targets_get_no_work() {
     task::block_on(async {
         let mesh = Mesh::start(&["alpha", "alpha"]).await;
-        mesh.list(1, "alpha", "draining");
+        mesh.list("t2", 1, TargetRecord::with_draining);
         task::sleep(Duration::from_millis(500)).await;
         for index in 0..20 {
             let answer = mesh.ask(1, &TestCall::get(&format!("d{index}"), "/a/")).await;
@@ -193,17 +197,8 @@
         assert!(mesh.nodes[1].application.runs().is_empty(), "a leaving target got work");
 
         // Another target is listed at the first one's address: that one answers 421.
-        let address = mesh.nodes[0].application.address();
-        mesh.store.remove("servers/t1");
-        mesh.store.put(
-            "servers/other",
-            serde_json::json!({
-                "address": address, "born": 1_790_000_000_001_u64,
-                "info": {"service": "alpha", "version": "v1", "zone": "here", "capacity": 4},
-                "status": {"state": "ready", "sequence": 1, "warmup_left_s": 0},
-            })
-            .to_string(),
-        );
+        mesh.store.remove(&target_key("t1"));
+        mesh.list("other", 0, |record| record.with_start(1));
         task::sleep(Duration::from_millis(500)).await;
         let before = mesh.nodes[0].application.arrivals();
         for index in 0..5 {
@@ -224,14 +219,14 @@
         let status = async |node: usize, path: &str| {
             mesh.ask(node, &TestCall::get("v", path)).await.expect("an answer").status
         };
-        mesh.store.put("op/config", config(5, &[("/c/", "alpha")]).to_string());
+        mesh.store.put(CONFIG_KEY, config(5, &[("/c/", "alpha")]));
         for node in 0..3 {
             eventually("version 5 is in force", async || status(node, "/c/").await == 200).await;
         }
-        mesh.store.put("op/config", config(4, &[("/d/", "alpha")]).to_string());
-        mesh.store.put("op/config", "{\"version\": 9, ");
+        mesh.store.put(CONFIG_KEY, config(4, &[("/d/", "alpha")]));
+        mesh.store.put(CONFIG_KEY, "{\"version\": 9, ");
         let broken = config(9, &[("/d/", "no such service")]);
-        mesh.store.put("op/config", broken.to_string());
+        mesh.store.put(CONFIG_KEY, broken);
         task::sleep(Duration::from_millis(700)).await;
         for node in 0..3 {
             assert_eq!(status(node, "/c/").await, 200);
@@ -253,7 +248,7 @@
             let version = if mode == StoreMode::Busy { 2 } else { 3 };
             let route = format!("/v{version}/");
             let routes = [("/b/", "beta"), (route.as_str(), "beta")];
-            mesh.store.put("op/config", config(version, &routes).to_string());
+            mesh.store.put(CONFIG_KEY, config(version, &routes));
             mesh.store.set_mode(StoreMode::Up);
             for node in 0..2 {
                 eventually("the new version is in force", async || {
@@ -264,7 +259,7 @@
             }
         }
         mesh.store.compact();
-        mesh.store.put("op/config", config(7, &[("/last/", "beta")]).to_string());
+        mesh.store.put(CONFIG_KEY, config(7, &[("/last/", "beta")]));
         eventually("the version after lost history is in force", async || {
             let answer = mesh.ask(1, &TestCall::get("h", "/last/")).await;
             answer.is_ok_and(|answer| answer.status == 200)
@@ -283,9 +278,9 @@
             "{\"address\":\"127.0.0.1:1\",\"info\":{\"service\":\"beta\",\"zone\":\"here\",\"capacity\":\"x\"},\"status\":{\"state\":\"ready\"}}",
             "{\"address\":\"127.0.0.1:1\",\"info\":{\"service\":\"beta\",\"version\":\"v\",\"zone\":\"here\",\"capacity\":6},\"status\":{\"state\":\"sleeping\",\"sequence\":1,\"warmup_left_s\":0}}",
         ].iter().enumerate() {
-            mesh.store.put(&format!("servers/forged-{index}"), *value);
+            mesh.store.put(&target_key(&format!("forged-{index}")), *value);
         }
-        mesh.store.put("servers/", "x");
+        mesh.store.put(&target_key(""), "x");
         mesh.store.put("other/key", vec![0xff, 0xfe]);
         task::sleep(Duration::from_millis(400)).await;
         for index in 0..20 {
@@ -348,9 +343,9 @@
     task::block_on(async {
         let mesh = Mesh::start(&["alpha", "beta", "beta", "beta", "beta"]).await;
         for node in &mesh.nodes {
-            node.application.set_poison("poison");
+            node.application.set_crash_body("crash");
         }
-        let call = TestCall::post("x", "/b/pay/", b"poison");
+        let call = TestCall::post("x", "/b/pay/", b"crash");
         for _ in 0..3 {
             let answer = mesh.ask(0, &call).await.expect("an answer");
             assert_eq!(answer.status, 502);
--- a/standins/src/generator.rs
+++ b/standins/src/generator.rs
@@ -2,11 +2,12 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use async_std::{future, task};
 use fescuestack_core::{ClockTime, PartHash, RouteKind, dated_key};
+use fescuestack_http::lock;
 use serde::{Deserialize, Serialize};
 
 use crate::arrivals::{ArrivalPlan, LoadClass, LoadEntry, LoadPath, LoadSettings, PlannedArrival};
@@ -148,10 +149,6 @@
     future::timeout(left, call).await.unwrap_or(gave_up)
 }
 
-fn lock(records: &Mutex<Vec<RequestRecord>>) -> std::sync::MutexGuard<'_, Vec<RequestRecord>> {
-    records.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Settings of a comparison of calls through nodes with direct calls.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct MeasureSettings {
--- a/standins/src/ledger.rs
+++ b/standins/src/ledger.rs
@@ -1,8 +1,9 @@
 //! Exact record of what the stand-in upstreams ran, against which the answers of nodes are checked.
 
 use std::collections::HashMap;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard};
 
+use fescuestack_http::lock;
 use serde::{Deserialize, Serialize};
 
 /// How a run of a request ended.
@@ -110,7 +111,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Vec<RunRecord>> {
-        self.records.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.records)
     }
 }
 
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,6 +1,5 @@
 //! Stand-ins of the platform and the upstreams, and the load generator.
 
-mod application;
 mod arrivals;
 mod caller;
 mod exchange;
@@ -8,10 +7,8 @@
 mod ledger;
 mod platform;
 mod report;
-mod store;
 mod upstream;
 
-pub use application::{ApplicationMode, ApplicationRun, StandinApplication};
 pub use arrivals::{ArrivalPlan, LoadClass, LoadEntry, LoadPath, LoadSettings, PlannedArrival};
 pub use caller::{AnswerVerdict, CallAnswer, CallerClient};
 pub use exchange::{AnswerBody, KEY_HEADER, REQUEST_HEADER};
@@ -23,5 +20,4 @@
 pub use report::{
     AddedLatency, ClassReport, LedgerCounts, LoadReport, MeasureReport, TimeQuantiles,
 };
-pub use store::{StandinStore, StoreMode};
 pub use upstream::{LoadSample, ProbeMode, StandinRoute, UpstreamSettings, UpstreamStandin};
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -3,12 +3,13 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
+use fescuestack_http::lock;
 use futures_lite::StreamExt;
 use http_types::{Request, Response, StatusCode};
 
@@ -121,7 +122,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, PlatformState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 
     async fn accept(self, listener: TcpListener) {
--- a/upstreams/src/pool.rs
+++ b/upstreams/src/pool.rs
@@ -3,12 +3,12 @@
 use std::collections::HashMap;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
 use fescuestack_core::ResultCode;
-use fescuestack_http::{ClientConnection, within};
+use fescuestack_http::{ClientConnection, lock, within};
 use http_types::{Request, Response};
 
 use crate::ExchangeFault;
@@ -197,7 +197,7 @@
     }
 
     fn lock_idle(&self) -> MutexGuard<'_, Vec<IdleConnection>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.idle)
     }
 }
 
@@ -270,6 +270,6 @@
     }
 
     fn lock_pools(&self) -> MutexGuard<'_, HashMap<SocketAddr, Arc<UpstreamPool>>> {
-        self.pools.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.pools)
     }
 }
