Split answers, store content and calls of the node into files of their own

Cause: entry.rs and peer.rs each built whole requests and answers, peer.rs held calls and store content, and a call's failure on the way was a bare bool. Change: message.rs builds both, sync.rs holds what nodes tell each other of the store, send_call fails with the end of the attempt.

--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -3,21 +3,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use fescuestack_core::{ClockSpan, ClockTime};
-use fescuestack_http::{
-    CloseWatch, WholeAnswer, WholeRequest, lock, remove_connection_headers, within,
-};
+use fescuestack_http::{CloseWatch, WholeAnswer, WholeRequest, lock, within};
 use fescuestack_platform::headers::{CALLER_SERVICE, EXPECTED_TARGET, REQUEST_ID, TIME_LEFT};
 use fescuestack_routing::{
     AttemptEnd, CallPlan, PlanCall, PlanStep, RouteRule, TargetChoice, TargetSignal,
 };
 use futures_lite::future;
 use http::header::{CONNECTION, HOST, RETRY_AFTER};
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http::{HeaderMap, HeaderValue, Request, StatusCode};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
+use crate::message::{FullAnswer, empty_answer, full_answer, whole_request};
 use crate::node::NodeState;
 use crate::note::{CallNote, ReplyEnd, ReplyNote};
 use crate::peer::{fingerprint, run_beside, send_call};
@@ -34,9 +32,6 @@
 /// How long an answer is awaited after the deadline. One that is on its way is still delivered.
 const ANSWER_SLACK: Duration = Duration::from_millis(60);
 
-/// An answer to a client.
-pub(crate) type ClientAnswer = Response<Full<Bytes>>;
-
 /// Why a request has no answer of a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum EntryFault {
@@ -73,14 +68,14 @@
     state: Arc<NodeState>,
     request: Request<Incoming>,
     mut watch: CloseWatch,
-) -> ClientAnswer {
+) -> FullAnswer {
     let _place = state.begin_call();
     let id = request.headers().get(&REQUEST_ID).cloned();
     let arrived = state.clock.now();
     let mut trace = EntryTrace::default();
     let outcome = answer_request(&state, request, arrived, &mut watch, &mut trace).await;
     let mut answer = match outcome {
-        Ok(answer) => pass_on(answer),
+        Ok(answer) => full_answer(answer),
         Err(fault) => {
             log_fault(&state, id.as_ref(), arrived, fault, &trace);
             refusal(fault, id)
@@ -129,16 +124,11 @@
         Some(Err(_)) => return Err(EntryFault::Invalid),
         None => return Err(EntryFault::BodyLate),
     };
-    remove_connection_headers(&mut parts.headers);
     parts.headers.remove(&EXPECTED_TARGET);
     let caller = HeaderValue::from_str(&state.settings.load().service);
     parts.headers.insert(CALLER_SERVICE, caller.map_err(|_| EntryFault::Invalid)?);
-    let target = parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
-    let call = EntryCall {
-        route: route.clone(),
-        deadline,
-        request: WholeRequest { method: parts.method, target, headers: parts.headers, body },
-    };
+    let request = whole_request(parts, body);
+    let call = EntryCall { route: route.clone(), deadline, request };
     let plan = CallPlan::new(PlanCall {
         service,
         route: route.name.clone(),
@@ -243,17 +233,16 @@
         };
         let (reply, answer) = if state.is_own(target.vm) {
             let reply = run_beside(state, &note, self.request.clone()).await;
-            (Some(reply.note), reply.answer)
+            (reply.note, reply.answer)
         } else {
             match send_call(state, target, &note, &self.request).await {
-                Ok((reply, answer)) => (Some(reply), answer),
-                Err(not_sent) => {
+                Ok(reply) => reply,
+                Err(end) => {
                     account.signal = TargetSignal::Refused;
-                    return (if not_sent { AttemptEnd::NotSent } else { AttemptEnd::Lost }, None);
+                    return (end, None);
                 }
             }
         };
-        let Some(reply) = reply else { return (AttemptEnd::Lost, None) };
         account.report(&reply);
         if reply.end == ReplyEnd::Refused {
             let span = ClockSpan::new(reply.retry_after);
@@ -334,14 +323,6 @@
     Some(ClockSpan::new(millis.max(0.0) as u64))
 }
 
-fn pass_on(answer: WholeAnswer) -> ClientAnswer {
-    let mut response = Response::new(Full::new(answer.body));
-    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    *response.headers_mut() = answer.headers;
-    remove_connection_headers(response.headers_mut());
-    response
-}
-
 fn record_call(state: &NodeState, trace: &EntryTrace, arrived: ClockTime, status: StatusCode) {
     let service = trace.service.as_deref().unwrap_or("");
     let route = trace.route.as_ref().map_or("", |route| &*route.name);
@@ -352,7 +333,7 @@
     }
 }
 
-fn refusal(fault: EntryFault, id: Option<HeaderValue>) -> ClientAnswer {
+fn refusal(fault: EntryFault, id: Option<HeaderValue>) -> FullAnswer {
     let status = match fault {
         EntryFault::Invalid => StatusCode::BAD_REQUEST,
         EntryFault::NoRoute => StatusCode::NOT_FOUND,
@@ -362,8 +343,7 @@
         EntryFault::Lost => StatusCode::BAD_GATEWAY,
         EntryFault::Late | EntryFault::ClientGone => StatusCode::GATEWAY_TIMEOUT,
     };
-    let mut response = Response::new(Full::new(Bytes::new()));
-    *response.status_mut() = status;
+    let mut response = empty_answer(status);
     if let EntryFault::NotRun { retry_after } = fault {
         let seconds = format!("{:.3}", retry_after.millis() as f64 / 1000.0);
         if let Ok(value) = HeaderValue::try_from(seconds) {
--- a/sidecar/src/follower.rs
+++ b/sidecar/src/follower.rs
@@ -18,7 +18,7 @@
 
 use crate::node::NodeState;
 use crate::note::SyncNote;
-use crate::peer::{SyncAnswer, SyncItem, ask_sync};
+use crate::sync::{SyncAnswer, SyncItem, ask_sync};
 
 /// How long a watch waits. A connection that has gone silent is noticed after it.
 const WATCH_WAIT: ClockSpan = ClockSpan::new(3_000);
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -7,10 +7,12 @@
 mod entry;
 mod follower;
 mod links;
+mod message;
 mod node;
 mod note;
 mod peer;
 mod run;
+mod sync;
 mod target;
 
 pub use run::{SidecarError, SidecarNode};
--- a/sidecar/src/run.rs
+++ b/sidecar/src/run.rs
@@ -10,7 +10,6 @@
 use async_channel::Receiver;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
-use bytes::Bytes;
 use fescuestack_http::{ServedStream, TaskExecutor, TaskTimer, prepare_socket};
 use fescuestack_operators::{MetricsError, NodeMetrics};
 use fescuestack_platform::headers::READY_PATH;
@@ -25,6 +24,7 @@
 
 use crate::follower::StoreFollower;
 use crate::links::{CONNECTION_WINDOW, STREAM_WINDOW};
+use crate::message::{FullAnswer, empty_answer};
 use crate::node::NodeState;
 use crate::{entry, peer};
 
@@ -197,22 +197,19 @@
 }
 
 /// The platform's question whether clients may come, and the metrics.
-fn answer_ready(state: &NodeState, path: &str) -> Response<Full<Bytes>> {
-    let (status, text) = match path {
-        READY_PATH if state.is_ready() => (StatusCode::OK, String::new()),
-        READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
+fn answer_ready(state: &NodeState, path: &str) -> FullAnswer {
+    match path {
+        READY_PATH if state.is_ready() => empty_answer(StatusCode::OK),
+        READY_PATH => empty_answer(StatusCode::SERVICE_UNAVAILABLE),
         METRICS_PATH => match state.encode_metrics() {
-            Ok(text) => (StatusCode::OK, text),
+            Ok(text) => Response::new(Full::new(text.into())),
             Err(err) => {
                 log::error!("605 {err}");
-                (StatusCode::INTERNAL_SERVER_ERROR, String::new())
+                empty_answer(StatusCode::INTERNAL_SERVER_ERROR)
             }
         },
-        _ => (StatusCode::NOT_FOUND, String::new()),
-    };
-    let mut answer = Response::new(Full::new(Bytes::from(text)));
-    *answer.status_mut() = status;
-    answer
+        _ => empty_answer(StatusCode::NOT_FOUND),
+    }
 }
 
 async fn serve_client(state: Arc<NodeState>, stream: TcpStream) {
--- /dev/null
+++ b/sidecar/src/sync.rs
@@ -0,0 +1,157 @@
+//! What nodes tell each other of the store's content.
+
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use fescuestack_core::ClockSpan;
+use fescuestack_http::{lock, within};
+use fescuestack_routing::StoredItem;
+use http::{Request, Response, StatusCode, Uri};
+use http_body_util::Full;
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu};
+
+use crate::message::{FullAnswer, empty_answer};
+use crate::node::{EncodedContent, NodeState};
+use crate::note::SyncNote;
+
+/// Level of compression of the store's content. Higher ones save little and cost more time.
+const SYNC_LEVEL: i32 = 1;
+
+/// Longest content of the store that a node takes from another, in bytes.
+const SYNC_BYTES: usize = 64 * 1024 * 1024;
+
+/// The store's content as another node knows it.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct SyncAnswer {
+    /// The store's revision up to which the answer is complete.
+    pub(crate) at: u64,
+    /// How long ago the store confirmed this content, in ms. `None` if the node is out of contact.
+    pub(crate) age: Option<u64>,
+    /// Whether the node should not serve others while there are larger ones.
+    pub(crate) small: bool,
+    /// How much longer missing entries may come back, in ms.
+    pub(crate) lapse: u64,
+    /// All keys, if the node knows a newer revision than asked.
+    pub(crate) items: Option<Vec<SyncItem>>,
+}
+
+/// A key of the store.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct SyncItem {
+    pub(crate) key: Arc<str>,
+    pub(crate) revision: u64,
+    /// The value, if it is newer than asked.
+    pub(crate) value: Option<Vec<u8>>,
+}
+
+impl SyncItem {
+    /// The key, with the item if its value was sent.
+    pub(crate) fn into_item(self) -> (Arc<str>, Option<StoredItem>) {
+        let revision = self.revision;
+        let item = self.value.map(|value| StoredItem { revision, value: value.into() });
+        (self.key, item)
+    }
+}
+
+/// Answers as soon as there is something newer than asked, or when this node stops reading the store.
+pub(crate) async fn answer_sync(state: &NodeState, note: SyncNote) -> FullAnswer {
+    let limit = Duration::from_millis(note.wait);
+    let changed = async {
+        loop {
+            let listener = state.view_changed.listen();
+            if lock(&state.view).at() > note.after || state.view_age().is_none() {
+                return;
+            }
+            listener.await;
+        }
+    };
+    within(limit, changed).await;
+    let answer = sync_answer(state, note.after);
+    if answer.items.is_none() {
+        return sync_response(&answer);
+    }
+    // Most followers ask for the same revisions, and compressing takes longer than all the rest.
+    let mut encoded = lock(&state.encoded);
+    if let Some(kept) = &*encoded
+        && (kept.after, kept.at) == (note.after, answer.at)
+    {
+        return Response::new(kept.body.clone());
+    }
+    let response = sync_response(&answer);
+    let body = response.body().clone();
+    *encoded = Some(EncodedContent { after: note.after, at: answer.at, body });
+    response
+}
+
+fn sync_response(answer: &SyncAnswer) -> FullAnswer {
+    match encode_answer(answer) {
+        Ok(bytes) => Response::new(Full::new(bytes.into())),
+        Err(err) => {
+            log::error!("801 cannot encode the store's content: {err}");
+            empty_answer(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
+fn sync_answer(state: &NodeState, after: u64) -> SyncAnswer {
+    let view = lock(&state.view);
+    let item = |(key, item): (&Arc<str>, &StoredItem)| SyncItem {
+        key: key.clone(),
+        revision: item.revision,
+        value: (item.revision > after).then(|| item.value.to_vec()),
+    };
+    SyncAnswer {
+        at: view.at(),
+        age: state.view_age().filter(|_| !state.is_stopping()).map(ClockSpan::millis),
+        small: state.is_small(),
+        lapse: state.lapse_until().since(state.clock.now()).millis(),
+        items: (view.at() > after).then(|| view.iter().map(item).collect()),
+    }
+}
+
+/// Asks the node on `vm` for what the store holds after a revision. `None` means that it cannot be
+/// reached, which its link reports.
+pub(crate) async fn ask_sync(
+    state: &Arc<NodeState>,
+    vm: IpAddr,
+    near: bool,
+    note: SyncNote,
+) -> Option<SyncAnswer> {
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = Uri::from_static("http://node/");
+    note.write(request.headers_mut());
+    let answer = state.links.send(state.node_address(vm), near, request).await.ok()?;
+    if answer.status() != StatusCode::OK {
+        return None;
+    }
+    match decode_answer(answer.body()) {
+        Ok(answer) => Some(answer),
+        Err(err) => {
+            log::warn!(node = vm.to_string().as_str(); "801 store content cannot be read: {err}");
+            None
+        }
+    }
+}
+
+/// Why content of the store cannot be passed on.
+#[derive(Debug, Snafu)]
+enum SyncError {
+    #[snafu(display("{source}"))]
+    Form { source: postcard::Error },
+    #[snafu(display("{source}"))]
+    Compression { source: std::io::Error },
+}
+
+/// Configurations are long and repeat themselves, and the links of small VMs are slow.
+fn encode_answer(answer: &SyncAnswer) -> Result<Vec<u8>, SyncError> {
+    let bytes = postcard::to_stdvec(answer).context(FormSnafu)?;
+    zstd::bulk::compress(&bytes, SYNC_LEVEL).context(CompressionSnafu)
+}
+
+fn decode_answer(bytes: &[u8]) -> Result<SyncAnswer, SyncError> {
+    let bytes = zstd::bulk::decompress(bytes, SYNC_BYTES).context(CompressionSnafu)?;
+    postcard::from_bytes(&bytes).context(FormSnafu)
+}
