--- a/http/src/exchange.rs
+++ b/http/src/exchange.rs
@@ -47,12 +47,18 @@
         /// The reason.
         source: io::Error,
     },
-    /// The connection broke after a part of the request was sent.
+    /// The connection broke after a part of the request was sent, before any answer.
     #[snafu(display("connection lost: {source}"))]
     Broken {
         /// The reason.
         source: io::Error,
     },
+    /// The connection broke within an answer.
+    #[snafu(display("answer cut: {source}"))]
+    Cut {
+        /// The reason.
+        source: io::Error,
+    },
     /// What came back is not an answer to this request.
     #[snafu(display("not an answer to this request: {reason}"))]
     Garbled {
@@ -176,7 +182,8 @@
             written = sent.await.is_ok();
             future::pending().await
         };
-        let mut reader = AnswerReader { stream: &self.stream, buffer: &mut self.buffer };
+        let mut reader =
+            AnswerReader { stream: &self.stream, buffer: &mut self.buffer, begun: false };
         let (answer, ends) = future::or(reader.read_answer(&request.method, tag), sending).await?;
         self.used = Instant::now();
         self.keep = keep_alive(&answer.headers);
@@ -188,6 +195,8 @@
 struct AnswerReader<'a> {
     stream: &'a TcpStream,
     buffer: &'a mut Vec<u8>,
+    /// Whether anything of an answer has arrived.
+    begun: bool,
 }
 
 impl AnswerReader<'_> {
@@ -287,7 +296,7 @@
         if self.read_more().await? {
             return Ok(());
         }
-        Err(ExchangeError::Broken { source: io::ErrorKind::UnexpectedEof.into() })
+        Err(self.lost(io::ErrorKind::UnexpectedEof.into()))
     }
 
     /// Reads more bytes. False at the end of the connection.
@@ -297,7 +306,12 @@
         let read = self.stream.read(&mut self.buffer[start..]).await;
         let count = *read.as_ref().unwrap_or(&0);
         self.buffer.truncate(start + count);
-        read.map(|count| count > 0).map_err(|source| ExchangeError::Broken { source })
+        self.begun |= count > 0;
+        read.map(|count| count > 0).map_err(|source| self.lost(source))
+    }
+
+    fn lost(&self, source: io::Error) -> ExchangeError {
+        if self.begun { ExchangeError::Cut { source } } else { ExchangeError::Broken { source } }
     }
 }
 
--- a/http/tests/exchange.rs
+++ b/http/tests/exchange.rs
@@ -68,7 +68,12 @@
     ];
     for answer in cut {
         let outcome = one_exchange(answer);
-        assert!(matches!(outcome, Err(ExchangeError::Broken { .. })), "{outcome:?}");
+        let told = match outcome {
+            Err(ExchangeError::Broken { .. }) => answer.is_empty(),
+            Err(ExchangeError::Cut { .. }) => !answer.is_empty(),
+            _ => false,
+        };
+        assert!(told, "{outcome:?}");
     }
 }
 
--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -159,7 +159,8 @@
                 (ReplyEnd::NotSent, None)
             }
             Err(err) => {
-                crashed = matches!(err, ExchangeError::Broken { .. }) && self.is_down().await;
+                crashed = matches!(err, ExchangeError::Broken { .. } | ExchangeError::Cut { .. })
+                    && self.is_down().await;
                 log::info!(target = &*note.target, request = request_id(&request),
                     reason = err.to_string().as_str(), crashed = crashed; "answer lost");
                 (ReplyEnd::Lost, None)
