Name the types of the target's queue apart from those of the core package

Cause: LoadReport, AdmissionQueue, CallTicket, TargetEntry and TargetChoice were names of two types each, in core and in routing. Change: those of routing are SlotLoad, SlotQueue, SlotTicket, TargetListing and PickedTarget, and its file is slots.rs.

--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -3,7 +3,6 @@
 //! Nothing here does I/O or reads a clock. Times are handed in, random numbers come from a seeded
 //! generator, so that a test can play any load or fault.
 
-mod admission;
 mod budget;
 mod held;
 mod picker;
@@ -11,16 +10,15 @@
 mod readers;
 mod registry;
 mod routes;
+mod slots;
 mod view;
 
-pub use admission::{
-    AdmissionAction, AdmissionQueue, AdmissionStep, CallEnd, CallTicket, LoadReport, QueuedCall,
-};
 pub use budget::{RepeatAllowance, RepeatBudget};
 pub use held::{CrashHistory, HELD_SPAN};
-pub use picker::{TargetChoice, TargetPicker, TargetSignal};
+pub use picker::{PickedTarget, TargetPicker, TargetSignal};
 pub use plan::{AttemptEnd, CallPlan, PlanCall, PlanStep};
 pub use readers::{ReaderChoice, ViewSource, is_small};
-pub use registry::{TargetEntry, TargetRegistry, TargetState};
+pub use registry::{TargetListing, TargetRegistry, TargetState};
 pub use routes::{ClientLimits, RepeatKind, RouteRule, RouteTable, ServiceRule, SplitPart};
+pub use slots::{CallEnd, QueuedCall, SlotAction, SlotLoad, SlotQueue, SlotStep, SlotTicket};
 pub use view::{StoreView, StoredItem, ViewChange};
--- a/routing/src/picker.rs
+++ b/routing/src/picker.rs
@@ -14,8 +14,8 @@
 use rand_pcg::Pcg32;
 use rustc_hash::FxHashMap;
 
-use crate::admission::LoadReport;
-use crate::registry::{TargetEntry, TargetState};
+use crate::registry::{TargetListing, TargetState};
+use crate::slots::SlotLoad;
 
 /// Surcharge in ms for a target in another data centre. Traffic between data centres is costly, and
 /// the links have delays of several ms each way.
@@ -81,7 +81,7 @@
 
 /// A target that a call is sent to.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct TargetChoice {
+pub struct PickedTarget {
     /// Identity of the target.
     pub id: Arc<str>,
     /// The VM that the target and its node run on.
@@ -94,10 +94,10 @@
 
 #[derive(Debug)]
 struct TargetRecord {
-    entry: TargetEntry,
+    entry: TargetListing,
     warm_at: ClockTime,
     in_flight: u32,
-    report: LoadReport,
+    report: SlotLoad,
     reported: Option<ClockTime>,
     sent_since: u32,
     failures: f64,
@@ -131,7 +131,7 @@
     }
 
     /// Takes over the entry of a target.
-    pub fn insert(&mut self, now: ClockTime, entry: &TargetEntry) {
+    pub fn insert(&mut self, now: ClockTime, entry: &TargetListing) {
         let warm_at = now + entry.cold_left;
         if let Some(record) = self.records.get_mut(&entry.id) {
             let moved = record.entry.service != entry.service;
@@ -151,7 +151,7 @@
                 entry: entry.clone(),
                 warm_at,
                 in_flight: 0,
-                report: LoadReport::default(),
+                report: SlotLoad::default(),
                 reported: None,
                 sent_since: 0,
                 failures: 0.0,
@@ -172,7 +172,7 @@
         }
     }
 
-    fn unlist(&mut self, entry: &TargetEntry) {
+    fn unlist(&mut self, entry: &TargetListing) {
         if let Some(ids) = self.services.get_mut(&entry.service) {
             ids.retain(|id| *id != entry.id);
         }
@@ -221,7 +221,7 @@
         route: &str,
         body_bytes: usize,
         tried: &[Arc<str>],
-    ) -> Option<TargetChoice> {
+    ) -> Option<PickedTarget> {
         let ids = self.services.get(service)?;
         let crossing = CROSSING_MS + CROSSING_MS_PER_KB * body_bytes as f64 / 1024.0;
         let mut best: Option<(f64, &Arc<str>)> = None;
@@ -245,7 +245,7 @@
         }
         let id = best?.1.clone();
         let record = self.records.get(&id)?;
-        Some(TargetChoice {
+        Some(PickedTarget {
             vm: record.entry.address.ip(),
             slots: record.entry.slots,
             crosses: record.entry.data_centre != self.data_centre,
@@ -301,7 +301,7 @@
     }
 
     /// Takes over the load that a target's node reported.
-    pub fn report(&mut self, now: ClockTime, id: &str, load: LoadReport) {
+    pub fn report(&mut self, now: ClockTime, id: &str, load: SlotLoad) {
         if let Some(record) = self.records.get_mut(id) {
             record.report = load;
             record.reported = Some(now);
--- a/routing/src/plan.rs
+++ b/routing/src/plan.rs
@@ -8,7 +8,7 @@
 use fescuestack_core::{ClockSpan, ClockTime};
 
 use crate::budget::{RepeatAllowance, RepeatBudget};
-use crate::picker::{TargetChoice, TargetPicker};
+use crate::picker::{PickedTarget, TargetPicker};
 use crate::routes::RepeatKind;
 
 /// Most nodes that may refuse a request before it is given up.
@@ -93,7 +93,7 @@
     /// Send the request.
     Send {
         /// Where to.
-        target: TargetChoice,
+        target: PickedTarget,
         /// Longest wait at the target's node.
         wait_limit: ClockSpan,
     },
@@ -232,7 +232,7 @@
 
     /// The first nodes say at once if the wait is long, while another target may be better. One that
     /// is chosen again in spite of that may let the request wait.
-    fn wait_limit(&self, now: ClockTime, target: &TargetChoice, others: bool) -> ClockSpan {
+    fn wait_limit(&self, now: ClockTime, target: &PickedTarget, others: bool) -> ClockSpan {
         if !others || self.busy.contains(&target.id) || self.refusals + 1 >= REFUSAL_LIMIT {
             return self.call.deadline.since(now);
         }
--- a/routing/src/registry.rs
+++ b/routing/src/registry.rs
@@ -17,7 +17,7 @@
 
 /// A target as it registered itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct TargetEntry {
+pub struct TargetListing {
     /// Identity of this target.
     pub id: Arc<str>,
     /// Service that it belongs to.
@@ -41,7 +41,7 @@
 /// Targets by id.
 #[derive(Debug, Default)]
 pub struct TargetRegistry {
-    targets: FxHashMap<Arc<str>, TargetEntry>,
+    targets: FxHashMap<Arc<str>, TargetListing>,
     /// Entries that vanished while the store was away, and when they count as gone.
     lapsed: FxHashMap<Arc<str>, ClockTime>,
 }
@@ -53,7 +53,7 @@
     }
 
     /// Takes over an entry. False when nothing that matters to calls changed.
-    pub fn insert(&mut self, entry: TargetEntry) -> bool {
+    pub fn insert(&mut self, entry: TargetListing) -> bool {
         self.lapsed.remove(&entry.id);
         match self.targets.get(&entry.id) {
             Some(known) if known.revision > entry.revision => false,
@@ -66,7 +66,7 @@
     }
 
     /// Removes an entry at once.
-    pub fn remove(&mut self, id: &str) -> Option<TargetEntry> {
+    pub fn remove(&mut self, id: &str) -> Option<TargetListing> {
         self.lapsed.remove(id);
         self.targets.remove(id)
     }
@@ -80,25 +80,25 @@
     }
 
     /// Removes the lapsed entries whose time is over.
-    pub fn sweep(&mut self, now: ClockTime) -> Vec<TargetEntry> {
+    pub fn sweep(&mut self, now: ClockTime) -> Vec<TargetListing> {
         let due = self.lapsed.iter().filter(|(_, until)| **until <= now);
         let due: Vec<_> = due.map(|(id, _)| id.clone()).collect();
         due.iter().filter_map(|id| self.remove(id)).collect()
     }
 
     /// The entry called `id`.
-    pub fn get(&self, id: &str) -> Option<&TargetEntry> {
+    pub fn get(&self, id: &str) -> Option<&TargetListing> {
         self.targets.get(id)
     }
 
     /// All entries.
-    pub fn iter(&self) -> impl Iterator<Item = &TargetEntry> {
+    pub fn iter(&self) -> impl Iterator<Item = &TargetListing> {
         self.targets.values()
     }
 
     /// The newest entry at `address`. An address may be used again by another target while the
     /// entry of the former one is still listed.
-    pub fn at(&self, address: SocketAddr) -> Option<&TargetEntry> {
+    pub fn at(&self, address: SocketAddr) -> Option<&TargetListing> {
         let entries = self.targets.values().filter(|entry| entry.address == address);
         entries.max_by_key(|entry| (entry.started, entry.revision))
     }
--- a/routing/src/admission.rs
+++ b/routing/src/slots.rs
@@ -41,7 +41,7 @@
 
 /// Names a call at its target's node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct CallTicket(u64);
+pub struct SlotTicket(u64);
 
 /// A call that asks to run.
 #[derive(Debug, Clone)]
@@ -60,11 +60,11 @@
 
 /// What becomes of a call that arrives.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AdmissionStep {
+pub enum SlotStep {
     /// It runs now.
-    Run(CallTicket),
-    /// It waits for an [`AdmissionAction`].
-    Wait(CallTicket),
+    Run(SlotTicket),
+    /// It waits for an [`SlotAction`].
+    Wait(SlotTicket),
     /// It would wait longer than its limit, so another target may be better. It is not run.
     Busy,
     /// It is not run, since it cannot be answered in time here.
@@ -76,13 +76,13 @@
 
 /// What becomes of a call that waited.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AdmissionAction {
+pub enum SlotAction {
     /// It runs now.
-    Run(CallTicket),
+    Run(SlotTicket),
     /// It is not run.
     Refuse {
         /// The call.
-        ticket: CallTicket,
+        ticket: SlotTicket,
         /// When there is likely to be room.
         retry_after: ClockSpan,
     },
@@ -99,7 +99,7 @@
 
 /// Load of a target, as its node tells other nodes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct LoadReport {
+pub struct SlotLoad {
     /// Calls that run.
     pub running: u32,
     /// Calls that wait.
@@ -110,7 +110,7 @@
 
 #[derive(Debug)]
 struct WaitingCall {
-    ticket: CallTicket,
+    ticket: SlotTicket,
     call: QueuedCall,
 }
 
@@ -123,10 +123,10 @@
 
 /// The queue in front of one target.
 #[derive(Debug)]
-pub struct AdmissionQueue {
+pub struct SlotQueue {
     slots: u32,
     open: bool,
-    running: FxHashMap<CallTicket, RunningCall>,
+    running: FxHashMap<SlotTicket, RunningCall>,
     waiting: Vec<WaitingCall>,
     means: FxHashMap<Arc<str>, f64>,
     mean: f64,
@@ -134,10 +134,10 @@
     usage: RankUsage,
 }
 
-impl AdmissionQueue {
+impl SlotQueue {
     /// Creates a queue for a target that runs `slots` calls at the same time.
-    pub fn new(slots: u32) -> AdmissionQueue {
-        AdmissionQueue {
+    pub fn new(slots: u32) -> SlotQueue {
+        SlotQueue {
             slots: slots.max(1),
             open: true,
             running: FxHashMap::default(),
@@ -174,8 +174,8 @@
     }
 
     /// The load to report.
-    pub fn load(&self) -> LoadReport {
-        LoadReport {
+    pub fn load(&self) -> SlotLoad {
+        SlotLoad {
             running: self.running.len() as u32,
             queued: self.waiting.len() as u32,
             service: ClockSpan::new(self.mean as u64),
@@ -183,31 +183,31 @@
     }
 
     /// Decides on a call that arrives.
-    pub fn arrive(&mut self, now: ClockTime, call: QueuedCall) -> AdmissionStep {
+    pub fn arrive(&mut self, now: ClockTime, call: QueuedCall) -> SlotStep {
         if !self.open {
-            return AdmissionStep::Refuse { retry_after: RETRY_AFTER_MIN };
+            return SlotStep::Refuse { retry_after: RETRY_AFTER_MIN };
         }
         let service = self.service_time(&call.route);
         if self.has_room() && self.is_next(call.rank) {
             if now + span(service * START_SHARE) > call.deadline {
-                return AdmissionStep::Refuse { retry_after: RETRY_AFTER_MIN };
+                return SlotStep::Refuse { retry_after: RETRY_AFTER_MIN };
             }
-            return AdmissionStep::Run(self.start(now, &call));
+            return SlotStep::Run(self.start(now, &call));
         }
         let wait = self.expected_wait(now, call.rank);
         if now + span(wait + service) > latest_end(&call) {
-            return AdmissionStep::Refuse { retry_after: self.retry_after(wait) };
+            return SlotStep::Refuse { retry_after: self.retry_after(wait) };
         }
         if span(wait) > call.wait_limit {
-            return AdmissionStep::Busy;
+            return SlotStep::Busy;
         }
         let ticket = self.next_ticket();
         self.waiting.push(WaitingCall { ticket, call });
-        AdmissionStep::Wait(ticket)
+        SlotStep::Wait(ticket)
     }
 
     /// Notes the end of a call that ran.
-    pub fn finish(&mut self, now: ClockTime, ticket: CallTicket, end: CallEnd) {
+    pub fn finish(&mut self, now: ClockTime, ticket: SlotTicket, end: CallEnd) {
         let Some(running) = self.running.remove(&ticket) else { return };
         if end == CallEnd::Broken {
             return;
@@ -220,13 +220,13 @@
     }
 
     /// Forgets a call whose caller has gone.
-    pub fn cancel(&mut self, ticket: CallTicket) {
+    pub fn cancel(&mut self, ticket: SlotTicket) {
         self.running.remove(&ticket);
         self.waiting.retain(|waiting| waiting.ticket != ticket);
     }
 
     /// Starts the calls for which there is room and refuses those that wait in vain.
-    pub fn poll(&mut self, now: ClockTime, actions: &mut Vec<AdmissionAction>) {
+    pub fn poll(&mut self, now: ClockTime, actions: &mut Vec<SlotAction>) {
         self.refuse_late(now, actions);
         while self.has_room()
             && let Some(index) = self.next_waiting(now)
@@ -236,13 +236,13 @@
                 waiting.ticket,
                 RunningCall { route: waiting.call.route, rank: waiting.call.rank, started: now },
             );
-            actions.push(AdmissionAction::Run(waiting.ticket));
+            actions.push(SlotAction::Run(waiting.ticket));
         }
     }
 
     /// Refuses the calls that are no longer expected to end in time, because more urgent ones came
     /// or the target became slower.
-    fn refuse_late(&mut self, now: ClockTime, actions: &mut Vec<AdmissionAction>) {
+    fn refuse_late(&mut self, now: ClockTime, actions: &mut Vec<SlotAction>) {
         if self.waiting.is_empty() {
             return;
         }
@@ -256,7 +256,7 @@
                 self.waiting.push(call);
             } else {
                 let retry_after = self.retry_after(wait);
-                actions.push(AdmissionAction::Refuse { ticket: call.ticket, retry_after });
+                actions.push(SlotAction::Refuse { ticket: call.ticket, retry_after });
             }
         }
     }
@@ -268,13 +268,13 @@
 
     /// The most urgent call comes first, of equals one that still meets its aim, of those the one
     /// whose aim comes first.
-    fn order(&self, now: ClockTime, waiting: &WaitingCall) -> (u8, bool, ClockTime, CallTicket) {
+    fn order(&self, now: ClockTime, waiting: &WaitingCall) -> (u8, bool, ClockTime, SlotTicket) {
         let done = now + span(self.service_time(&waiting.call.route));
         let call = &waiting.call;
         (call.rank, done > call.aim_at, call.aim_at, waiting.ticket)
     }
 
-    fn start(&mut self, now: ClockTime, call: &QueuedCall) -> CallTicket {
+    fn start(&mut self, now: ClockTime, call: &QueuedCall) -> SlotTicket {
         let ticket = self.next_ticket();
         self.running.insert(
             ticket,
@@ -283,9 +283,9 @@
         ticket
     }
 
-    fn next_ticket(&mut self) -> CallTicket {
+    fn next_ticket(&mut self) -> SlotTicket {
         self.last_ticket += 1;
-        CallTicket(self.last_ticket)
+        SlotTicket(self.last_ticket)
     }
 
     fn has_room(&self) -> bool {
--- a/routing/tests/plan.rs
+++ b/routing/tests/plan.rs
@@ -5,14 +5,14 @@
 
 use fescuestack_core::{ClockSpan, ClockTime};
 use fescuestack_routing::{
-    AttemptEnd, CallPlan, LoadReport, PlanCall, PlanStep, RepeatAllowance, RepeatBudget,
-    RepeatKind, TargetEntry, TargetPicker, TargetSignal, TargetState,
+    AttemptEnd, CallPlan, PlanCall, PlanStep, RepeatAllowance, RepeatBudget, RepeatKind, SlotLoad,
+    TargetListing, TargetPicker, TargetSignal, TargetState,
 };
 
 const NOW: ClockTime = ClockTime::new(10_000);
 
-fn entry(id: &str, host: u8, data_centre: &str) -> TargetEntry {
-    TargetEntry {
+fn entry(id: &str, host: u8, data_centre: &str) -> TargetListing {
+    TargetListing {
         id: id.into(),
         service: "s".into(),
         address: SocketAddr::from(([10, 0, 0, host], 80)),
@@ -25,7 +25,7 @@
     }
 }
 
-fn picker(entries: &[TargetEntry]) -> TargetPicker {
+fn picker(entries: &[TargetListing]) -> TargetPicker {
     let mut picker = TargetPicker::new("here".into(), 1);
     for entry in entries {
         picker.insert(NOW, entry);
@@ -146,11 +146,11 @@
 #[test]
 fn calls_stay_in_their_data_centre() {
     let mut picker = picker(&[entry("near", 1, "here"), entry("far", 2, "there")]);
-    let busy = LoadReport { running: 6, queued: 1, service: ClockSpan::new(120) };
+    let busy = SlotLoad { running: 6, queued: 1, service: ClockSpan::new(120) };
     picker.report(NOW, "near", busy);
     let choice = picker.choose(NOW, "s", "r", 0, &[]).expect("two targets are ready");
     assert_eq!(&*choice.id, "near");
-    let full = LoadReport { running: 6, queued: 30, service: ClockSpan::new(120) };
+    let full = SlotLoad { running: 6, queued: 30, service: ClockSpan::new(120) };
     picker.report(NOW, "near", full);
     let choice = picker.choose(NOW, "s", "r", 0, &[]).expect("two targets are ready");
     assert!(choice.crosses, "a wait of 600 ms was preferred to another data centre");
@@ -162,7 +162,7 @@
 #[test]
 fn unusable_targets_are_passed_over() {
     let mut picker = picker(&[entry("a", 1, "here"), entry("b", 2, "here")]);
-    let draining = TargetEntry { state: TargetState::Draining, ..entry("a", 1, "here") };
+    let draining = TargetListing { state: TargetState::Draining, ..entry("a", 1, "here") };
     picker.insert(NOW, &draining);
     for _ in 0..20 {
         let choice = picker.choose(NOW, "s", "r", 0, &[]).expect("one target is ready");
@@ -191,7 +191,7 @@
         sent += u32::from(failed);
         let signal = if failed { TargetSignal::Failed } else { TargetSignal::Served };
         picker.ended(now, &choice.id, signal);
-        let load = LoadReport { running: 1, queued: 0, service: ClockSpan::new(100) };
+        let load = SlotLoad { running: 1, queued: 0, service: ClockSpan::new(100) };
         picker.report(now, &choice.id, load);
     }
     assert!(sent < 40, "{sent} of 200 calls went to the target that fails");
--- a/routing/tests/admission.rs
+++ b/routing/tests/slots.rs
@@ -4,9 +4,7 @@
 use std::sync::Arc;
 
 use fescuestack_core::{ClockSpan, ClockTime};
-use fescuestack_routing::{
-    AdmissionAction, AdmissionQueue, AdmissionStep, CallEnd, CallTicket, QueuedCall,
-};
+use fescuestack_routing::{CallEnd, QueuedCall, SlotAction, SlotQueue, SlotStep, SlotTicket};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
@@ -45,11 +43,11 @@
 
 /// Plays ten seconds in steps of one ms.
 fn play(loads: &[RouteLoad]) -> BTreeMap<&'static str, RouteResult> {
-    let mut queue = AdmissionQueue::new(SLOTS);
+    let mut queue = SlotQueue::new(SLOTS);
     let mut random = Pcg32::seed_from_u64(7);
     let mut results: BTreeMap<&'static str, RouteResult> = BTreeMap::new();
-    let mut calls: BTreeMap<CallTicket, (usize, u64)> = BTreeMap::new();
-    let mut running: Vec<(u64, CallTicket)> = Vec::new();
+    let mut calls: BTreeMap<SlotTicket, (usize, u64)> = BTreeMap::new();
+    let mut running: Vec<(u64, SlotTicket)> = Vec::new();
     for now in 0..10_000 {
         let time = ClockTime::new(now);
         let ended: Vec<_> = running.iter().filter(|(end, _)| *end <= now).copied().collect();
@@ -74,22 +72,22 @@
             result.offered += 1;
             let asked = call(now, load.name, load.rank, load.aim, load.deadline);
             match queue.arrive(time, asked) {
-                AdmissionStep::Run(ticket) => {
+                SlotStep::Run(ticket) => {
                     calls.insert(ticket, (index, now));
                     started.push(ticket);
                 }
-                AdmissionStep::Wait(ticket) => {
+                SlotStep::Wait(ticket) => {
                     calls.insert(ticket, (index, now));
                 }
-                AdmissionStep::Busy | AdmissionStep::Refuse { .. } => result.refused += 1,
+                SlotStep::Busy | SlotStep::Refuse { .. } => result.refused += 1,
             }
         }
         let mut actions = Vec::new();
         queue.poll(time, &mut actions);
         for action in actions {
             match action {
-                AdmissionAction::Run(ticket) => started.push(ticket),
-                AdmissionAction::Refuse { ticket, .. } => {
+                SlotAction::Run(ticket) => started.push(ticket),
+                SlotAction::Refuse { ticket, .. } => {
                     let (index, arrived) = calls[&ticket];
                     let result = results.entry(loads[index].name).or_default();
                     result.refused += 1;
@@ -161,54 +159,54 @@
 /// Guards against a service order that lets less urgent calls pass.
 #[test]
 fn rank_goes_before_arrival() {
-    let mut queue = AdmissionQueue::new(1);
+    let mut queue = SlotQueue::new(1);
     let start = ClockTime::new(0);
-    let AdmissionStep::Run(first) = queue.arrive(start, call(0, "a", 2, 500, 2_000)) else {
+    let SlotStep::Run(first) = queue.arrive(start, call(0, "a", 2, 500, 2_000)) else {
         panic!("a free slot was not used");
     };
-    let AdmissionStep::Wait(low) = queue.arrive(start, call(0, "a", 2, 500, 2_000)) else {
+    let SlotStep::Wait(low) = queue.arrive(start, call(0, "a", 2, 500, 2_000)) else {
         panic!("a short queue refused a call");
     };
-    let AdmissionStep::Wait(high) = queue.arrive(start, call(0, "a", 0, 500, 2_000)) else {
+    let SlotStep::Wait(high) = queue.arrive(start, call(0, "a", 0, 500, 2_000)) else {
         panic!("a short queue refused an urgent call");
     };
     let now = ClockTime::new(100);
     queue.finish(now, first, CallEnd::Answered);
     let mut actions = Vec::new();
     queue.poll(now, &mut actions);
-    assert_eq!(actions, [AdmissionAction::Run(high)]);
+    assert_eq!(actions, [SlotAction::Run(high)]);
     queue.cancel(high);
     actions.clear();
     queue.poll(now, &mut actions);
-    assert_eq!(actions, [AdmissionAction::Run(low)]);
+    assert_eq!(actions, [SlotAction::Run(low)]);
 }
 
 /// Guards against work for a target that leaves: what waits is refused as not run.
 #[test]
 fn closed_queue_refuses_all() {
-    let mut queue = AdmissionQueue::new(1);
+    let mut queue = SlotQueue::new(1);
     let start = ClockTime::new(0);
     queue.arrive(start, call(0, "a", 1, 500, 2_000));
-    let AdmissionStep::Wait(waiting) = queue.arrive(start, call(0, "a", 1, 500, 2_000)) else {
+    let SlotStep::Wait(waiting) = queue.arrive(start, call(0, "a", 1, 500, 2_000)) else {
         panic!("a short queue refused a call");
     };
     queue.set_open(false);
     let mut actions = Vec::new();
     queue.poll(start, &mut actions);
     assert!(
-        matches!(actions[..], [AdmissionAction::Refuse { ticket, .. }] if ticket == waiting),
+        matches!(actions[..], [SlotAction::Refuse { ticket, .. }] if ticket == waiting),
         "{actions:?}"
     );
     let step = queue.arrive(start, call(0, "a", 1, 500, 2_000));
-    assert!(matches!(step, AdmissionStep::Refuse { .. }), "{step:?}");
+    assert!(matches!(step, SlotStep::Refuse { .. }), "{step:?}");
 }
 
 /// Guards against an estimate of the wait that counts all running work, which refused short calls
 /// while slots became free every 80 ms.
 #[test]
 fn wait_is_until_first_free_slot() {
-    let mut queue = AdmissionQueue::new(SLOTS);
-    let AdmissionStep::Run(ticket) = queue.arrive(ClockTime::new(0), search(0)) else {
+    let mut queue = SlotQueue::new(SLOTS);
+    let SlotStep::Run(ticket) = queue.arrive(ClockTime::new(0), search(0)) else {
         panic!("a free slot was not used");
     };
     queue.finish(ClockTime::new(480), ticket, CallEnd::Answered);
@@ -220,7 +218,7 @@
     let check = call(now, "check", 1, 600, 1_200);
     let limited = QueuedCall { wait_limit: ClockSpan::new(100), ..check };
     let step = queue.arrive(ClockTime::new(now), limited);
-    assert!(matches!(step, AdmissionStep::Wait(_)), "{step:?}");
+    assert!(matches!(step, SlotStep::Wait(_)), "{step:?}");
 }
 
 fn search(now: u64) -> QueuedCall {
--- a/routing/tests/state.rs
+++ b/routing/tests/state.rs
@@ -7,7 +7,7 @@
 use fescuestack_core::{ClockSpan, ClockTime, RequestFingerprint};
 use fescuestack_routing::{
     ClientLimits, CrashHistory, ReaderChoice, RepeatKind, RouteRule, RouteTable, ServiceRule,
-    SplitPart, StoreView, StoredItem, TargetEntry, TargetRegistry, TargetState, ViewChange,
+    SplitPart, StoreView, StoredItem, TargetListing, TargetRegistry, TargetState, ViewChange,
     ViewSource,
 };
 use quickcheck::quickcheck;
@@ -70,8 +70,8 @@
     assert!((27..=33).contains(&counts["b"]), "{counts:?}");
 }
 
-fn entry(id: &str, started: u64, revision: u64) -> TargetEntry {
-    TargetEntry {
+fn entry(id: &str, started: u64, revision: u64) -> TargetListing {
+    TargetListing {
         id: id.into(),
         service: "s".into(),
         address: SocketAddr::from(([10, 0, 0, 1], 80)),
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -7,7 +7,7 @@
 use fescuestack_http::{CloseWatch, WholeAnswer, WholeRequest, lock, within};
 use fescuestack_platform::headers::{CALLER_SERVICE, EXPECTED_TARGET, REQUEST_ID, TIME_LEFT};
 use fescuestack_routing::{
-    AttemptEnd, CallPlan, PlanCall, PlanStep, RouteRule, TargetChoice, TargetSignal,
+    AttemptEnd, CallPlan, PickedTarget, PlanCall, PlanStep, RouteRule, TargetSignal,
 };
 use futures_lite::future;
 use http::header::{CONNECTION, HOST, RETRY_AFTER};
@@ -216,7 +216,7 @@
         &self,
         state: &Arc<NodeState>,
         progress: &EntryProgress<'_>,
-        target: &TargetChoice,
+        target: &PickedTarget,
         wait_limit: ClockSpan,
     ) -> (AttemptEnd, Option<WholeAnswer>) {
         let now = state.clock.now();
@@ -299,7 +299,7 @@
 /// Keeps the count of calls at a target, also when the attempt is dropped.
 struct AttemptAccount<'a> {
     state: &'a Arc<NodeState>,
-    target: &'a TargetChoice,
+    target: &'a PickedTarget,
     signal: TargetSignal,
 }
 
--- a/sidecar/src/note.rs
+++ b/sidecar/src/note.rs
@@ -5,7 +5,7 @@
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD_NO_PAD;
 use fescuestack_core::{ClockSpan, RequestFingerprint};
-use fescuestack_routing::LoadReport;
+use fescuestack_routing::SlotLoad;
 use http::{HeaderMap, HeaderName, HeaderValue};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -82,8 +82,8 @@
 }
 
 impl ReplyNote {
-    pub(crate) fn load(&self) -> LoadReport {
-        LoadReport {
+    pub(crate) fn load(&self) -> SlotLoad {
+        SlotLoad {
             running: self.running,
             queued: self.queued,
             service: ClockSpan::new(self.service),
--- a/sidecar/src/peer.rs
+++ b/sidecar/src/peer.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use fescuestack_core::RequestFingerprint;
 use fescuestack_http::{WholeAnswer, WholeRequest, lock};
-use fescuestack_routing::{AttemptEnd, TargetChoice};
+use fescuestack_routing::{AttemptEnd, PickedTarget};
 use http::header::HOST;
 use http::{HeaderValue, Request, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
@@ -27,7 +27,7 @@
 /// have run.
 pub(crate) async fn send_call(
     state: &Arc<NodeState>,
-    target: &TargetChoice,
+    target: &PickedTarget,
     note: &CallNote,
     call: &WholeRequest,
 ) -> Result<(ReplyNote, Option<WholeAnswer>), AttemptEnd> {
--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -14,8 +14,8 @@
     EXPECTED_TARGET, NOT_RUN, REQUEST_ID, SIGNATURE, TARGET_ID, TIME_LEFT,
 };
 use fescuestack_routing::{
-    AdmissionAction, AdmissionQueue, AdmissionStep, CallEnd, CallTicket, LoadReport, QueuedCall,
-    TargetEntry, TargetState,
+    CallEnd, QueuedCall, SlotAction, SlotLoad, SlotQueue, SlotStep, SlotTicket, TargetListing,
+    TargetState,
 };
 use http::HeaderValue;
 use rustc_hash::FxHashMap;
@@ -61,19 +61,19 @@
 
 struct SideState {
     address: SocketAddr,
-    queue: AdmissionQueue,
+    queue: SlotQueue,
     known: Option<Arc<str>>,
     /// The target that is here by its own word, if it is not the listed one.
     actual: Option<Arc<str>>,
     idle: Vec<ExchangeConnection>,
-    waiters: FxHashMap<CallTicket, Sender<Result<(), ClockSpan>>>,
+    waiters: FxHashMap<SlotTicket, Sender<Result<(), ClockSpan>>>,
 }
 
 impl TargetSide {
     pub(crate) fn new(address: SocketAddr, clock: CallClock) -> Arc<TargetSide> {
         let state = SideState {
             address,
-            queue: AdmissionQueue::new(1),
+            queue: SlotQueue::new(1),
             known: None,
             actual: None,
             idle: Vec::new(),
@@ -84,7 +84,7 @@
 
     /// Takes over what the platform lists at the target's address. Without an entry, a target that
     /// was listed before has left.
-    pub(crate) fn update(&self, address: SocketAddr, entry: Option<&TargetEntry>) {
+    pub(crate) fn update(&self, address: SocketAddr, entry: Option<&TargetListing>) {
         let now = self.clock.now();
         let mut state = lock(&self.state);
         if state.address != address {
@@ -108,7 +108,7 @@
         state.poll(now);
     }
 
-    pub(crate) fn load(&self) -> LoadReport {
+    pub(crate) fn load(&self) -> SlotLoad {
         lock(&self.state).queue.load()
     }
 
@@ -213,10 +213,10 @@
                 state.queue.set_slots(note.slots);
             }
             match state.queue.arrive(now, call) {
-                AdmissionStep::Run(ticket) => (ticket, None),
-                AdmissionStep::Wait(ticket) => (ticket, Some(state.wait(ticket))),
-                AdmissionStep::Busy => return Err((ReplyEnd::Busy, ClockSpan::ZERO)),
-                AdmissionStep::Refuse { retry_after } => {
+                SlotStep::Run(ticket) => (ticket, None),
+                SlotStep::Wait(ticket) => (ticket, Some(state.wait(ticket))),
+                SlotStep::Busy => return Err((ReplyEnd::Busy, ClockSpan::ZERO)),
+                SlotStep::Refuse { retry_after } => {
                     return Err((ReplyEnd::Refused, retry_after));
                 }
             }
@@ -302,7 +302,7 @@
 }
 
 impl SideState {
-    fn wait(&mut self, ticket: CallTicket) -> Receiver<Result<(), ClockSpan>> {
+    fn wait(&mut self, ticket: SlotTicket) -> Receiver<Result<(), ClockSpan>> {
         let (sender, receiver) = async_channel::bounded(1);
         self.waiters.insert(ticket, sender);
         receiver
@@ -314,8 +314,8 @@
         self.queue.poll(now, &mut actions);
         for action in actions {
             let (ticket, result) = match action {
-                AdmissionAction::Run(ticket) => (ticket, Ok(())),
-                AdmissionAction::Refuse { ticket, retry_after } => (ticket, Err(retry_after)),
+                SlotAction::Run(ticket) => (ticket, Ok(())),
+                SlotAction::Refuse { ticket, retry_after } => (ticket, Err(retry_after)),
             };
             if let Some(waiter) = self.waiters.remove(&ticket) {
                 // The channel has room for the one result. A call that has gone frees its slot itself.
@@ -328,7 +328,7 @@
 /// A place in the queue or at the target. Freed when the call ends, however that happens.
 struct SlotGuard {
     side: Arc<TargetSide>,
-    ticket: CallTicket,
+    ticket: SlotTicket,
     ended: bool,
 }
 
