Count a crash of a target once, and hold no request that ran to its end lately

Cause: each of the requests that ran at a target when it crashed counted as a crash of its own. Lookups without a body look the same, so three of them beside one crash were taken for a request that crashes targets, and every node refused all lookups of that path for two minutes: nothing was sent any more that could have cleared them. The test requests_beside_a_crash_are_not_held failed first, once the stand-in broke off what runs when it crashes.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -8,6 +8,7 @@
 mod balancer;
 mod clock;
 mod code;
+mod completed;
 mod config;
 mod control;
 mod crashes;
@@ -55,6 +56,7 @@
 };
 pub use clock::{ClockSpan, ClockTime};
 pub use code::{CallOutcome, ResultCode};
+pub use completed::CompletedSet;
 pub use config::{
     CallerClass, CallersPart, ConfigPart, FLEET_PART, FleetPart, NodeName, PartName,
     PatiencePeriod, RegionEntry, RouteKind, RouteRule, ServicePart, SpreadPreference, TargetEntry,
--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -3,6 +3,7 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::clock::{ClockSpan, ClockTime};
+use crate::completed::CompletedSet;
 use crate::fingerprint::RequestFingerprint;
 
 /// How long a fingerprint stays quarantined, and how long a crash is held against it.
@@ -11,9 +12,6 @@
 /// Most fingerprints under suspicion or in quarantine.
 pub const QUARANTINE_LIMIT: usize = 256;
 
-/// Most fingerprints remembered for a completed run.
-const COMPLETED_LIMIT: usize = 4096;
-
 /// Crashes that a fingerprint has to take part in.
 pub(crate) const CRASH_MINIMUM: u32 = 2;
 
@@ -36,8 +34,7 @@
     scores: FxHashMap<RequestFingerprint, CrashScore>,
     until: FxHashMap<RequestFingerprint, ClockTime>,
     spread: FxHashSet<RequestFingerprint>,
-    completed: FxHashSet<RequestFingerprint>,
-    completed_before: FxHashSet<RequestFingerprint>,
+    completed: CompletedSet,
 }
 
 impl QuarantineList {
@@ -68,10 +65,6 @@
     /// Notes a run that the upstream completed, which clears the fingerprint.
     pub fn complete(&mut self, fingerprint: RequestFingerprint) {
         self.scores.remove(&fingerprint);
-        // Two sets that take turns forget the oldest half without a list in order of time.
-        if self.completed.len() >= COMPLETED_LIMIT / 2 {
-            self.completed_before = std::mem::take(&mut self.completed);
-        }
         self.completed.insert(fingerprint);
     }
 
@@ -88,10 +81,9 @@
         // A request that ran to its end before is less likely the cause than one that never did. It is
         // shielded once: stored data may have changed so that it now crashes the upstream.
         let (shielded, mut suspects): (Vec<_>, Vec<_>) =
-            distinct.iter().copied().partition(|fingerprint| self.has_completed(*fingerprint));
+            distinct.iter().copied().partition(|fingerprint| self.completed.contains(*fingerprint));
         for fingerprint in &shielded {
-            self.completed.remove(fingerprint);
-            self.completed_before.remove(fingerprint);
+            self.completed.remove(*fingerprint);
         }
         if suspects.is_empty() {
             suspects = shielded;
@@ -141,10 +133,6 @@
         true
     }
 
-    fn has_completed(&self, fingerprint: RequestFingerprint) -> bool {
-        self.completed.contains(&fingerprint) || self.completed_before.contains(&fingerprint)
-    }
-
     fn forget(&mut self, now: ClockTime) {
         self.scores.retain(|_, score| now.since(score.last) < QUARANTINE_SPAN);
         self.until.retain(|_, until| now < *until);
--- a/routing/src/held.rs
+++ b/routing/src/held.rs
@@ -1,31 +1,35 @@
 //! Requests that crash the targets that run them.
 //!
 //! `QuarantineList` of the core package weighs each crash by the number of suspects and holds a request
-//! from one and a half crashes on. Here the operators name the number of crashes, and a request that
-//! ran to its end anywhere is cleared, so the crashes are counted.
+//! from one and a half crashes on. Here the operators name the number of crashes, so they are counted.
 
-use fescuestack_core::{ClockSpan, ClockTime, RequestFingerprint};
+use std::sync::Arc;
+
+use fescuestack_core::{ClockSpan, ClockTime, CompletedSet, RequestFingerprint};
 use rustc_hash::FxHashMap;
 
 /// How long a request stays suspected after a crash.
 pub const HELD_SPAN: ClockSpan = ClockSpan::new(120_000);
 
 /// Crashes after which a request is not sent to targets any more.
-const CRASH_LIMIT: u32 = 3;
+const CRASH_LIMIT: usize = 3;
+
+/// Time within which the reports that a target has crashed are about the same crash. A target is
+/// back after some seconds.
+const CRASH_SPAN: ClockSpan = ClockSpan::new(1_000);
 
 /// Most suspected requests that are remembered.
 const SUSPECT_LIMIT: usize = 1_024;
 
-#[derive(Debug, Clone, Copy)]
-struct CrashCount {
-    crashes: u32,
-    last: ClockTime,
-}
-
 /// Counts the crashes in which each request took part.
+///
+/// Many requests are alike, such as lookups without a body. One that ran to its end lately is no
+/// suspect, and alike requests that ran beside each other count once.
 #[derive(Debug, Default)]
 pub struct CrashHistory {
-    counts: FxHashMap<RequestFingerprint, CrashCount>,
+    /// The targets that crashed while they ran a request, and when.
+    crashes: FxHashMap<RequestFingerprint, Vec<(Arc<str>, ClockTime)>>,
+    completed: CompletedSet,
 }
 
 impl CrashHistory {
@@ -34,35 +38,50 @@
         CrashHistory::default()
     }
 
-    /// Notes a target that crashed while it ran the request. Returns the crashes counted so far.
-    pub fn crash(&mut self, now: ClockTime, request: RequestFingerprint) -> u32 {
-        self.counts.retain(|_, count| now.since(count.last) < HELD_SPAN);
-        if self.counts.len() >= SUSPECT_LIMIT
-            && let Some(oldest) = self.counts.iter().min_by_key(|(_, count)| count.last)
+    /// Notes that `target` crashed while it ran the request. Returns the crashes counted so far.
+    pub fn crash(
+        &mut self,
+        now: ClockTime,
+        target: &Arc<str>,
+        request: RequestFingerprint,
+    ) -> usize {
+        if self.completed.contains(request) {
+            return 0;
+        }
+        self.crashes.retain(|_, crashes| is_recent(now, crashes));
+        if self.crashes.len() >= SUSPECT_LIMIT
+            && let Some(oldest) = self.crashes.iter().min_by_key(|(_, crashes)| last(crashes))
         {
             let oldest = *oldest.0;
-            self.counts.remove(&oldest);
+            self.crashes.remove(&oldest);
         }
-        let count = self.counts.entry(request).or_insert(CrashCount { crashes: 0, last: now });
-        count.crashes += 1;
-        count.last = now;
-        count.crashes
-    }
-
-    /// Whether no request is suspected, so that none needs to be hashed.
-    pub fn is_empty(&self) -> bool {
-        self.counts.is_empty()
+        let crashes = self.crashes.entry(request).or_default();
+        let is_same =
+            |(known, at): &(Arc<str>, ClockTime)| known == target && now.since(*at) < CRASH_SPAN;
+        if !crashes.iter().any(is_same) {
+            crashes.push((target.clone(), now));
+        }
+        crashes.len()
     }
 
     /// Notes a run that came to its end, which clears the request.
     pub fn complete(&mut self, request: RequestFingerprint) {
-        self.counts.remove(&request);
+        self.crashes.remove(&request);
+        self.completed.insert(request);
     }
 
     /// Whether the request has crashed too many targets to be sent to another.
     pub fn is_held(&self, now: ClockTime, request: RequestFingerprint) -> bool {
-        self.counts
+        self.crashes
             .get(&request)
-            .is_some_and(|count| count.crashes >= CRASH_LIMIT && now.since(count.last) < HELD_SPAN)
+            .is_some_and(|crashes| crashes.len() >= CRASH_LIMIT && is_recent(now, crashes))
     }
 }
+
+fn is_recent(now: ClockTime, crashes: &[(Arc<str>, ClockTime)]) -> bool {
+    last(crashes).is_some_and(|last| now.since(last) < HELD_SPAN)
+}
+
+fn last(crashes: &[(Arc<str>, ClockTime)]) -> Option<ClockTime> {
+    crashes.iter().map(|(_, at)| *at).max()
+}
--- a/routing/tests/state.rs
+++ b/routing/tests/state.rs
@@ -6,9 +6,9 @@
 
 use fescuestack_core::{ClockSpan, ClockTime, RequestFingerprint};
 use fescuestack_routing::{
-    ClientLimits, CrashHistory, ReaderChoice, RepeatKind, RouteRule, RouteTable, ServiceRule,
-    SplitPart, StoreView, StoredItem, TargetListing, TargetRegistry, TargetState, ViewChange,
-    ViewSource,
+    ClientLimits, CrashHistory, HELD_SPAN, ReaderChoice, RepeatKind, RouteRule, RouteTable,
+    ServiceRule, SplitPart, StoreView, StoredItem, TargetListing, TargetRegistry, TargetState,
+    ViewChange, ViewSource,
 };
 use quickcheck::quickcheck;
 
@@ -224,21 +224,36 @@
     assert!(matches!(choice.source(later, vms.iter().copied()), ViewSource::Node(_)));
 }
 
-/// Guards against a request that crashes target after target, and against holding one that has
-/// come to its end.
+/// Guards against a request that crashes target after target.
 #[test]
 fn crashing_request_is_held() {
     let mut history = CrashHistory::new();
-    let [one, two] = [1, 2].map(RequestFingerprint::from_number);
-    for _ in 0..2 {
-        history.crash(NOW, one);
-        history.crash(NOW, two);
+    let request = RequestFingerprint::from_number(1);
+    for (index, target) in ["a", "b", "a"].into_iter().enumerate() {
+        assert!(!history.is_held(NOW, request), "held after {index} crashes");
+        let now = NOW + ClockSpan::new(5_000 * index as u64);
+        assert_eq!(history.crash(now, &target.into(), request), index + 1);
     }
-    assert!(!history.is_held(NOW, one));
-    history.complete(two);
-    history.crash(NOW, one);
-    history.crash(NOW, two);
-    assert!(history.is_held(NOW, one));
-    assert!(!history.is_held(NOW, two));
-    assert!(!history.is_held(NOW + fescuestack_routing::HELD_SPAN, one));
+    let now = NOW + ClockSpan::new(10_000);
+    assert!(history.is_held(now, request));
+    assert!(!history.is_held(now + HELD_SPAN, request));
+}
+
+/// Guards against holding ordinary requests: many that look the same run beside each other when a
+/// target crashes, and those that ran to their end before are no suspects.
+#[test]
+fn ordinary_requests_are_not_held() {
+    let mut history = CrashHistory::new();
+    let [alike, known] = [1, 2].map(RequestFingerprint::from_number);
+    history.complete(known);
+    for index in 0..6 {
+        history.crash(NOW + ClockSpan::new(index), &"a".into(), alike);
+        history.crash(NOW, &format!("t{index}").into(), known);
+    }
+    assert!(!history.is_held(NOW, alike), "one crash counted more than once");
+    assert!(!history.is_held(NOW, known), "a request that had run to its end was held");
+    history.crash(NOW, &"b".into(), alike);
+    history.complete(alike);
+    history.crash(NOW, &"c".into(), alike);
+    assert!(!history.is_held(NOW, alike));
 }
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fescuestack_core::{ClockSpan, ClockTime};
+use fescuestack_core::{ClockSpan, ClockTime, RequestFingerprint};
 use fescuestack_http::{CloseWatch, WholeAnswer, WholeRequest, lock, within};
 use fescuestack_platform::headers::{CALLER_SERVICE, EXPECTED_TARGET, REQUEST_ID, TIME_LEFT};
 use fescuestack_routing::{
@@ -128,7 +128,8 @@
     let caller = HeaderValue::from_str(&state.settings.load().service);
     parts.headers.insert(CALLER_SERVICE, caller.map_err(|_| EntryFault::Invalid)?);
     let request = whole_request(parts, body);
-    let call = EntryCall { route: route.clone(), deadline, request };
+    let fingerprint = fingerprint(&request);
+    let call = EntryCall { route: route.clone(), deadline, fingerprint, request };
     let plan = CallPlan::new(PlanCall {
         service,
         route: route.name.clone(),
@@ -157,6 +158,7 @@
 struct EntryCall {
     route: Arc<RouteRule>,
     deadline: ClockTime,
+    fingerprint: RequestFingerprint,
     request: WholeRequest,
 }
 
@@ -175,7 +177,7 @@
         progress: &mut EntryProgress<'_>,
     ) -> Result<WholeAnswer, EntryFault> {
         let mut answer = None;
-        if self.is_held(state) {
+        if lock(&state.crashes).is_held(state.clock.now(), self.fingerprint) {
             return Err(EntryFault::NotRun { retry_after: HELD_RETRY });
         }
         loop {
@@ -252,24 +254,11 @@
         let (end, signal) = attempt_end(&reply, answer.as_ref());
         account.signal = signal;
         if reply.end == ReplyEnd::Answered {
-            self.clear_suspicion(state);
+            lock(&state.crashes).complete(self.fingerprint);
         }
         (end, answer)
     }
 
-    /// Whether the request has crashed too many targets. Hashing is spared while none is suspected.
-    fn is_held(&self, state: &NodeState) -> bool {
-        let crashes = lock(&state.crashes);
-        !crashes.is_empty() && crashes.is_held(state.clock.now(), fingerprint(&self.request))
-    }
-
-    fn clear_suspicion(&self, state: &NodeState) {
-        let mut crashes = lock(&state.crashes);
-        if !crashes.is_empty() {
-            crashes.complete(fingerprint(&self.request));
-        }
-    }
-
     fn id(&self) -> &str {
         self.request.headers.get(&REQUEST_ID).and_then(|id| id.to_str().ok()).unwrap_or("")
     }
--- a/sidecar/src/note.rs
+++ b/sidecar/src/note.rs
@@ -113,15 +113,30 @@
     }
 }
 
-/// Marks a message as the news that a request has crashed a target.
-pub(crate) fn write_crash(headers: &mut HeaderMap, request: RequestFingerprint) {
-    headers.insert(CRASH_HEADER, HeaderValue::from(request.number()));
+/// The news that a target crashed while it ran a request.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct CrashNote {
+    pub(crate) target: Arc<str>,
+    request: u64,
 }
 
-/// The request that a message is about, if it is such news.
-pub(crate) fn scan_crash(headers: &HeaderMap) -> Option<RequestFingerprint> {
-    let number = headers.get(&CRASH_HEADER)?.to_str().ok()?.parse().ok()?;
-    Some(RequestFingerprint::from_number(number))
+impl CrashNote {
+    pub(crate) fn new(target: Arc<str>, request: RequestFingerprint) -> CrashNote {
+        CrashNote { target, request: request.number() }
+    }
+
+    pub(crate) fn request(&self) -> RequestFingerprint {
+        RequestFingerprint::from_number(self.request)
+    }
+
+    pub(crate) fn write(&self, headers: &mut HeaderMap) {
+        write_note(headers, CRASH_HEADER, self);
+    }
+
+    /// Takes the note out of the headers of a message.
+    pub(crate) fn take(headers: &mut HeaderMap) -> Option<CrashNote> {
+        take_note(headers, &CRASH_HEADER)
+    }
 }
 
 /// A question for what the store holds. It is answered when there is something newer.
--- a/sidecar/src/peer.rs
+++ b/sidecar/src/peer.rs
@@ -15,7 +15,7 @@
 use crate::links::LinkError;
 use crate::message::{FullAnswer, empty_answer, full_answer, whole_request};
 use crate::node::NodeState;
-use crate::note::{CallNote, ReplyEnd, ReplyNote, SyncNote, scan_crash, write_crash};
+use crate::note::{CallNote, CrashNote, ReplyEnd, ReplyNote, SyncNote};
 use crate::sync::answer_sync;
 use crate::target::TargetReply;
 
@@ -75,8 +75,8 @@
     if let Some(note) = SyncNote::take(&mut parts.headers) {
         return answer_sync(&state, note).await;
     }
-    if let Some(request) = scan_crash(&parts.headers) {
-        note_crash(&state, request);
+    if let Some(crash) = CrashNote::take(&mut parts.headers) {
+        note_crash(&state, &crash);
         return empty_answer(StatusCode::NO_CONTENT);
     }
     let _place = state.begin_call();
@@ -108,11 +108,15 @@
     note: &CallNote,
     call: WholeRequest,
 ) -> TargetReply {
-    let reply = state.target.run(note, call.clone()).await;
+    let request = fingerprint(&call);
+    let reply = state.target.run(note, call).await;
     if reply.note.crashed {
-        let request = fingerprint(&call);
-        note_crash(state, request);
-        spread_crash(state, request);
+        let crash = CrashNote::new(note.target.clone(), request);
+        if note_crash(state, &crash) > 0 {
+            spread_crash(state, &crash);
+        }
+    } else if reply.note.end == ReplyEnd::Answered {
+        lock(&state.crashes).complete(request);
     }
     reply
 }
@@ -120,25 +124,30 @@
 /// What stays the same when a request is sent again at any VM: its host, method, path and body.
 pub(crate) fn fingerprint(call: &WholeRequest) -> RequestFingerprint {
     let host = call.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or("");
-    RequestFingerprint::from_whole(host, call.method.as_str(), &call.target, &call.body)
+    let length = Some(call.body.len() as u64);
+    RequestFingerprint::new(host, call.method.as_str(), &call.target, length, &call.body)
 }
 
-fn note_crash(state: &NodeState, request: RequestFingerprint) {
-    let crashes = lock(&state.crashes).crash(state.clock.now(), request);
-    log::info!(hash = request.number(), crashes = crashes; "request crashed a target");
+/// Counts a crash. Returns the crashes of the request so far, none if it is no suspect.
+fn note_crash(state: &NodeState, crash: &CrashNote) -> usize {
+    let (now, request) = (state.clock.now(), crash.request());
+    let crashes = lock(&state.crashes).crash(now, &crash.target, request);
+    log::info!(target = &*crash.target, hash = request.number(), crashes = crashes;
+        "request crashed a target");
+    crashes
 }
 
 /// Tells the nodes beside the targets of all services, since the request may come again anywhere.
-fn spread_crash(state: &Arc<NodeState>, request: RequestFingerprint) {
+fn spread_crash(state: &Arc<NodeState>, crash: &CrashNote) {
     for vm in lock(&state.routing).picker.vms() {
         if state.is_own(vm) {
             continue;
         }
         let state = state.clone();
+        let mut message = Request::new(Full::new(Bytes::new()));
+        *message.uri_mut() = Uri::from_static("http://node/");
+        crash.write(message.headers_mut());
         task::spawn(async move {
-            let mut message = Request::new(Full::new(Bytes::new()));
-            *message.uri_mut() = Uri::from_static("http://node/");
-            write_crash(message.headers_mut(), request);
             // A node that is out of reach learns of the request by its next crash.
             if let Err(err) = state.links.send(state.node_address(vm), false, message).await {
                 log::debug!(node = vm.to_string().as_str(); "news of a crash not delivered: {err}");
--- a/sidecar/tests/path.rs
+++ b/sidecar/tests/path.rs
@@ -385,3 +385,41 @@
         }
     });
 }
+
+/// Guards against ordinary requests that are held because several of them ran at a target when it
+/// crashed. They look the same, and each of them was once counted as a crash of its own.
+#[test]
+fn requests_beside_a_crash_are_not_held() {
+    task::block_on(async {
+        let mesh = Mesh::start(&["alpha", "beta", "beta"]).await;
+        for index in 0..20 {
+            let answer = mesh.ask(0, &TestCall::get(&format!("w{index}"), "/b/")).await;
+            assert_eq!(answer.expect("an answer").status, 200);
+        }
+        for node in &mesh.nodes {
+            node.application.set_work(Duration::from_millis(400));
+        }
+        mesh.nodes[1].application.set_crash_body("crash");
+        mesh.nodes[2].application.set_crash_body("crash");
+        let calls: Vec<_> =
+            (0..8).map(|index| TestCall::get(&format!("r{index}"), "/b/")).collect();
+        // Each call is on its way before the next one starts; answers are read later.
+        let mut streams = Vec::new();
+        for call in &calls {
+            let mut stream = TcpStream::connect(mesh.address(0, 0)).await.expect("a node");
+            let text = raw_request(&call.id, "/b/");
+            stream.write_all(text.as_bytes()).await.expect("the node reads");
+            streams.push(stream);
+        }
+        task::sleep(Duration::from_millis(100)).await;
+        let answer = mesh.ask(0, &TestCall::post("c", "/b/pay/", b"crash")).await;
+        assert_eq!(answer.expect("an answer").status, 502);
+        for node in 0..3 {
+            eventually("lookups are served again", async || {
+                let answer = mesh.ask(node, &TestCall::get("again", "/b/")).await;
+                answer.is_ok_and(|answer| answer.status == 200)
+            })
+            .await;
+        }
+    });
+}
