Let nodes tell each other the sizes of their VMs

A node counted a VM as large until it had followed that VM's node, so each node of a data centre with 2 large and 20 small VMs had an order of its own. When the reader failed, the others followed one another, half a second each, through up to seven nodes that knew nothing new.

Ruled out: links and processor time of small VMs (a version reaches the last node 0.1 to 0.6 s after the reader while the tree stands), the store's answers after the compaction (130 ms).

Change: a question for the store's content carries the asking VM's size and a digest of the sizes it knows; who knows other sizes sends all of them, in both directions. `sizes_spread_to_all_nodes` fails without the exchange (nodes know different sizes after four rounds).

--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -17,7 +17,7 @@
 pub use held::{CrashHistory, HELD_SPAN};
 pub use picker::{PickedTarget, TargetPicker, TargetSignal};
 pub use plan::{AttemptEnd, CallPlan, PlanCall, PlanStep};
-pub use readers::{ReaderChoice, ViewSource, is_small};
+pub use readers::{ReaderChoice, ViewSource, VmSizes, is_small};
 pub use registry::{TargetListing, TargetRegistry, TargetState};
 pub use routes::{ClientLimits, RepeatKind, RouteRule, RouteTable, ServiceRule, SplitPart};
 pub use slots::{CallEnd, QueuedCall, SlotAction, SlotLoad, SlotQueue, SlotStep, SlotTicket};
--- a/routing/src/readers.rs
+++ b/routing/src/readers.rs
@@ -2,16 +2,17 @@
 //!
 //! The store's rate grows more slowly than the fleet, and each call is billed. One node of each data
 //! centre reads the store, the others form a tree below it, because the link of one VM is too slow for
-//! a copy to each. Small VMs follow large ones, if there are any. A node that is out of reach, or that has lost the store, is passed over for a
-//! while, so that another takes its place. All nodes compute the same tree from the same entries.
-//! Where their entries differ they may follow each other in a circle; then the age of what they
-//! know grows, and a node whose content is too old is passed over as well.
+//! a copy to each. Small VMs follow large ones, if there are any. A node that is out of reach, or that
+//! has lost the store, is passed over for a while, so that another takes its place. All nodes compute
+//! the same tree from the same entries and sizes, which they tell each other. Where these differ, nodes
+//! may follow each other in a circle; then the age of what they know grows, and a node whose content
+//! is too old is passed over as well.
 
 use std::hash::{Hash, Hasher};
 use std::net::IpAddr;
 
 use fescuestack_core::{ClockSpan, ClockTime};
-use rustc_hash::{FxHashMap, FxHashSet, FxHasher};
+use rustc_hash::{FxHashMap, FxHasher};
 
 /// How long a node is passed over.
 const UNFIT_SPAN: ClockSpan = ClockSpan::new(2_000);
@@ -44,27 +45,76 @@
     Node(IpAddr),
 }
 
+/// Which VMs are small, as far as their nodes have said so. Others count as large.
+#[derive(Debug, Default)]
+pub struct VmSizes {
+    small: FxHashMap<IpAddr, bool>,
+}
+
+impl VmSizes {
+    /// Notes what the node on `vm` says of itself.
+    pub fn note(&mut self, vm: IpAddr, small: bool) {
+        self.small.insert(vm, small);
+    }
+
+    /// Takes over what another node has heard. A VM's own word stands.
+    pub fn learn(&mut self, heard: impl IntoIterator<Item = (IpAddr, bool)>) {
+        for (vm, small) in heard {
+            self.small.entry(vm).or_insert(small);
+        }
+    }
+
+    /// Forgets a VM.
+    pub fn forget(&mut self, vm: IpAddr) {
+        self.small.remove(&vm);
+    }
+
+    /// Forgets the VMs that are not in use any more.
+    pub fn retain(&mut self, in_use: impl Fn(IpAddr) -> bool) {
+        self.small.retain(|vm, _| in_use(*vm));
+    }
+
+    /// Whether the node on `vm` has said that it is small.
+    pub fn is_small(&self, vm: IpAddr) -> bool {
+        self.small.get(&vm).is_some_and(|small| *small)
+    }
+
+    /// All known sizes.
+    pub fn iter(&self) -> impl Iterator<Item = (IpAddr, bool)> {
+        self.small.iter().map(|(vm, small)| (*vm, *small))
+    }
+
+    /// A number that tells different contents apart, whatever the order in which they were learned.
+    pub fn digest(&self) -> u64 {
+        self.small.iter().fold(0, |sum, entry| sum.wrapping_add(order(entry)))
+    }
+}
+
 /// Chooses the node of a data centre that reads the store.
 #[derive(Debug)]
 pub struct ReaderChoice {
     own: IpAddr,
-    small: FxHashSet<IpAddr>,
     unfit: FxHashMap<IpAddr, ClockTime>,
 }
 
 impl ReaderChoice {
     /// Creates the choice of the node on `own`.
     pub fn new(own: IpAddr) -> ReaderChoice {
-        ReaderChoice { own, small: FxHashSet::default(), unfit: FxHashMap::default() }
+        ReaderChoice { own, unfit: FxHashMap::default() }
     }
 
     /// Where to learn from, given the VMs of the node's data centre.
-    pub fn source(&self, now: ClockTime, vms: impl Iterator<Item = IpAddr>) -> ViewSource {
+    pub fn source(
+        &self,
+        now: ClockTime,
+        vms: impl Iterator<Item = IpAddr>,
+        sizes: &VmSizes,
+    ) -> ViewSource {
         let is_fit = |vm: &IpAddr| self.unfit.get(vm).is_none_or(|until| *until <= now);
         let mut fit: Vec<_> = vms.filter(is_fit).chain([self.own]).collect();
-        fit.sort_unstable_by_key(|vm| (self.small.contains(vm), order(*vm), *vm));
+        fit.sort_unstable_by_key(|vm| (sizes.is_small(*vm), order(vm), *vm));
         fit.dedup();
-        let large = fit.iter().filter(|vm| !self.small.contains(*vm)).count();
+        let large = fit.iter().filter(|vm| !sizes.is_small(**vm)).count();
         match fit.iter().position(|vm| *vm == self.own) {
             Some(position) if position > 0 => ViewSource::Node(fit[parent(position, large)]),
             _ => ViewSource::Store,
@@ -76,15 +126,6 @@
         self.unfit.retain(|_, until| *until > now);
         self.unfit.insert(vm, now + UNFIT_SPAN);
     }
-
-    /// Notes whether a VM is small. Unknown ones count as large until they say so.
-    pub fn note_small(&mut self, vm: IpAddr, small: bool) {
-        if small {
-            self.small.insert(vm);
-        } else {
-            self.small.remove(&vm);
-        }
-    }
 }
 
 /// The place of the node that the node at `position` follows, where the first `large` are large.
@@ -100,10 +141,10 @@
     }
 }
 
-/// A hash of the address, so that the order does not follow the age of the VMs. It has no key, since
-/// all nodes have to compute the same one.
-fn order(vm: IpAddr) -> u64 {
+/// A hash, so that the order of VMs does not follow their age. It has no key, since all nodes have to
+/// compute the same one.
+fn order(value: impl Hash) -> u64 {
     let mut hasher = FxHasher::default();
-    vm.hash(&mut hasher);
+    value.hash(&mut hasher);
     hasher.finish()
 }
--- a/routing/tests/state.rs
+++ b/routing/tests/state.rs
@@ -8,7 +8,7 @@
 use fescuestack_routing::{
     ClientLimits, CrashHistory, HELD_SPAN, ReaderChoice, RepeatKind, RouteRule, RouteTable,
     ServiceRule, SplitPart, StoreView, StoredItem, TargetListing, TargetRegistry, TargetState,
-    ViewChange, ViewSource,
+    ViewChange, ViewSource, VmSizes,
 };
 use quickcheck::quickcheck;
 
@@ -153,7 +153,7 @@
     /// which no node has more than four followers.
     fn followers_form_a_tree(hosts: BTreeSet<u8>) -> bool {
         let vms: Vec<IpAddr> = hosts.iter().map(|host| [10, 0, 0, *host].into()).collect();
-        let source = |own: IpAddr| ReaderChoice::new(own).source(NOW, vms.iter().copied());
+        let source = |own: IpAddr| ReaderChoice::new(own).source(NOW, vms.iter().copied(), &VmSizes::default());
         let readers = vms.iter().filter(|vm| source(**vm) == ViewSource::Store).count();
         let mut followers: BTreeMap<IpAddr, usize> = BTreeMap::new();
         for vm in &vms {
@@ -184,11 +184,11 @@
     let mut followers: BTreeMap<IpAddr, usize> = BTreeMap::new();
     let mut readers = 0;
     for own in &vms {
-        let mut choice = ReaderChoice::new(*own);
+        let mut sizes = VmSizes::default();
         for vm in &vms {
-            choice.note_small(*vm, !is_large(vm));
+            sizes.note(*vm, !is_large(vm));
         }
-        match choice.source(NOW, vms.iter().copied()) {
+        match ReaderChoice::new(*own).source(NOW, vms.iter().copied(), &sizes) {
             ViewSource::Store => {
                 assert!(is_large(own), "a small node reads");
                 readers += 1;
@@ -210,18 +210,72 @@
 #[test]
 fn next_node_takes_over_reading() {
     let vms: Vec<IpAddr> = (1..=5).map(|host| [10, 0, 0, host].into()).collect();
+    let sizes = VmSizes::default();
     let is_follower = |vm: &&IpAddr| {
-        ReaderChoice::new(**vm).source(NOW, vms.iter().copied()) != ViewSource::Store
+        ReaderChoice::new(**vm).source(NOW, vms.iter().copied(), &sizes) != ViewSource::Store
     };
     let own = *vms.iter().find(is_follower).expect("four of five follow");
     let mut choice = ReaderChoice::new(own);
     for _ in 0..4 {
-        let ViewSource::Node(parent) = choice.source(NOW, vms.iter().copied()) else { break };
+        let ViewSource::Node(parent) = choice.source(NOW, vms.iter().copied(), &sizes) else {
+            break;
+        };
         choice.pass_over(NOW, parent);
     }
-    assert_eq!(choice.source(NOW, vms.iter().copied()), ViewSource::Store);
+    assert_eq!(choice.source(NOW, vms.iter().copied(), &sizes), ViewSource::Store);
     let later = NOW + ClockSpan::new(2_500);
-    assert!(matches!(choice.source(later, vms.iter().copied()), ViewSource::Node(_)));
+    assert!(matches!(choice.source(later, vms.iter().copied(), &sizes), ViewSource::Node(_)));
+}
+
+/// Guards against nodes that follow different trees, since each knows other sizes: when the reader fails,
+/// they then follow one another and learn nothing. Two of 27 VMs are large, no node knows more than its
+/// own size at first, and all ask in turn.
+#[test]
+fn sizes_spread_to_all_nodes() {
+    let vms: Vec<IpAddr> = (1..=27).map(|host| [10, 0, 0, host].into()).collect();
+    let is_large = |vm: IpAddr| vms[..2].contains(&vm);
+    let mut known: BTreeMap<IpAddr, VmSizes> = BTreeMap::new();
+    for vm in &vms {
+        let mut sizes = VmSizes::default();
+        sizes.note(*vm, !is_large(*vm));
+        known.insert(*vm, sizes);
+    }
+    let source = |own: IpAddr, choice: &ReaderChoice, known: &BTreeMap<IpAddr, VmSizes>| {
+        choice.source(NOW, vms.iter().copied(), &known[&own])
+    };
+    for _ in 0..4 {
+        for own in &vms {
+            let ViewSource::Node(vm) = source(*own, &ReaderChoice::new(*own), &known) else {
+                continue;
+            };
+            let told: Vec<_> = known[own].iter().collect();
+            let asked = known.get_mut(&vm).expect("it is a VM");
+            asked.learn(told);
+            let heard: Vec<_> = asked.iter().collect();
+            known.get_mut(own).expect("it is a VM").learn(heard);
+        }
+    }
+    let digests: BTreeSet<u64> = known.values().map(VmSizes::digest).collect();
+    assert_eq!(digests.len(), 1, "nodes know different sizes");
+    let reader = vms
+        .iter()
+        .find(|vm| source(**vm, &ReaderChoice::new(**vm), &known) == ViewSource::Store)
+        .expect("one reads");
+    let without_reader = |own: IpAddr| {
+        let mut choice = ReaderChoice::new(own);
+        choice.pass_over(NOW, *reader);
+        source(own, &choice, &known)
+    };
+    for own in vms.iter().filter(|vm| *vm != reader) {
+        let mut at = *own;
+        for _ in 0..2 {
+            if let ViewSource::Node(vm) = without_reader(at) {
+                at = vm;
+            }
+        }
+        assert!(is_large(at), "{own} ends up at {at}");
+        assert_eq!(without_reader(at), ViewSource::Store);
+    }
 }
 
 /// Guards against a request that crashes target after target.
--- a/sidecar/src/follower.rs
+++ b/sidecar/src/follower.rs
@@ -15,6 +15,7 @@
 use fescuestack_routing::{ReaderChoice, RepeatAllowance, TargetRegistry, ViewChange, ViewSource};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
+use rustc_hash::FxHashSet;
 
 use crate::node::NodeState;
 use crate::note::SyncNote;
@@ -67,6 +68,8 @@
     /// When the store answered last.
     answered: Option<ClockTime>,
     readers: ReaderChoice,
+    /// Digest of the sizes that the node knew which was followed last.
+    heard: u64,
     source: ViewSource,
     /// Whether the view was read whole once, so that changes suffice.
     listed: bool,
@@ -80,8 +83,7 @@
     pub(crate) fn new(state: Arc<NodeState>) -> StoreFollower {
         let client = StoreClient::new(state.settings.load().store);
         let own = state.settings.load().target.ip();
-        let mut readers = ReaderChoice::new(own);
-        readers.note_small(own, state.is_small());
+        lock(&state.sizes).note(own, state.is_small());
         StoreFollower {
             random: Pcg32::seed_from_u64(
                 state.clock.origin().millis() ^ u64::from(state.split_offset),
@@ -89,7 +91,8 @@
             client,
             registry: TargetRegistry::new(),
             answered: None,
-            readers,
+            readers: ReaderChoice::new(own),
+            heard: 0,
             source: ViewSource::Store,
             listed: false,
             away: false,
@@ -132,11 +135,16 @@
     /// Decides whether this node reads the store or follows another node of its data centre.
     fn choose_source(&mut self) {
         let settings = self.state.settings.load();
+        let own = settings.target.ip();
         let near = self.registry.iter().filter(|entry| *entry.data_centre == *settings.data_centre);
-        let vms = near.map(|entry| entry.address.ip());
-        let source = match self.listed {
-            true => self.readers.source(self.state.clock.now(), vms),
-            false => ViewSource::Store,
+        let vms: FxHashSet<IpAddr> = near.map(|entry| entry.address.ip()).collect();
+        let source = {
+            let mut sizes = lock(&self.state.sizes);
+            sizes.retain(|vm| vm == own || vms.contains(&vm));
+            match self.listed {
+                true => self.readers.source(self.state.clock.now(), vms.into_iter(), &sizes),
+                false => ViewSource::Store,
+            }
         };
         if source != self.source {
             log::info!(source = format!("{source:?}").as_str(); "source of the store's content");
@@ -151,12 +159,14 @@
 
     /// Takes over what another node has read. One that cannot be followed is passed over.
     async fn follow_node(&mut self, vm: IpAddr) {
-        let note = SyncNote { after: lock(&self.state.view).at(), wait: FOLLOW_WAIT.millis() };
+        let note = self.sync_note(FOLLOW_WAIT);
+        let sizes = match self.heard == note.sizes {
+            true => Vec::new(),
+            false => lock(&self.state.sizes).iter().collect(),
+        };
         let limit = Duration::from_millis(FOLLOW_WAIT.millis()) + FOLLOW_SLACK;
-        let answer = within(limit, ask_sync(&self.state, vm, true, note)).await.flatten();
-        if let Some(answer) = &answer {
-            self.readers.note_small(vm, answer.small);
-        }
+        let answer = within(limit, ask_sync(&self.state, vm, true, note, sizes)).await.flatten();
+        self.heard = answer.as_ref().map_or(0, |answer| answer.digest);
         let age = answer.as_ref().and_then(|answer| answer.age);
         if let Some(answer) = answer {
             self.take_over(answer);
@@ -171,6 +181,16 @@
         }
     }
 
+    fn sync_note(&self, wait: ClockSpan) -> SyncNote {
+        SyncNote {
+            after: lock(&self.state.view).at(),
+            wait: wait.millis(),
+            vm: self.state.settings.load().target.ip(),
+            small: self.state.is_small(),
+            sizes: lock(&self.state.sizes).digest(),
+        }
+    }
+
     async fn list(&mut self) -> Result<(), StoreError> {
         let listing = self.client.list(ALL_KEYS).await?;
         self.note_answer();
@@ -239,8 +259,8 @@
             return;
         }
         let Some(vm) = self.random_node() else { return };
-        let note = SyncNote { after: lock(&self.state.view).at(), wait: 0 };
-        let asked = within(ASK_PERIOD, ask_sync(&self.state, vm, false, note)).await;
+        let note = self.sync_note(ClockSpan::ZERO);
+        let asked = within(ASK_PERIOD, ask_sync(&self.state, vm, false, note, Vec::new())).await;
         if let Some(Some(answer)) = asked {
             self.take_over(answer);
         }
@@ -248,6 +268,7 @@
 
     fn take_over(&mut self, answer: SyncAnswer) {
         self.state.extend_lapse(self.state.clock.now() + ClockSpan::new(answer.lapse));
+        lock(&self.state.sizes).learn(answer.sizes);
         let Some(items) = answer.items else { return };
         let at = answer.at;
         let changes = {
@@ -336,6 +357,11 @@
             }
         };
         let now = self.state.clock.now();
+        let vm = entry.address.ip();
+        if self.registry.get(id).is_none() && !self.state.is_own(vm) {
+            // The address may have belonged to a VM of another size.
+            lock(&self.state.sizes).forget(vm);
+        }
         if self.registry.insert(entry.clone()) {
             log::info!(target = id, service = &*entry.service, state = format!("{:?}", entry.state).as_str(),
                 revision = item.revision; "target listed");
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -14,7 +14,8 @@
 use fescuestack_operators::{MetricsError, NodeMetrics};
 use fescuestack_platform::MachineSettings;
 use fescuestack_routing::{
-    CrashHistory, RepeatAllowance, RepeatBudget, RouteTable, StoreView, TargetPicker, is_small,
+    CrashHistory, RepeatAllowance, RepeatBudget, RouteTable, StoreView, TargetPicker, VmSizes,
+    is_small,
 };
 use http_body_util::Full;
 use rustc_hash::{FxHashMap, FxHasher};
@@ -42,6 +43,8 @@
     pub(crate) view: Mutex<StoreView>,
     /// Notified when the view has changed, or whether this node reads the store.
     pub(crate) view_changed: Event,
+    /// Sizes of the VMs of the data centre.
+    pub(crate) sizes: Mutex<VmSizes>,
     /// The last content that was sent to other nodes.
     pub(crate) encoded: Mutex<Option<EncodedContent>>,
     /// Whether this node reads the store itself and has contact with it.
@@ -105,6 +108,7 @@
             store_calls: AtomicU64::new(0),
             view: Mutex::default(),
             view_changed: Event::new(),
+            sizes: Mutex::default(),
             encoded: Mutex::new(None),
             reading: AtomicBool::new(false),
             confirmed: AtomicU64::new(0),
--- a/sidecar/src/note.rs
+++ b/sidecar/src/note.rs
@@ -1,5 +1,6 @@
 //! What nodes tell each other about a call, beside the request and the answer themselves.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 
 use base64::Engine;
@@ -146,6 +147,12 @@
     pub(crate) after: u64,
     /// Longest time until the answer, in ms.
     pub(crate) wait: u64,
+    /// The VM of the asking node.
+    pub(crate) vm: IpAddr,
+    /// Whether that VM is small.
+    pub(crate) small: bool,
+    /// Digest of the sizes that the asking node knows.
+    pub(crate) sizes: u64,
 }
 
 impl SyncNote {
--- a/sidecar/src/peer.rs
+++ b/sidecar/src/peer.rs
@@ -73,7 +73,10 @@
 pub(crate) async fn serve(state: Arc<NodeState>, request: Request<Incoming>) -> FullAnswer {
     let (mut parts, body) = request.into_parts();
     if let Some(note) = SyncNote::take(&mut parts.headers) {
-        return answer_sync(&state, note).await;
+        let Ok(body) = Limited::new(body, BODY_BYTES).collect().await else {
+            return empty_answer(StatusCode::BAD_REQUEST);
+        };
+        return answer_sync(&state, note, &body.to_bytes()).await;
     }
     if let Some(crash) = CrashNote::take(&mut parts.headers) {
         note_crash(&state, &crash);
--- a/sidecar/src/sync.rs
+++ b/sidecar/src/sync.rs
@@ -30,8 +30,10 @@
     pub(crate) at: u64,
     /// How long ago the store confirmed this content, in ms. `None` if the node is out of contact.
     pub(crate) age: Option<u64>,
-    /// Whether the node should not serve others while there are larger ones.
-    pub(crate) small: bool,
+    /// Digest of the sizes that the node knows.
+    pub(crate) digest: u64,
+    /// These sizes, if there is content or the asking node knows others.
+    pub(crate) sizes: Vec<(IpAddr, bool)>,
     /// How much longer missing entries may come back, in ms.
     pub(crate) lapse: u64,
     /// All keys, if the node knows a newer revision than asked.
@@ -57,7 +59,18 @@
 }
 
 /// Answers as soon as there is something newer than asked, or when this node stops reading the store.
-pub(crate) async fn answer_sync(state: &NodeState, note: SyncNote) -> FullAnswer {
+/// `body` holds the sizes that the asking node knows, or nothing.
+pub(crate) async fn answer_sync(state: &NodeState, note: SyncNote, body: &[u8]) -> FullAnswer {
+    lock(&state.sizes).note(note.vm, note.small);
+    if !body.is_empty() {
+        match postcard::from_bytes::<Vec<(IpAddr, bool)>>(body) {
+            Ok(sizes) => lock(&state.sizes).learn(sizes),
+            Err(err) => {
+                let node = note.vm.to_string();
+                log::warn!(node = node.as_str(); "801 sizes of VMs cannot be read: {err}");
+            }
+        }
+    }
     let limit = Duration::from_millis(note.wait);
     let changed = async {
         loop {
@@ -69,7 +82,7 @@
         }
     };
     within(limit, changed).await;
-    let answer = sync_answer(state, note.after);
+    let answer = sync_answer(state, note);
     if answer.items.is_none() {
         return sync_response(&answer);
     }
@@ -96,8 +109,10 @@
     }
 }
 
-fn sync_answer(state: &NodeState, after: u64) -> SyncAnswer {
+fn sync_answer(state: &NodeState, note: SyncNote) -> SyncAnswer {
+    let after = note.after;
     let view = lock(&state.view);
+    let sizes = lock(&state.sizes);
     let item = |(key, item): (&Arc<str>, &StoredItem)| SyncItem {
         key: key.clone(),
         revision: item.revision,
@@ -106,21 +121,31 @@
     SyncAnswer {
         at: view.at(),
         age: state.view_age().filter(|_| !state.is_stopping()).map(ClockSpan::millis),
-        small: state.is_small(),
+        digest: sizes.digest(),
+        sizes: match view.at() > after || sizes.digest() != note.sizes {
+            true => sizes.iter().collect(),
+            false => Vec::new(),
+        },
         lapse: state.lapse_until().since(state.clock.now()).millis(),
         items: (view.at() > after).then(|| view.iter().map(item).collect()),
     }
 }
 
-/// Asks the node on `vm` for what the store holds after a revision. `None` means that it cannot be
+/// Asks the node on `vm` for what the store holds after a revision, and tells it `sizes`. `None` means that it cannot be
 /// reached, which its link reports.
 pub(crate) async fn ask_sync(
     state: &Arc<NodeState>,
     vm: IpAddr,
     near: bool,
     note: SyncNote,
+    sizes: Vec<(IpAddr, bool)>,
 ) -> Option<SyncAnswer> {
-    let mut request = Request::new(Full::new(Bytes::new()));
+    let body = match sizes.is_empty() {
+        true => Vec::new(),
+        // Plain values always encode.
+        false => postcard::to_stdvec(&sizes).unwrap_or_default(),
+    };
+    let mut request = Request::new(Full::new(Bytes::from(body)));
     *request.uri_mut() = Uri::from_static("http://node/");
     note.write(request.headers_mut());
     let answer = state.links.send(state.node_address(vm), near, request).await.ok()?;
