Ask the store again when a watch is late

A watch waited 3 s, and one more second passed before it was given up. When the store loses its history, watches that wait may stay without an answer on connections that stay open.

Change: watches wait one second. One that is 150 ms late is raced by a read on another connection. `lost_watch_is_noticed` failed before, at 2 s after the write, and passes now.

--- a/sidecar/src/follower.rs
+++ b/sidecar/src/follower.rs
@@ -13,6 +13,7 @@
     target_id,
 };
 use fescuestack_routing::{ReaderChoice, RepeatAllowance, TargetRegistry, ViewChange, ViewSource};
+use futures_lite::future;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use rustc_hash::FxHashSet;
@@ -21,8 +22,13 @@
 use crate::note::SyncNote;
 use crate::sync::{SyncAnswer, SyncItem, ask_sync};
 
-/// How long a watch waits. A connection that has gone silent is noticed after it.
-const WATCH_WAIT: ClockSpan = ClockSpan::new(3_000);
+/// How long a watch waits. A connection that has gone silent is noticed after it, and a version has to
+/// be in force on all nodes within 2 s of its acknowledgement.
+const WATCH_WAIT: ClockSpan = ClockSpan::new(1_000);
+
+/// How much later than its wait a watch is taken for lost, so that the store is asked on another
+/// connection. The store answers within 10 ms while it is healthy.
+const WATCH_HEDGE: ClockSpan = ClockSpan::new(150);
 
 /// How long the first watch after a failure waits. The store may well fail again.
 const WATCH_FIRST: ClockSpan = ClockSpan::new(500);
@@ -202,7 +208,13 @@
 
     async fn watch(&mut self) -> Result<(), StoreError> {
         let after = lock(&self.state.view).at();
-        let (events, at) = self.client.watch(ALL_KEYS, after, self.wait).await?;
+        let watch = self.client.watch(ALL_KEYS, after, self.wait);
+        let hedge = async {
+            task::sleep(Duration::from_millis((self.wait + WATCH_HEDGE).millis())).await;
+            log::debug!(revision = after; "watch is late, asking the store again");
+            self.client.watch(ALL_KEYS, after, ClockSpan::ZERO).await
+        };
+        let (events, at) = future::or(watch, hedge).await?;
         self.note_answer();
         self.wait = (self.wait + self.wait).min(WATCH_WAIT);
         let changes = {
--- a/sidecar/tests/path.rs
+++ b/sidecar/tests/path.rs
@@ -268,6 +268,28 @@
     });
 }
 
+/// Guards against a reader that waits for a lost answer: the version has to be in force within 2 s.
+#[test]
+fn lost_watch_is_noticed() {
+    task::block_on(async {
+        let mesh = Mesh::start(&["alpha", "beta"]).await;
+        for round in 2..4 {
+            // The store is quiet for so long that watches wait their full time.
+            task::sleep(Duration::from_millis(2_500)).await;
+            mesh.store.put(CONFIG_KEY, config(round * 2, &[("/b/", "beta")]));
+            task::sleep(Duration::from_millis(700)).await;
+            mesh.store.drop_waiting();
+            let path = format!("/v{round}/");
+            mesh.store.put(CONFIG_KEY, config(round * 2 + 1, &[(&path, "beta")]));
+            task::sleep(Duration::from_millis(2_000)).await;
+            for node in 0..2 {
+                let answer = mesh.ask(node, &TestCall::get("w", &path)).await.expect("an answer");
+                assert_eq!(answer.status, 200, "node {node} has an older version");
+            }
+        }
+    });
+}
+
 /// Guards against entries of other writers that stop the use of good ones.
 #[test]
 fn entries_of_other_writers_are_ignored() {
