Judge links by signs of life instead of one late answer

Change: what counts is any byte read from the node, and any write that goes on after it had to wait, since the node has taken something then. A link with open calls is cut after nine (eleven to other data centres) looks of 100 ms without one; looks are counted, so that a pause of the own process is no silence of the node. Tests `busy_links_are_not_silent` and `waiting_writes_are_signs_of_life`; neither part existed before.

--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -29,7 +29,7 @@
 };
 pub use fault::HttpFault;
 pub use gather::{GatheredBody, gather_body};
-pub use runtime::{CloseWatch, ServedStream, TaskExecutor, TaskTimer};
+pub use runtime::{CloseWatch, LifeSigns, ServedStream, TaskExecutor, TaskTimer};
 pub use scan::{
     BodyFraming, HEADER_LIMIT, HeadView, scan_decimal, scan_head, scan_head_end, scan_header,
     scan_host, scan_request_line, scan_status_line,
--- a/http/src/runtime.rs
+++ b/http/src/runtime.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
@@ -68,11 +69,30 @@
     ended: bool,
 }
 
+/// Counts the signs of life of a peer: bytes that were read, and writes that went on after they had
+/// to wait, since the peer has taken something then.
+#[derive(Debug, Clone, Default)]
+pub struct LifeSigns(Arc<AtomicU64>);
+
+impl LifeSigns {
+    /// Signs so far.
+    pub fn count(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn note(&self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
 /// A socket as `hyper` reads and writes it.
 #[derive(Debug)]
 pub struct ServedStream {
     stream: TcpStream,
     ahead: Arc<Mutex<ReadAhead>>,
+    signs: LifeSigns,
+    /// Whether the last write had to wait.
+    blocked: bool,
 }
 
 /// Watches the socket of a request that is being served.
@@ -85,7 +105,23 @@
 impl ServedStream {
     /// Wraps a socket.
     pub fn new(stream: TcpStream) -> ServedStream {
-        ServedStream { stream, ahead: Arc::default() }
+        ServedStream { stream, ahead: Arc::default(), signs: LifeSigns::default(), blocked: false }
+    }
+
+    /// The signs of life of the peer.
+    pub fn signs(&self) -> LifeSigns {
+        self.signs.clone()
+    }
+
+    fn note_write(&mut self, written: &Poll<io::Result<usize>>) {
+        match written {
+            Poll::Pending => self.blocked = true,
+            Poll::Ready(Ok(_)) if self.blocked => {
+                self.blocked = false;
+                self.signs.note();
+            }
+            Poll::Ready(_) => (),
+        }
     }
 
     /// A watch on the peer's side of the connection.
@@ -141,6 +177,9 @@
         let room = target.remaining().min(READ_BYTES);
         let count = ready!(Pin::new(&mut served.stream).poll_read(cx, &mut buffer[..room]))?;
         target.put_slice(&buffer[..count]);
+        if count > 0 {
+            served.signs.note();
+        }
         Poll::Ready(Ok(()))
     }
 }
@@ -151,7 +190,9 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.note_write(&written);
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -171,6 +212,8 @@
         cx: &mut Context<'_>,
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bytes)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bytes);
+        self.note_write(&written);
+        written
     }
 }
--- /dev/null
+++ b/http/tests/runtime.rs
@@ -0,0 +1,48 @@
+//! Sockets as `hyper` reads and writes them.
+
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::time::{Duration, Instant};
+
+use async_std::io::ReadExt;
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use fescuestack_http::{ServedStream, within};
+use hyper::rt::Write;
+
+/// More than the buffers of both sockets hold.
+const UPLOAD_BYTES: usize = 64 * 1024 * 1024;
+
+/// Guards against a peer that counts as cut while an upload passes slowly, and against one that takes
+/// nothing and counts as alive.
+#[test]
+fn waiting_writes_are_signs_of_life() {
+    task::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("a bound port");
+        let client = TcpStream::connect(address).await.expect("a connection");
+        let (mut server, _) = listener.accept().await.expect("a connection");
+        let mut stream = ServedStream::new(client);
+        let signs = stream.signs();
+        let upload = task::spawn(async move {
+            let bytes = vec![0; 64 * 1024];
+            let mut written = 0;
+            while written < UPLOAD_BYTES {
+                let write = poll_fn(|cx| Pin::new(&mut stream).poll_write(cx, &bytes));
+                let Ok(count) = write.await else { return };
+                written += count;
+            }
+        });
+        task::sleep(Duration::from_millis(300)).await;
+        let before = signs.count();
+        task::sleep(Duration::from_millis(300)).await;
+        assert_eq!(signs.count(), before, "the peer has read nothing");
+        let started = Instant::now();
+        let mut buffer = vec![0; 1024 * 1024];
+        while signs.count() == before && started.elapsed() < Duration::from_secs(5) {
+            server.read(&mut buffer).await.expect("an open connection");
+        }
+        assert!(signs.count() > before, "the peer has read");
+        assert!(within(Duration::ZERO, upload).await.is_none(), "the upload is not over");
+    });
+}
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -10,6 +10,7 @@
 mod readers;
 mod registry;
 mod routes;
+mod silence;
 mod slots;
 mod view;
 
@@ -20,5 +21,6 @@
 pub use readers::{ReaderChoice, ViewSource, VmSizes, is_small};
 pub use registry::{TargetListing, TargetRegistry, TargetState};
 pub use routes::{ClientLimits, RepeatKind, RouteRule, RouteTable, ServiceRule, SplitPart};
+pub use silence::{LOOK_PERIOD, LinkSilence};
 pub use slots::{CallEnd, QueuedCall, SlotAction, SlotLoad, SlotQueue, SlotStep, SlotTicket};
 pub use view::{StoreView, StoredItem, ViewChange};
--- a/routing/tests/state.rs
+++ b/routing/tests/state.rs
@@ -6,9 +6,9 @@
 
 use fescuestack_core::{ClockSpan, ClockTime, RequestFingerprint};
 use fescuestack_routing::{
-    ClientLimits, CrashHistory, HELD_SPAN, ReaderChoice, RepeatKind, RouteRule, RouteTable,
-    ServiceRule, SplitPart, StoreView, StoredItem, TargetListing, TargetRegistry, TargetState,
-    ViewChange, ViewSource, VmSizes,
+    ClientLimits, CrashHistory, HELD_SPAN, LinkSilence, ReaderChoice, RepeatKind, RouteRule,
+    RouteTable, ServiceRule, SplitPart, StoreView, StoredItem, TargetListing, TargetRegistry,
+    TargetState, ViewChange, ViewSource, VmSizes,
 };
 use quickcheck::quickcheck;
 
@@ -278,6 +278,26 @@
     }
 }
 
+/// Guards against a slow link that counts as cut while uploads pass through it, against a cut one that
+/// is not noticed, and against an own pause that counts as silence of the peer.
+#[test]
+fn busy_links_are_not_silent() {
+    let limit = ClockSpan::new(900);
+    let looks = |silence: &mut LinkSilence, signs: u64, busy: bool| {
+        (1..=20).find(|_| silence.look(signs, busy, limit))
+    };
+    let mut silence = LinkSilence::default();
+    for signs in 1..30 {
+        assert!(!silence.look(signs, true, limit), "writes went on");
+    }
+    assert_eq!(looks(&mut silence, 29, false), None, "no call is open");
+    assert_eq!(looks(&mut silence, 29, true), Some(9));
+    let mut silence = LinkSilence::default();
+    assert_eq!((1..=8).find(|_| silence.look(0, true, limit)), None);
+    assert!(!silence.look(1, true, limit), "the sign came in time");
+    assert_eq!(looks(&mut silence, 1, true), Some(9));
+}
+
 /// Guards against a request that crashes target after target.
 #[test]
 fn crashing_request_is_held() {
--- a/sidecar/src/links.rs
+++ b/sidecar/src/links.rs
@@ -1,12 +1,17 @@
 //! Connections to other nodes: one for each, shared by all calls to it.
 
 use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use async_channel::Sender;
 use async_std::task;
 use bytes::Bytes;
-use fescuestack_http::{ServedStream, TaskExecutor, TaskTimer, connect, lock, within};
+use fescuestack_core::ClockSpan;
+use fescuestack_http::{LifeSigns, ServedStream, TaskExecutor, TaskTimer, connect, lock, within};
+use fescuestack_routing::LinkSilence;
+use futures_lite::future;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http2;
@@ -16,14 +21,19 @@
 /// How long a connection may take to open. Data centres are some ms apart.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 
-/// How long a connection with open calls may be silent before it is asked for a sign of life, and how
-/// long that may take, within a data centre. A VM that has used up its processor time answers after
-/// up to 100 ms, and uploads on a slow link hold up what is sent after them.
-const NEAR_PING: (Duration, Duration) = (Duration::from_millis(200), Duration::from_millis(700));
+/// How long a connection with open calls may be silent before it is asked for a sign of life, and until
+/// it counts as cut, within a data centre. A VM that has used up its processor time answers after up to
+/// 100 ms, and uploads on a slow link hold up the answer for half a second after the last of them was
+/// written.
+const NEAR_SILENCE: (Duration, ClockSpan) = (Duration::from_millis(200), ClockSpan::new(900));
 
 /// The same between data centres, where traffic is costly and packets are lost now and then. A lost
 /// packet is sent again after 200 ms or more.
-const FAR_PING: (Duration, Duration) = (Duration::from_millis(400), Duration::from_millis(700));
+const FAR_SILENCE: (Duration, ClockSpan) = (Duration::from_millis(400), ClockSpan::new(1_100));
+
+/// How long the answer to the question for a sign of life may take while there are others. Uploads
+/// that follow one another on a slow link hold it up.
+const PING_LIMIT: Duration = Duration::from_secs(10);
 
 /// First pause before a lost connection is opened again.
 const REOPEN_FIRST: Duration = Duration::from_millis(100);
@@ -54,10 +64,21 @@
 
 type LinkSender = http2::SendRequest<Full<Bytes>>;
 
+/// An open connection.
+#[derive(Debug)]
+struct OpenLink {
+    sender: LinkSender,
+    signs: LifeSigns,
+    silence: LinkSilence,
+    /// The connection ends when this is closed. One that the node has announced to close still brings
+    /// its last answers, so dropping this does not end it.
+    closer: Sender<()>,
+}
+
 #[derive(Debug)]
 enum LinkState {
     Closed,
-    Open(LinkSender),
+    Open(OpenLink),
     /// Being opened again in the background.
     Lost,
 }
@@ -69,6 +90,17 @@
     near: bool,
     state: Mutex<LinkState>,
     opening: async_std::sync::Mutex<()>,
+    /// Calls that wait for their answer.
+    calls: AtomicUsize,
+}
+
+/// A call that waits for its answer.
+struct OpenCall<'a>(&'a NodeLink);
+
+impl Drop for OpenCall<'_> {
+    fn drop(&mut self) {
+        self.0.calls.fetch_sub(1, Ordering::AcqRel);
+    }
 }
 
 /// Told when a node can be reached or not any more.
@@ -100,6 +132,7 @@
     ) -> Result<Response<Bytes>, LinkError> {
         let link = self.link(address, near);
         let mut sender = self.sender(&link).await?;
+        let _call = link.begin_call();
         let answer = match sender.try_send_request(request).await {
             Ok(answer) => answer,
             Err(mut err) => {
@@ -122,7 +155,7 @@
         let mut links = lock(&self.links);
         let link = links.entry(address).or_insert_with(|| {
             let (state, opening) = (Mutex::new(LinkState::Closed), async_std::sync::Mutex::new(()));
-            Arc::new(NodeLink { address, near, state, opening })
+            Arc::new(NodeLink { address, near, state, opening, calls: AtomicUsize::new(0) })
         });
         link.clone()
     }
@@ -136,8 +169,9 @@
             return Ok(sender);
         }
         match link.open().await {
-            Ok(sender) => {
-                *lock(&link.state) = LinkState::Open(sender.clone());
+            Ok(open) => {
+                let sender = open.sender.clone();
+                *lock(&link.state) = LinkState::Open(open);
                 Ok(sender)
             }
             Err(reason) => {
@@ -154,7 +188,9 @@
         link: &Arc<NodeLink>,
     ) -> Result<Option<LinkSender>, LinkError> {
         match &*lock(&link.state) {
-            LinkState::Open(sender) if !sender.is_closed() => return Ok(Some(sender.clone())),
+            LinkState::Open(open) if !open.sender.is_closed() => {
+                return Ok(Some(open.sender.clone()));
+            }
             LinkState::Open(_) => (),
             LinkState::Closed => return Ok(None),
             LinkState::Lost => return Err(LinkError::NotSent),
@@ -181,8 +217,8 @@
                 if !table.holds(&link) {
                     return;
                 }
-                let Ok(sender) = link.open().await else { continue };
-                *lock(&link.state) = LinkState::Open(sender);
+                let Ok(open) = link.open().await else { continue };
+                *lock(&link.state) = LinkState::Open(open);
                 log::info!(node = link.address.to_string().as_str(); "node regained");
                 table.notify(link.address.ip(), true);
                 return;
@@ -190,6 +226,17 @@
         });
     }
 
+    /// Closes the connections that have gone silent while calls are open. To be called in each
+    /// [`LOOK_PERIOD`](fescuestack_routing::LOOK_PERIOD).
+    pub(crate) fn look(self: &Arc<Self>) {
+        let links: Vec<_> = lock(&self.links).values().cloned().collect();
+        for link in links {
+            if link.end_if_silent() {
+                self.lose(&link, "silent");
+            }
+        }
+    }
+
     fn holds(&self, link: &Arc<NodeLink>) -> bool {
         lock(&self.links).get(&link.address).is_some_and(|known| Arc::ptr_eq(known, link))
     }
@@ -203,26 +250,61 @@
 }
 
 impl NodeLink {
-    async fn open(&self) -> Result<LinkSender, String> {
+    fn begin_call(&self) -> OpenCall<'_> {
+        self.calls.fetch_add(1, Ordering::AcqRel);
+        OpenCall(self)
+    }
+
+    /// Looks whether the connection has gone silent, and ends it then.
+    fn end_if_silent(&self) -> bool {
+        let busy = self.calls.load(Ordering::Acquire) > 0;
+        let (_, limit) = self.silence();
+        match &mut *lock(&self.state) {
+            LinkState::Open(open) => {
+                let silent = open.silence.look(open.signs.count(), busy, limit);
+                if silent {
+                    open.closer.close();
+                }
+                silent
+            }
+            LinkState::Closed | LinkState::Lost => false,
+        }
+    }
+
+    fn silence(&self) -> (Duration, ClockSpan) {
+        if self.near { NEAR_SILENCE } else { FAR_SILENCE }
+    }
+
+    async fn open(&self) -> Result<OpenLink, String> {
         let address = self.address;
         let stream = connect(address, CONNECT_LIMIT).await.map_err(|err| err.to_string())?;
-        let (interval, limit) = if self.near { NEAR_PING } else { FAR_PING };
+        let (interval, _) = self.silence();
+        let stream = ServedStream::new(stream);
+        let signs = stream.signs();
         let mut builder = http2::Builder::new(TaskExecutor);
         builder
             .timer(TaskTimer)
             .keep_alive_interval(interval)
-            .keep_alive_timeout(limit)
+            .keep_alive_timeout(PING_LIMIT)
             .initial_stream_window_size(STREAM_WINDOW)
             .initial_connection_window_size(CONNECTION_WINDOW);
-        let handshake = builder.handshake(ServedStream::new(stream));
+        let handshake = builder.handshake(stream);
         let opened = within(CONNECT_LIMIT, handshake).await.ok_or("handshake timed out")?;
         let (sender, connection) = opened.map_err(|err| err.to_string())?;
+        let (closer, closed) = async_channel::bounded::<()>(1);
+        let opened = closer.clone();
+        let closed = async move {
+            // Nothing is ever sent; the channel is closed.
+            let _ = closed.recv().await;
+            drop(opened);
+            Ok(())
+        };
         task::spawn(async move {
-            if let Err(err) = connection.await {
+            if let Err(err) = future::or(connection, closed).await {
                 log::debug!(node = address.to_string().as_str(); "link closed: {err}");
             }
         });
-        Ok(sender)
+        Ok(OpenLink { sender, signs, silence: LinkSilence::default(), closer })
     }
 }
 
--- a/sidecar/src/run.rs
+++ b/sidecar/src/run.rs
@@ -14,6 +14,7 @@
 use fescuestack_operators::{MetricsError, NodeMetrics};
 use fescuestack_platform::headers::READY_PATH;
 use fescuestack_platform::{MachineError, MachineSettings};
+use fescuestack_routing::LOOK_PERIOD;
 use futures_lite::future;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
@@ -287,9 +288,15 @@
 }
 
 async fn tick(state: Arc<NodeState>) {
+    let mut looked = state.clock.now();
     loop {
         task::sleep(TICK).await;
         state.target.tick();
+        let now = state.clock.now();
+        if now.since(looked) >= LOOK_PERIOD {
+            looked = now;
+            state.links.look();
+        }
     }
 }
 
