Keep the timers given to hyper over once they are

When the timer of the keep-alive ran out on an idle connection, no ping was sent on that connection any more. So a link that went silent was noticed only by the system's limit on unacknowledged bytes, if at all.

Ruled out: answers held up by uploads (the links had one open call and no upload), calls that are counted and not open (each trial line shows one call, which later got its answer).

Change: the timer remembers that it is over. `timer_stays_over` failed before.

--- a/http/src/runtime.rs
+++ b/http/src/runtime.rs
@@ -40,13 +40,27 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct TaskTimer;
 
-struct TimerSleep(async_io::Timer);
+/// A timer that stays over, as `hyper` expects. The runtime's own one is over once.
+struct TimerSleep {
+    timer: async_io::Timer,
+    over: bool,
+}
+
+impl TimerSleep {
+    fn boxed(timer: async_io::Timer) -> Pin<Box<dyn Sleep>> {
+        Box::pin(TimerSleep { timer, over: false })
+    }
+}
 
 impl Future for TimerSleep {
     type Output = ();
 
     fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
-        Pin::new(&mut self.0).poll(cx).map(|_| ())
+        if !self.over {
+            ready!(Pin::new(&mut self.timer).poll(cx));
+            self.over = true;
+        }
+        Poll::Ready(())
     }
 }
 
@@ -54,11 +68,11 @@
 
 impl Timer for TaskTimer {
     fn sleep(&self, duration: Duration) -> Pin<Box<dyn Sleep>> {
-        Box::pin(TimerSleep(async_io::Timer::after(duration)))
+        TimerSleep::boxed(async_io::Timer::after(duration))
     }
 
     fn sleep_until(&self, deadline: Instant) -> Pin<Box<dyn Sleep>> {
-        Box::pin(TimerSleep(async_io::Timer::at(deadline)))
+        TimerSleep::boxed(async_io::Timer::at(deadline))
     }
 }
 
--- a/http/tests/runtime.rs
+++ b/http/tests/runtime.rs
@@ -7,12 +7,25 @@
 use async_std::io::ReadExt;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
-use fescuestack_http::{ServedStream, within};
-use hyper::rt::Write;
+use fescuestack_http::{ServedStream, TaskTimer, within};
+use hyper::rt::{Timer, Write};
 
 /// More than the buffers of both sockets hold.
 const UPLOAD_BYTES: usize = 64 * 1024 * 1024;
 
+/// Guards against a timer that is over once and never again: `hyper` looks at its timer for signs of life
+/// whenever a connection is busy, and asked for none any more after the first idle pause.
+#[test]
+fn timer_stays_over() {
+    task::block_on(async {
+        let mut sleep = TaskTimer.sleep(Duration::from_millis(1));
+        for _ in 0..3 {
+            let over = within(Duration::from_secs(1), sleep.as_mut()).await;
+            assert!(over.is_some(), "the timer is not over");
+        }
+    });
+}
+
 /// Guards against a peer that counts as cut while an upload passes slowly, and against one that takes
 /// nothing and counts as alive.
 #[test]
