Never let small VMs stand in for large ones as sources

When both large VMs of a data centre were passed over, small ones with links of 7 Mbit/s served the copies.

Change: a small node reads the store itself while no large one can be followed. `small_nodes_never_stand_in` failed before. Each received copy has a debug line with its size.

--- a/routing/src/readers.rs
+++ b/routing/src/readers.rs
@@ -2,11 +2,11 @@
 //!
 //! The store's rate grows more slowly than the fleet, and each call is billed. One node of each data
 //! centre reads the store, the others form a tree below it, because the link of one VM is too slow for
-//! a copy to each. Small VMs follow large ones, if there are any. A node that is out of reach, or that
-//! has lost the store, is passed over for a while, so that another takes its place. All nodes compute
-//! the same tree from the same entries and sizes, which they tell each other. Where these differ, nodes
-//! may follow each other in a circle; then the age of what they know grows, and a node whose content
-//! is too old is passed over as well.
+//! a copy to each. Small VMs follow large ones, if there are any, and read the store themselves while no
+//! large one can be followed. A node that is out of reach, or that has lost the store, is passed over
+//! for a while, so that another takes its place. All nodes compute the same tree from the same entries
+//! and sizes, which they tell each other. Where these differ, nodes may follow each other in a circle;
+//! then the age of what they know grows, and a node whose content is too old is passed over as well.
 
 use std::hash::{Hash, Hasher};
 use std::net::IpAddr;
@@ -111,10 +111,21 @@
         sizes: &VmSizes,
     ) -> ViewSource {
         let is_fit = |vm: &IpAddr| self.unfit.get(vm).is_none_or(|until| *until <= now);
-        let mut fit: Vec<_> = vms.filter(is_fit).chain([self.own]).collect();
+        let own_small = sizes.is_small(self.own);
+        let mut has_large = false;
+        let mut fit: Vec<_> = vms
+            .inspect(|vm| has_large |= !sizes.is_small(*vm))
+            .filter(is_fit)
+            .chain([self.own])
+            .collect();
         fit.sort_unstable_by_key(|vm| (sizes.is_small(*vm), order(vm), *vm));
         fit.dedup();
         let large = fit.iter().filter(|vm| !sizes.is_small(**vm)).count();
+        if own_small && has_large && large == 0 {
+            // Small VMs that serve others in place of the large ones fill their links, are passed
+            // over in turn, and end up cut off.
+            return ViewSource::Store;
+        }
         match fit.iter().position(|vm| *vm == self.own) {
             Some(position) if position > 0 => ViewSource::Node(fit[parent(position, large)]),
             _ => ViewSource::Store,
--- a/routing/tests/state.rs
+++ b/routing/tests/state.rs
@@ -206,6 +206,26 @@
     }
 }
 
+/// Guards against small VMs that serve others while the large ones are passed over: their links are full
+/// with the first copies, and all of them then lose touch.
+#[test]
+fn small_nodes_never_stand_in() {
+    let vms: Vec<IpAddr> = (1..=20).map(|host| [10, 0, 0, host].into()).collect();
+    let mut sizes = VmSizes::default();
+    for vm in &vms {
+        sizes.note(*vm, !vms[..2].contains(vm));
+    }
+    for own in &vms[2..] {
+        let mut choice = ReaderChoice::new(*own);
+        for large in &vms[..2] {
+            let source = choice.source(NOW, vms.iter().copied(), &sizes);
+            assert!(matches!(source, ViewSource::Node(vm) if vms[..2].contains(&vm)));
+            choice.pass_over(NOW, *large);
+        }
+        assert_eq!(choice.source(NOW, vms.iter().copied(), &sizes), ViewSource::Store);
+    }
+}
+
 /// Guards against a data centre that stays without news when its reader fails.
 #[test]
 fn next_node_takes_over_reading() {
--- a/sidecar/src/sync.rs
+++ b/sidecar/src/sync.rs
@@ -152,6 +152,7 @@
     if answer.status() != StatusCode::OK {
         return None;
     }
+    log::debug!(node = vm.to_string().as_str(), bytes = answer.body().len(); "store content received");
     match decode_answer(answer.body()) {
         Ok(answer) => Some(answer),
         Err(err) => {
