Decide on long bodies before they are on a slow link

Uploads went to the target that looked idle, up to 1.4 MB a second over a VM's link that carries 0.9. Its slots looked free because the bodies had not arrived, so more came. The node (aberystwyth-13) lost touch with all others and the store for nine seconds.

Change: the call's note states the length of its body. The node beside the target takes a body of 16 KB or more only if what is announced leaves time for it, by the bandwidth of the VM's link; otherwise the call is sent elsewhere or refused, and has not run. Small VMs open streams with a window of 32 KB, so that the decision comes before the body. Replies tell how long the link is taken, which the choice of target for long bodies adds. The time that a body takes is now taken off the time that is left for its call.

The load that it answers is uploads on links of a few Mbit/s.

--- a/fescuestack/tests/soak.rs
+++ b/fescuestack/tests/soak.rs
@@ -159,6 +159,7 @@
             service: "alpha",
             target: node.application.address(),
             store: self.store.address(),
+            link_mbps: 1_000.0,
             grace: 4,
         };
         settings.value().to_string()
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod budget;
 mod held;
+mod intake;
 mod picker;
 mod plan;
 mod readers;
@@ -16,6 +17,7 @@
 
 pub use budget::{RepeatAllowance, RepeatBudget};
 pub use held::{CrashHistory, HELD_SPAN};
+pub use intake::{IntakeStep, LARGE_BODY, LinkIntake};
 pub use picker::{PickedTarget, TargetPicker, TargetSignal};
 pub use plan::{AttemptEnd, CallPlan, PlanCall, PlanStep};
 pub use readers::{ReaderChoice, ViewSource, VmSizes, is_small};
--- a/routing/src/picker.rs
+++ b/routing/src/picker.rs
@@ -14,6 +14,7 @@
 use rand_pcg::Pcg32;
 use rustc_hash::FxHashMap;
 
+use crate::intake::LARGE_BODY;
 use crate::registry::{TargetListing, TargetState};
 use crate::slots::SlotLoad;
 
@@ -236,6 +237,9 @@
             let crosses = record.entry.data_centre != self.data_centre;
             let mut sum =
                 record.expected_time(now) + self.random.random::<f64>() * record.spread(now);
+            if body_bytes as u64 >= LARGE_BODY {
+                sum += record.intake_time(now);
+            }
             if crosses {
                 sum += crossing;
             }
@@ -332,6 +336,12 @@
         service + crowding + excess * service / slots + self.failure_share(now) * FAILURE_MS
     }
 
+    /// Time in ms until the link of the target's VM is free, as far as it is known.
+    fn intake_time(&self, now: ClockTime) -> f64 {
+        let fresh = self.reported.filter(|reported| now.since(*reported) < REPORT_SPAN);
+        fresh.map_or(0.0, |_| self.report.intake.millis() as f64)
+    }
+
     /// Size of the random part in ms: the less is known of the load, the larger.
     fn spread(&self, now: ClockTime) -> f64 {
         let service = self.report.service.millis().max(FIRST_SERVICE_MS as u64) as f64;
--- a/routing/src/slots.rs
+++ b/routing/src/slots.rs
@@ -116,6 +116,8 @@
     pub queued: u32,
     /// Mean time that a call takes.
     pub service: ClockSpan,
+    /// Time until the bodies that are on their way to the node have arrived.
+    pub intake: ClockSpan,
 }
 
 /// Measured time of the calls of a route.
@@ -201,6 +203,7 @@
             running: self.running.len() as u32,
             queued: self.waiting.len() as u32,
             service: ClockSpan::new(self.mean as u64),
+            intake: ClockSpan::ZERO,
         }
     }
 
--- a/routing/tests/plan.rs
+++ b/routing/tests/plan.rs
@@ -11,6 +11,10 @@
 
 const NOW: ClockTime = ClockTime::new(10_000);
 
+fn load(running: u32, queued: u32, service: u64) -> SlotLoad {
+    SlotLoad { running, queued, service: ClockSpan::new(service), intake: ClockSpan::ZERO }
+}
+
 fn entry(id: &str, host: u8, data_centre: &str) -> TargetListing {
     TargetListing {
         id: id.into(),
@@ -146,11 +150,11 @@
 #[test]
 fn calls_stay_in_their_data_centre() {
     let mut picker = picker(&[entry("near", 1, "here"), entry("far", 2, "there")]);
-    let busy = SlotLoad { running: 6, queued: 1, service: ClockSpan::new(120) };
+    let busy = load(6, 1, 120);
     picker.report(NOW, "near", busy);
     let choice = picker.choose(NOW, "s", "r", 0, &[]).expect("two targets are ready");
     assert_eq!(&*choice.id, "near");
-    let full = SlotLoad { running: 6, queued: 30, service: ClockSpan::new(120) };
+    let full = load(6, 30, 120);
     picker.report(NOW, "near", full);
     let choice = picker.choose(NOW, "s", "r", 0, &[]).expect("two targets are ready");
     assert!(choice.crosses, "a wait of 600 ms was preferred to another data centre");
@@ -158,6 +162,18 @@
     assert!(!choice.crosses, "a long body was sent to another data centre");
 }
 
+/// Guards against uploads that all go to the target that looks idle since its link is full of them.
+#[test]
+fn uploads_avoid_full_links() {
+    let mut picker = picker(&[entry("full", 1, "here"), entry("free", 2, "here")]);
+    picker.report(NOW, "full", SlotLoad { intake: ClockSpan::new(400), ..load(0, 0, 100) });
+    picker.report(NOW, "free", load(5, 0, 100));
+    let choice = picker.choose(NOW, "s", "r", 60_000, &[]).expect("two targets are ready");
+    assert_eq!(&*choice.id, "free");
+    let choice = picker.choose(NOW, "s", "r", 100, &[]).expect("two targets are ready");
+    assert_eq!(&*choice.id, "full", "a short body does not wait for the long ones");
+}
+
 /// Guards against calls to targets that cannot take them: leaving, replaced, out of reach.
 #[test]
 fn unusable_targets_are_passed_over() {
@@ -191,7 +207,7 @@
         sent += u32::from(failed);
         let signal = if failed { TargetSignal::Failed } else { TargetSignal::Served };
         picker.ended(now, &choice.id, signal);
-        let load = SlotLoad { running: 1, queued: 0, service: ClockSpan::new(100) };
+        let load = load(1, 0, 100);
         picker.report(now, &choice.id, load);
     }
     assert!(sent < 40, "{sent} of 200 calls went to the target that fails");
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -232,6 +232,7 @@
             left: self.deadline.since(now).millis(),
             aim_left: progress.plan.call().aim_at.since(now).millis(),
             wait_limit: wait_limit.millis(),
+            body_bytes: self.request.body.len() as u64,
         };
         let (reply, answer) = if state.is_own(target.vm) {
             let reply = run_beside(state, &note, self.request.clone()).await;
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -96,7 +96,7 @@
         let picker = TargetPicker::new(settings.data_centre.as_str().into(), seed);
         let allowance = RepeatAllowance::new(settings.repeat_ratio, settings.repeat_slack, 1);
         let routing = RoutingState { picker, allowance, budgets: FxHashMap::default() };
-        let target = TargetSide::new(settings.target, clock);
+        let target = TargetSide::new(settings.target, settings.link_mbps, clock);
         let state = Arc::new(NodeState {
             settings: ArcSwap::from_pointee(settings),
             clock,
--- a/sidecar/src/note.rs
+++ b/sidecar/src/note.rs
@@ -42,6 +42,8 @@
     pub(crate) aim_left: u64,
     /// Longest wait in the queue.
     pub(crate) wait_limit: u64,
+    /// Length of the body in bytes.
+    pub(crate) body_bytes: u64,
 }
 
 /// How a call ended at its target's node.
@@ -76,6 +78,8 @@
     pub(crate) queued: u32,
     /// Mean time of a call.
     pub(crate) service: u64,
+    /// Time until the large bodies that are on their way have arrived.
+    pub(crate) intake: u64,
     /// Whether the target crashed while it ran the call.
     pub(crate) crashed: bool,
     /// After a refusal, when there is likely to be room.
@@ -88,11 +92,19 @@
             running: self.running,
             queued: self.queued,
             service: ClockSpan::new(self.service),
+            intake: ClockSpan::new(self.intake),
         }
     }
 }
 
 impl CallNote {
+    /// Takes the time off that has passed since the note was written.
+    pub(crate) fn pass(&mut self, span: ClockSpan) {
+        let passed = span.millis();
+        self.left = self.left.saturating_sub(passed);
+        self.aim_left = self.aim_left.saturating_sub(passed);
+    }
+
     pub(crate) fn write(&self, headers: &mut HeaderMap) {
         write_note(headers, CALL_HEADER, self);
     }
--- a/sidecar/src/peer.rs
+++ b/sidecar/src/peer.rs
@@ -83,12 +83,19 @@
         return empty_answer(StatusCode::NO_CONTENT);
     }
     let _place = state.begin_call();
-    let Some(note) = CallNote::take(&mut parts.headers) else {
+    let Some(mut note) = CallNote::take(&mut parts.headers) else {
         return empty_answer(StatusCode::BAD_REQUEST);
     };
+    let announced = state.clock.now();
+    let intake = match state.target.announce(&note) {
+        Ok(intake) => intake,
+        Err((end, retry_after)) => return reply_answer(state.target.reply(end, retry_after)),
+    };
     let Ok(body) = Limited::new(body, BODY_BYTES).collect().await else {
         return empty_answer(StatusCode::BAD_REQUEST);
     };
+    drop(intake);
+    note.pass(state.clock.now().since(announced));
     let authority = parts.uri.authority().map(|host| host.as_str().to_owned());
     let Some(host) = authority.and_then(|host| HeaderValue::try_from(host).ok()) else {
         return empty_answer(StatusCode::BAD_REQUEST);
@@ -100,6 +107,10 @@
     } else {
         run_beside(&state, &note, call).await
     };
+    reply_answer(reply)
+}
+
+fn reply_answer(reply: TargetReply) -> FullAnswer {
     let mut response = reply.answer.map_or_else(|| empty_answer(StatusCode::OK), full_answer);
     reply.note.write(response.headers_mut());
     response
--- a/sidecar/src/run.rs
+++ b/sidecar/src/run.rs
@@ -24,7 +24,7 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::follower::StoreFollower;
-use crate::links::{CONNECTION_WINDOW, STREAM_WINDOW};
+use crate::links::{CONNECTION_WINDOW, SMALL_STREAM_WINDOW, STREAM_WINDOW};
 use crate::message::{FullAnswer, empty_answer};
 use crate::node::NodeState;
 use crate::{entry, peer};
@@ -239,6 +239,7 @@
 
 async fn serve_node(state: Arc<NodeState>, stream: TcpStream) {
     let closing = state.closing();
+    let stream_window = if state.is_small() { SMALL_STREAM_WINDOW } else { STREAM_WINDOW };
     let service = service_fn(move |request| {
         let answer = peer::serve(state.clone(), request);
         async { Ok::<_, Infallible>(answer.await) }
@@ -249,7 +250,7 @@
         .auto_date_header(false)
         .max_concurrent_streams(STREAM_LIMIT)
         .max_pending_accept_reset_streams(RESET_LIMIT)
-        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_stream_window_size(stream_window)
         .initial_connection_window_size(CONNECTION_WINDOW);
     let stream = ServedStream::new(stream);
     let connection = builder.serve_connection(stream, service);
--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -14,8 +14,8 @@
     EXPECTED_TARGET, NOT_RUN, REQUEST_ID, SIGNATURE, TARGET_ID, TIME_LEFT,
 };
 use fescuestack_routing::{
-    CallEnd, QueuedCall, SlotAction, SlotLoad, SlotQueue, SlotStep, SlotTicket, TargetListing,
-    TargetState,
+    CallEnd, IntakeStep, LinkIntake, QueuedCall, SlotAction, SlotLoad, SlotQueue, SlotStep,
+    SlotTicket, TargetListing, TargetState,
 };
 use http::HeaderValue;
 use rustc_hash::FxHashMap;
@@ -56,6 +56,7 @@
 /// The target beside this node.
 pub(crate) struct TargetSide {
     clock: CallClock,
+    intake: Mutex<LinkIntake>,
     state: Mutex<SideState>,
 }
 
@@ -70,7 +71,8 @@
 }
 
 impl TargetSide {
-    pub(crate) fn new(address: SocketAddr, clock: CallClock) -> Arc<TargetSide> {
+    /// Creates the side of the target at `address`, on a VM whose link has `link_mbps` Mbit/s.
+    pub(crate) fn new(address: SocketAddr, link_mbps: f64, clock: CallClock) -> Arc<TargetSide> {
         let state = SideState {
             address,
             queue: SlotQueue::new(1),
@@ -79,7 +81,8 @@
             idle: Vec::new(),
             waiters: FxHashMap::default(),
         };
-        Arc::new(TargetSide { clock, state: Mutex::new(state) })
+        let intake = Mutex::new(LinkIntake::new(link_mbps));
+        Arc::new(TargetSide { clock, intake, state: Mutex::new(state) })
     }
 
     /// Takes over what the platform lists at the target's address. Without an entry, a target that
@@ -109,7 +112,23 @@
     }
 
     pub(crate) fn load(&self) -> SlotLoad {
-        lock(&self.state).queue.load()
+        let intake = lock(&self.intake).wait();
+        SlotLoad { intake, ..lock(&self.state).queue.load() }
+    }
+
+    /// Decides whether the body of a call from another node may come. Fails with the reason and the
+    /// time after which there is likely to be room.
+    pub(crate) fn announce(
+        self: &Arc<Self>,
+        note: &CallNote,
+    ) -> Result<IntakeGuard, (ReplyEnd, ClockSpan)> {
+        let (wait_limit, left) = (ClockSpan::new(note.wait_limit), ClockSpan::new(note.left));
+        let step = lock(&self.intake).announce(note.body_bytes, wait_limit, left);
+        match step {
+            IntakeStep::Take => Ok(IntakeGuard { side: self.clone(), bytes: note.body_bytes }),
+            IntakeStep::Busy => Err((ReplyEnd::Busy, ClockSpan::ZERO)),
+            IntakeStep::Refuse { retry_after } => Err((ReplyEnd::Refused, retry_after)),
+        }
     }
 
     /// Refuses calls that wait in vain. Comes every few milliseconds.
@@ -271,13 +290,15 @@
         self.reply(ReplyEnd::Leaving, ClockSpan::ZERO)
     }
 
-    fn reply(&self, end: ReplyEnd, retry_after: ClockSpan) -> TargetReply {
+    /// The reply to a call that has no answer of the target.
+    pub(crate) fn reply(&self, end: ReplyEnd, retry_after: ClockSpan) -> TargetReply {
         let load = self.load();
         let note = ReplyNote {
             end,
             running: load.running,
             queued: load.queued,
             service: load.service.millis(),
+            intake: load.intake.millis(),
             crashed: false,
             retry_after: retry_after.millis(),
         };
@@ -325,6 +346,18 @@
     }
 }
 
+/// A body on its way to this node. It counts until this is dropped.
+pub(crate) struct IntakeGuard {
+    side: Arc<TargetSide>,
+    bytes: u64,
+}
+
+impl Drop for IntakeGuard {
+    fn drop(&mut self) {
+        lock(&self.side.intake).arrived(self.bytes);
+    }
+}
+
 /// A place in the queue or at the target. Freed when the call ends, however that happens.
 struct SlotGuard {
     side: Arc<TargetSide>,
--- a/sidecar/tests/mesh/mod.rs
+++ b/sidecar/tests/mesh/mod.rs
@@ -41,6 +41,11 @@
 impl Mesh {
     /// Starts a node for each service, in one data centre, and waits until all are ready.
     pub async fn start(services: &[&str]) -> Mesh {
+        Mesh::start_with(services, 1_000.0).await
+    }
+
+    /// The same on VMs whose links have `link_mbps` Mbit/s.
+    pub async fn start_with(services: &[&str], link_mbps: f64) -> Mesh {
         let mesh = NEXT_MESH.fetch_add(1, Ordering::Relaxed);
         let store = StandinStore::start().await.expect("a free port");
         let mut ports = [0; 3];
@@ -65,6 +70,7 @@
                 service,
                 target: application.address(),
                 store: store.address(),
+                link_mbps,
                 grace: 6,
             };
             let path = std::env::temp_dir()
--- a/sidecar/tests/path.rs
+++ b/sidecar/tests/path.rs
@@ -290,6 +290,38 @@
     });
 }
 
+/// Guards against uploads that fill the slow link of one VM, and against a refusal in the midst of a body
+/// that leaves its outcome unknown: each upload is run once and answered, or has not run.
+#[test]
+fn uploads_keep_to_the_link() {
+    task::block_on(async {
+        let mesh = Mesh::start_with(&["alpha", "beta", "beta"], 7.0).await;
+        let body = vec![1; 300_000];
+        let mut uploads = Vec::new();
+        for index in 0..12 {
+            let call = TestCall::post(&format!("u{index}"), "/b/up/", &body);
+            let mut connection = mesh.connect(0).await.expect("a node");
+            uploads.push(task::spawn(async move {
+                connection.exchange(&call.request(), None).await.expect("an answer").status
+            }));
+        }
+        let mut statuses = Vec::new();
+        for upload in uploads {
+            let status = upload.await;
+            assert!([200, 503].contains(&status), "{status}");
+            statuses.push(status);
+        }
+        let served = statuses.iter().filter(|status| **status == 200).count();
+        let runs: usize = mesh.nodes.iter().map(|node| node.application.runs().len()).sum();
+        assert_eq!(runs, served, "{statuses:?}");
+        assert!(served >= 2, "each of two links takes one: {statuses:?}");
+        assert!(served < 12, "300 KB take 340 ms on each link: {statuses:?}");
+        task::sleep(Duration::from_millis(500)).await;
+        let again = TestCall::post("again", "/b/up/", &body);
+        assert_eq!(mesh.ask(0, &again).await.expect("an answer").status, 200);
+    });
+}
+
 /// Guards against entries of other writers that stop the use of good ones.
 #[test]
 fn entries_of_other_writers_are_ignored() {
