Generate the platform's form from the questionnaire

Operators of the users' platform had to write the value of the store by hand, while the questionnaire gave only the project's own form.

`platform/src/encode.rs` writes a route table in the platform's form; `questionnaire/src/routes.rs` makes the table from the answers and lists what the form cannot hold, with its line: patience by hour, internal routes, methods, body limits of single routes, queue limits, keys. Where two methods share a prefix, the stricter kind holds, so that an order cannot run twice as a lookup of the same prefix may.

Ruled out: a fault for two methods of one prefix (a first try). The worked deployment plakidia has such routes, and the issue asks for a valid value of both.

--- a/questionnaire/src/command.rs
+++ b/questionnaire/src/command.rs
@@ -6,6 +6,7 @@
 use std::process::ExitCode;
 
 use fescuestack_core::{ConfigPart, VersionId};
+use fescuestack_platform::encode_config;
 
 use crate::accept::accept_after;
 use crate::answers::Answers;
@@ -14,6 +15,7 @@
 use crate::error::{AnswerCode, AnswerFault, AnswerFaults};
 use crate::fleet::{FleetSize, generate_fleet};
 use crate::generate::{build_manifest, encode_parts, generate, publish_values};
+use crate::routes::{OmittedAnswer, route_table};
 
 /// Works on questionnaires and artefacts.
 #[derive(Debug, clap::Parser)]
@@ -31,10 +33,16 @@
         /// Questionnaire in YAML.
         file: PathBuf,
     },
-    /// Prints parts, manifest and pages as JSON.
+    /// Prints the configuration as JSON.
     Generate {
         /// Questionnaire in YAML.
         file: PathBuf,
+        /// Form of the configuration.
+        #[arg(long, value_enum, default_value_t = GeneratedForm::Parts)]
+        form: GeneratedForm,
+        /// Number of the version in the platform's form. It has to be greater than the one in force.
+        #[arg(long, required_if_eq("form", "platform"))]
+        as_version: Option<u64>,
     },
     /// Prints what changes for whom.
     Diff {
@@ -71,6 +79,30 @@
     },
 }
 
+/// Form of a generated configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
+pub enum GeneratedForm {
+    /// Parts, manifest and pages, as the project's own nodes read them.
+    Parts,
+    /// The value that operators write to the store of the users' platform. Answers that it cannot hold
+    /// are listed on standard error.
+    Platform,
+}
+
+/// What an action prints.
+#[derive(Debug, Default)]
+struct CommandOutput {
+    text: String,
+    /// Lines for standard error, though nothing failed.
+    notes: Vec<String>,
+}
+
+impl From<String> for CommandOutput {
+    fn from(text: String) -> CommandOutput {
+        CommandOutput { text, notes: Vec::new() }
+    }
+}
+
 fn parse_base(text: &str) -> Result<VersionId, String> {
     match text {
         "none" => Ok(VersionId::NONE),
@@ -87,8 +119,13 @@
 
     /// Runs the command and writes results to `output` and faults to `errors`.
     pub fn run_with(&self, output: &mut impl Write, errors: &mut impl Write) -> ExitCode {
-        let written = self.action.execute().and_then(|text| {
-            let written = output.write_all(text.as_bytes()).and_then(|()| output.flush());
+        let written = self.action.execute().and_then(|printed| {
+            for note in &printed.notes {
+                // Notes that cannot be written stop nothing.
+                let _ = writeln!(errors, "{note}");
+            }
+            let text = printed.text.as_bytes();
+            let written = output.write_all(text).and_then(|()| output.flush());
             written.map_err(|err| unreadable(Path::new("standard output"), &err).into())
         });
         match written {
@@ -103,27 +140,34 @@
 }
 
 impl QuestionnaireAction {
-    /// The text to print.
-    fn execute(&self) -> Result<String, AnswerFaults> {
+    fn execute(&self) -> Result<CommandOutput, AnswerFaults> {
         match self {
             QuestionnaireAction::Check { file } => {
                 let answers = read_answers(file)?;
                 let (tenants, services) = (&answers.tenants.value, &answers.services.value);
                 let counts = format!("{} tenants, {} services", tenants.len(), services.len());
-                Ok(format!("{}: no faults in {counts}\n", file.display()))
+                Ok(format!("{}: no faults in {counts}\n", file.display()).into())
+            }
+            QuestionnaireAction::Generate { file, form: GeneratedForm::Parts, .. } => {
+                generate_file(file).map(CommandOutput::from)
+            }
+            QuestionnaireAction::Generate { file, form: GeneratedForm::Platform, as_version } => {
+                // The command line is refused without a number.
+                generate_value(file, as_version.unwrap_or_default())
             }
-            QuestionnaireAction::Generate { file } => generate_file(file),
             QuestionnaireAction::Diff { old, new } => {
                 let lines = compare(&read_parts(old)?, &read_parts(new)?);
                 let lines =
                     if lines.is_empty() { vec!["Nothing changes.".to_owned()] } else { lines };
-                Ok(lines.join("\n") + "\n")
+                Ok(CommandOutput::from(lines.join("\n") + "\n"))
             }
             QuestionnaireAction::Accept { file, previous, base, output } => {
                 accept_file(file, previous.as_deref(), *base, output.as_deref())
+                    .map(CommandOutput::from)
             }
             QuestionnaireAction::Fleet { services, targets, seed } => {
-                Ok(generate_fleet(FleetSize::new(*services, *targets), *seed).to_yaml())
+                let size = FleetSize::new(*services, *targets);
+                Ok(generate_fleet(size, *seed).to_yaml().into())
             }
         }
     }
@@ -135,6 +179,16 @@
     Ok(Artefact { values }.to_json())
 }
 
+fn generate_value(file: &Path, version: u64) -> Result<CommandOutput, AnswerFaults> {
+    let answers = read_answers(file)?;
+    let (table, omitted) = route_table(&answers, version);
+    let file = file.display();
+    let note =
+        |omitted: &OmittedAnswer| format!("{file}:{}: left out: {}", omitted.line, omitted.message);
+    let notes = omitted.iter().map(note).collect();
+    Ok(CommandOutput { text: encode_config(&table) + "\n", notes })
+}
+
 fn accept_file(
     file: &Path,
     previous: Option<&Path>,
--- a/questionnaire/src/lib.rs
+++ b/questionnaire/src/lib.rs
@@ -13,6 +13,7 @@
 mod error;
 mod fleet;
 mod generate;
+mod routes;
 mod tree;
 
 pub use accept::{accept, accept_after};
@@ -22,8 +23,9 @@
 };
 pub use artefact::{Artefact, ValueMap};
 pub use check::{BODY_LIMIT_BYTES, UPLOAD_LIMIT_BYTES, check};
-pub use command::{QuestionnaireAction, QuestionnaireCommand};
+pub use command::{GeneratedForm, QuestionnaireAction, QuestionnaireCommand};
 pub use difference::compare;
 pub use error::{AnswerCode, AnswerFault, AnswerFaults};
 pub use fleet::{FleetSize, generate_fleet};
 pub use generate::{SERIES_LIMIT, build_manifest, encode_parts, generate, publish_values};
+pub use routes::{OmittedAnswer, route_table};
--- /dev/null
+++ b/questionnaire/tests/routes.rs
@@ -0,0 +1,101 @@
+//! The platform's form of a questionnaire, on the worked deployments.
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use fescuestack_core::ClockSpan;
+use fescuestack_platform::decode_config;
+use fescuestack_questionnaire::{Answers, QuestionnaireCommand, route_table};
+use fescuestack_routing::{RepeatKind, RouteTable};
+
+const COUNCIL: &str = include_str!("../../deployments/council.yaml");
+const PLAKIDIA: &str = include_str!("../../deployments/plakidia.yaml");
+
+fn path(name: &str) -> String {
+    format!("{}/../deployments/{name}.yaml", env!("CARGO_MANIFEST_DIR"))
+}
+
+fn generate(words: &[&str]) -> (bool, String, String) {
+    let line = [&["questionnaire", "generate"], words].concat();
+    let command = QuestionnaireCommand::try_parse_from(line).expect("a valid command line");
+    let (mut output, mut errors) = (Vec::new(), Vec::new());
+    let code = command.run_with(&mut output, &mut errors);
+    let text = |bytes| String::from_utf8(bytes).expect("text");
+    (code == ExitCode::SUCCESS, text(output), text(errors))
+}
+
+/// All that a table says, for comparison.
+fn describe(table: &RouteTable) -> String {
+    format!("{} {:?} {:?} {:?}", table.version, table.limits, table.services(), table.hosts())
+}
+
+/// Guards against a value that nodes refuse, or read as other routes than the operators answered.
+#[test]
+fn value_is_read_back() {
+    for (name, text) in [("council", COUNCIL), ("plakidia", PLAKIDIA)] {
+        let answers = Answers::scan(name, text).expect("no faults");
+        let (table, _) = route_table(&answers, 7);
+        let (passed, value, _) =
+            generate(&[&path(name), "--form", "platform", "--as-version", "7"]);
+        assert!(passed);
+        let read = decode_config(value.as_bytes()).expect("a valid value");
+        assert_eq!(describe(&read), describe(&table));
+        for service in &answers.services.value {
+            for route in &service.routes.value {
+                let path = format!("{}/1", route.prefix.value);
+                let rule = read.find(&service.name.value, &path).expect("a route");
+                assert!(
+                    route.may_repeat.value || !rule.kind.is_idempotent(),
+                    "{path} may run twice"
+                );
+            }
+        }
+    }
+}
+
+/// Guards against routes of the wrong kind or time: a payment must not run twice, and no caller may be
+/// cut off before its patience ends.
+#[test]
+fn routes_follow_the_answers() {
+    let answers = Answers::scan("council", COUNCIL).expect("no faults");
+    let (table, _) = route_table(&answers, 1);
+    let payments = table.find("register", "/payments/1").expect("a route");
+    assert_eq!((payments.kind, payments.priority), (RepeatKind::Unsafe, 1));
+    assert_eq!((payments.aim, payments.timeout), (ClockSpan::new(800), ClockSpan::new(5_000)));
+    let search = table.find("register", "/licences/search/x").expect("a route");
+    assert_eq!((search.kind, &*search.prefix), (RepeatKind::Safe, "/licences/search/"));
+    let pigments = table.find("gallery", "/pigments/red").expect("a route");
+    assert_eq!((pigments.kind, pigments.priority), (RepeatKind::Safe, 1));
+    assert_eq!(table.limits.body_bytes, 33_554_432);
+}
+
+/// Guards against answers that are dropped silently.
+#[test]
+fn left_out_answers_are_listed() {
+    let file = path("council");
+    let (passed, _, notes) = generate(&[&file, "--form", "platform", "--as-version", "1"]);
+    assert!(passed);
+    let internal = COUNCIL.lines().position(|line| line.contains("internal-only: true"));
+    let line = internal.expect("an internal route") + 1;
+    let expected = format!("{file}:{line}: left out: /pigments for services of the mesh only");
+    assert!(notes.contains(&expected), "{notes}");
+    for part in ["patience of /payments by hour", "queue limit of gallery", "body limit of 16384"] {
+        assert!(notes.contains(part), "no `{part}` in {notes}");
+    }
+    let (passed, _, notes) = generate(&[&file]);
+    assert!(passed && notes.is_empty(), "{notes}");
+}
+
+/// Guards against a value without a number, and against an order that runs twice since a lookup of the
+/// same prefix may.
+#[test]
+fn ambiguous_requests_are_refused() {
+    let line = ["questionnaire", "generate", "council.yaml", "--form", "platform"];
+    assert!(QuestionnaireCommand::try_parse_from(line).is_err());
+    let answers = Answers::scan("plakidia", PLAKIDIA).expect("no faults");
+    let (table, omitted) = route_table(&answers, 1);
+    let orders = table.find("ordering", "/orders/1").expect("a route");
+    assert_eq!(orders.kind, RepeatKind::Unsafe);
+    let repeats = omitted.iter().find(|omitted| omitted.message.starts_with("repeats of GET"));
+    assert!(repeats.is_some_and(|omitted| omitted.message.contains("/orders")), "{omitted:?}");
+}
--- a/routing/src/routes.rs
+++ b/routing/src/routes.rs
@@ -175,6 +175,26 @@
         self.services.get(name)
     }
 
+    /// All services, ordered by name.
+    pub fn services(&self) -> Vec<(&str, &ServiceRule)> {
+        let mut services: Vec<_> =
+            self.services.iter().map(|(name, rule)| (&**name, rule)).collect();
+        services.sort_unstable_by_key(|(name, _)| *name);
+        services
+    }
+
+    /// The routes of all hosts, ordered by host and prefix.
+    pub fn hosts(&self) -> Vec<(&str, Vec<&RouteRule>)> {
+        let mut hosts = Vec::with_capacity(self.hosts.len());
+        for (host, routes) in &self.hosts {
+            let mut rules: Vec<_> = routes.values().map(|rule| &**rule).collect();
+            rules.sort_unstable_by_key(|rule| &rule.prefix);
+            hosts.push((&**host, rules));
+        }
+        hosts.sort_unstable_by_key(|(host, _)| *host);
+        hosts
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.hosts.values().map(FxHashMap::len).sum()
