Answer status and explain on the users' platform

`fescuestack status` and `explain` worked against nodes of the project's own form only; on the users' platform an operator had the log and nothing else.

Change: the `ready` address answers `/status` and `/explain/ID`. The last 1,024 requests that were refused, failed or sent more than once are kept with each attempt; requests that were served at once are not, since a record for each call would cost processor time on VMs with a tenth of a core.

Ruled out: a port of its own (the platform assigns the ports and knows three).

Test `operators_learn_what_was_decided`; nothing of this existed before.

--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -19,6 +19,7 @@
 use crate::node::NodeState;
 use crate::note::{CallNote, ReplyEnd, ReplyNote};
 use crate::peer::{fingerprint, run_beside, send_call};
+use crate::report::keep_decisions;
 
 /// When a client comes back to a node that has no configuration yet.
 const NOT_READY_RETRY: ClockSpan = ClockSpan::new(300);
@@ -34,7 +35,7 @@
 
 /// Why a request has no answer of a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum EntryFault {
+pub(crate) enum EntryFault {
     /// 400: the request lacks something.
     Invalid,
     /// 404: no route.
@@ -53,14 +54,30 @@
     ClientGone,
 }
 
-/// What the log says of a request that is not served.
+impl EntryFault {
+    /// Its name in records for operators.
+    pub(crate) const fn label(self) -> &'static str {
+        match self {
+            EntryFault::Invalid => "invalid",
+            EntryFault::NoRoute => "no-route",
+            EntryFault::BodyLate => "body-late",
+            EntryFault::TooLong => "too-long",
+            EntryFault::NotRun { .. } => "not-run",
+            EntryFault::Lost => "lost",
+            EntryFault::Late => "late",
+            EntryFault::ClientGone => "client-gone",
+        }
+    }
+}
+
+/// What log and records say of a request that is not served.
 #[derive(Debug, Default)]
-struct EntryTrace {
-    route: Option<Arc<RouteRule>>,
-    service: Option<Arc<str>>,
-    version: u64,
+pub(crate) struct EntryTrace {
+    pub(crate) route: Option<Arc<RouteRule>>,
+    pub(crate) service: Option<Arc<str>>,
+    pub(crate) version: u64,
     /// Targets that were tried, and how each attempt ended.
-    attempts: Vec<(Arc<str>, AttemptEnd)>,
+    pub(crate) attempts: Vec<(Arc<str>, AttemptEnd)>,
 }
 
 /// Answers a request. When the client leaves, the request is cancelled.
@@ -74,6 +91,8 @@
     let arrived = state.clock.now();
     let mut trace = EntryTrace::default();
     let outcome = answer_request(&state, request, arrived, &mut watch, &mut trace).await;
+    let fault = outcome.as_ref().err().copied();
+    keep_decisions(&state, id.as_ref(), arrived, fault, &trace);
     let mut answer = match outcome {
         Ok(answer) => full_answer(answer),
         Err(fault) => {
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -11,6 +11,7 @@
 mod node;
 mod note;
 mod peer;
+mod report;
 mod run;
 mod sync;
 mod target;
--- a/sidecar/src/links.rs
+++ b/sidecar/src/links.rs
@@ -241,6 +241,15 @@
         }
     }
 
+    /// VMs whose nodes cannot be reached at present.
+    pub(crate) fn lost(&self) -> Vec<IpAddr> {
+        let links = lock(&self.links);
+        let lost = links.values().filter(|link| matches!(*lock(&link.state), LinkState::Lost));
+        let mut lost: Vec<_> = lost.map(|link| link.address.ip()).collect();
+        lost.sort_unstable();
+        lost
+    }
+
     fn holds(&self, link: &Arc<NodeLink>) -> bool {
         lock(&self.links).get(&link.address).is_some_and(|known| Arc::ptr_eq(known, link))
     }
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -11,7 +11,7 @@
 use event_listener::Event;
 use fescuestack_core::{ClockSpan, ClockTime};
 use fescuestack_http::{CallClock, lock};
-use fescuestack_operators::{MetricsError, NodeMetrics};
+use fescuestack_operators::{ExplainRing, MetricsError, NodeMetrics};
 use fescuestack_platform::MachineSettings;
 use fescuestack_routing::{
     CrashHistory, RepeatAllowance, RepeatBudget, RouteTable, StoreView, TargetPicker, VmSizes,
@@ -21,6 +21,7 @@
 use rustc_hash::{FxHashMap, FxHasher};
 
 use crate::links::{LinkObserver, LinkTable};
+use crate::report::EXPLAIN_REQUESTS;
 use crate::target::TargetSide;
 
 /// Age from which a node's content is no longer passed on. Contact is confirmed about every half
@@ -55,6 +56,8 @@
     lapse_until: AtomicU64,
     /// Requests that crash the targets that run them.
     pub(crate) crashes: Mutex<CrashHistory>,
+    /// Decisions on the last requests that were not answered at their first attempt.
+    pub(crate) explained: ExplainRing,
     /// Start of this node's splits, so that nodes do not split in step.
     pub(crate) split_offset: u32,
     stopping: AtomicBool,
@@ -114,6 +117,7 @@
             confirmed: AtomicU64::new(0),
             lapse_until: AtomicU64::new(0),
             crashes: Mutex::default(),
+            explained: ExplainRing::new(EXPLAIN_REQUESTS),
             split_offset: seed as u32,
             stopping: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
--- /dev/null
+++ b/sidecar/src/report.rs
@@ -0,0 +1,109 @@
+//! What a node tells operators: its state, and what it decided on a request.
+
+use fescuestack_core::{ClockSpan, ClockTime};
+use fescuestack_http::{lock, wall_time};
+use fescuestack_routing::AttemptEnd;
+use http::{HeaderValue, Response, StatusCode};
+use http_body_util::Full;
+use serde_json::{Value, json};
+
+use crate::entry::{EntryFault, EntryTrace};
+use crate::message::{FullAnswer, empty_answer};
+use crate::node::NodeState;
+
+/// Path of a node's state.
+pub(crate) const STATUS_PATH: &str = "/status";
+
+/// Start of the paths of requests. The id follows.
+pub(crate) const EXPLAIN_PREFIX: &str = "/explain/";
+
+/// Requests whose decisions are kept. A record takes about 500 bytes; small VMs have 160 MB.
+pub(crate) const EXPLAIN_REQUESTS: usize = 1_024;
+
+/// The state of a node as JSON.
+pub(crate) fn status_answer(state: &NodeState) -> FullAnswer {
+    let settings = state.settings.load();
+    let routes = state.routes.load();
+    let view_age = state.view_age();
+    let source = match view_age {
+        Some(_) if state.is_reading() => "store",
+        Some(_) => "node",
+        None => "none",
+    };
+    let load = state.target.load();
+    let status = json!({
+        "node": settings.node,
+        "data_centre": settings.data_centre,
+        "service": settings.service,
+        "ready": state.is_ready(),
+        "stopping": state.is_stopping(),
+        "version": routes.as_ref().map(|routes| routes.version),
+        "routes": routes.as_ref().map(|routes| routes.route_count()),
+        "revision": lock(&state.view).at(),
+        "source": source,
+        "source_age_ms": view_age.map(ClockSpan::millis),
+        "targets": lock(&state.routing).picker.len(),
+        "lost_nodes": state.links.lost(),
+        "calls": state.calls(),
+        "target": {"running": load.running, "waiting": load.queued,
+            "service_ms": load.service.millis()},
+    });
+    json_answer(&status)
+}
+
+/// What the node decided on a request, as JSON. 404 if it was answered at its first attempt, which is not
+/// kept, or if it is too long ago.
+pub(crate) fn explain_answer(state: &NodeState, request: &str) -> FullAnswer {
+    match state.explained.get(request) {
+        Some(record) => text_answer(record),
+        None => empty_answer(StatusCode::NOT_FOUND),
+    }
+}
+
+/// Keeps what was decided on a request that was not answered at its first attempt.
+pub(crate) fn keep_decisions(
+    state: &NodeState,
+    id: Option<&HeaderValue>,
+    arrived: ClockTime,
+    fault: Option<EntryFault>,
+    trace: &EntryTrace,
+) {
+    if fault.is_none() && trace.attempts.len() < 2 {
+        return;
+    }
+    let Some(id) = id.and_then(|id| id.to_str().ok()) else { return };
+    let attempt = |(target, end): &(_, AttemptEnd)| {
+        let retry_after = match end {
+            AttemptEnd::Refused { retry_after } => Some(retry_after.millis()),
+            _ => None,
+        };
+        json!({"target": target, "end": end.label(), "retry_after_ms": retry_after})
+    };
+    let route = trace.route.as_ref();
+    let retry_after = match fault {
+        Some(EntryFault::NotRun { retry_after }) => Some(retry_after.millis()),
+        _ => None,
+    };
+    let record = json!({
+        "request": id,
+        "node": state.settings.load().node,
+        "ended_ms": wall_time().millis(),
+        "held_ms": state.clock.now().since(arrived).millis(),
+        "fault": fault.map(EntryFault::label),
+        "retry_after_ms": retry_after,
+        "version": trace.version,
+        "route": route.map(|route| &*route.name),
+        "priority": route.map(|route| route.priority),
+        "service": trace.service,
+        "attempts": trace.attempts.iter().map(attempt).collect::<Vec<_>>(),
+    });
+    state.explained.insert(id, record.to_string());
+}
+
+fn json_answer(value: &Value) -> FullAnswer {
+    text_answer(value.to_string())
+}
+
+fn text_answer(text: String) -> FullAnswer {
+    Response::new(Full::new(text.into()))
+}
--- a/sidecar/src/run.rs
+++ b/sidecar/src/run.rs
@@ -27,6 +27,7 @@
 use crate::links::{CONNECTION_WINDOW, SMALL_STREAM_WINDOW, STREAM_WINDOW};
 use crate::message::{FullAnswer, empty_answer};
 use crate::node::NodeState;
+use crate::report::{EXPLAIN_PREFIX, STATUS_PATH, explain_answer, status_answer};
 use crate::{entry, peer};
 
 /// Path of the metrics on the address at which the platform asks whether the node is ready.
@@ -197,7 +198,7 @@
     note_end("ready", connection.await);
 }
 
-/// The platform's question whether clients may come, and the metrics.
+/// The platform's question whether clients may come, the metrics, and what operators ask.
 fn answer_ready(state: &NodeState, path: &str) -> FullAnswer {
     match path {
         READY_PATH if state.is_ready() => empty_answer(StatusCode::OK),
@@ -209,7 +210,11 @@
                 empty_answer(StatusCode::INTERNAL_SERVER_ERROR)
             }
         },
-        _ => empty_answer(StatusCode::NOT_FOUND),
+        STATUS_PATH => status_answer(state),
+        _ => match path.strip_prefix(EXPLAIN_PREFIX) {
+            Some(request) => explain_answer(state, request),
+            None => empty_answer(StatusCode::NOT_FOUND),
+        },
     }
 }
 
--- a/sidecar/tests/path.rs
+++ b/sidecar/tests/path.rs
@@ -11,6 +11,7 @@
 use fescuestack_platform_standin::{
     ApplicationMode, CONFIG_KEY, StoreMode, TargetRecord, header_value, target_key,
 };
+use serde_json::{Value, json};
 
 use mesh::{LIMIT, Mesh, TestCall, config, eventually};
 
@@ -477,3 +478,37 @@
         }
     });
 }
+
+/// Guards against a request whose end operators cannot explain, and against a state that differs from
+/// what the node acts on.
+#[test]
+fn operators_learn_what_was_decided() {
+    task::block_on(async {
+        let mesh = Mesh::start(&["alpha", "beta"]).await;
+        let ask = async |path: &str| {
+            let mut connection =
+                ExchangeConnection::open(mesh.address(0, 2), LIMIT).await.expect("a node");
+            let request = TestCall::get("operator", path).request();
+            connection.exchange(&request, None).await.expect("an answer")
+        };
+        let status = ask("/status").await;
+        let status: Value = serde_json::from_slice(&status.body).expect("JSON");
+        assert_eq!((&status["version"], &status["targets"]), (&json!(1), &json!(2)), "{status}");
+        assert_eq!((&status["ready"], &status["lost_nodes"]), (&json!(true), &json!([])));
+        mesh.ask(0, &TestCall::get("served", "/a/")).await.expect("an answer");
+        mesh.ask(0, &TestCall::get("lost-way", "/none/")).await.expect("an answer");
+        mesh.nodes[1].application.set_crash_body("crash");
+        mesh.ask(0, &TestCall::post("crashed", "/b/pay/", b"crash")).await.expect("an answer");
+        assert_eq!(ask("/explain/served").await.status, 404, "nothing went wrong with it");
+        let explain = async |id: &str| -> Value {
+            let answer = ask(&format!("/explain/{id}")).await;
+            serde_json::from_slice(&answer.body).expect("JSON")
+        };
+        let record = explain("lost-way").await;
+        assert_eq!(record["fault"], "no-route", "{record}");
+        let record = explain("crashed").await;
+        assert_eq!((&record["fault"], &record["service"]), (&json!("lost"), &json!("beta")));
+        assert_eq!(record["attempts"][0]["target"], "t2", "{record}");
+        assert_eq!(record["attempts"][0]["end"], "lost");
+    });
+}
