Rank VMs of unknown size behind known large ones

A VM whose size is not known yet counted as large, so a new one drew followers of its data centre, though nearly all VMs are small.

Ruled out: leaving new VMs out of the order; at the start all are unknown.

Change: known large VMs come first, then unknown, then small ones. A node that reads the store asks nobody, so it exchanges sizes with one unknown VM after each watch without news. `new_vms_draw_no_followers` failed before.

--- a/routing/src/readers.rs
+++ b/routing/src/readers.rs
@@ -45,7 +45,16 @@
     Node(IpAddr),
 }
 
-/// Which VMs are small, as far as their nodes have said so. Others count as large.
+/// How much a VM may serve others, the best first. A new one whose size is not known yet is no better
+/// than a small one while there are large ones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum SizeRank {
+    Large,
+    Unknown,
+    Small,
+}
+
+/// Which VMs are small, as far as their nodes have said so.
 #[derive(Debug, Default)]
 pub struct VmSizes {
     small: FxHashMap<IpAddr, bool>,
@@ -74,9 +83,17 @@
         self.small.retain(|vm, _| in_use(*vm));
     }
 
-    /// Whether the node on `vm` has said that it is small.
-    pub fn is_small(&self, vm: IpAddr) -> bool {
-        self.small.get(&vm).is_some_and(|small| *small)
+    fn rank(&self, vm: IpAddr) -> SizeRank {
+        match self.small.get(&vm) {
+            Some(false) => SizeRank::Large,
+            None => SizeRank::Unknown,
+            Some(true) => SizeRank::Small,
+        }
+    }
+
+    /// Whether the size of `vm` is known.
+    pub fn knows(&self, vm: IpAddr) -> bool {
+        self.small.contains_key(&vm)
     }
 
     /// All known sizes.
@@ -111,17 +128,20 @@
         sizes: &VmSizes,
     ) -> ViewSource {
         let is_fit = |vm: &IpAddr| self.unfit.get(vm).is_none_or(|until| *until <= now);
-        let own_small = sizes.is_small(self.own);
         let mut has_large = false;
         let mut fit: Vec<_> = vms
-            .inspect(|vm| has_large |= !sizes.is_small(*vm))
+            .inspect(|vm| has_large |= sizes.rank(*vm) == SizeRank::Large)
             .filter(is_fit)
             .chain([self.own])
             .collect();
-        fit.sort_unstable_by_key(|vm| (sizes.is_small(*vm), order(vm), *vm));
+        fit.sort_unstable_by_key(|vm| (sizes.rank(*vm), order(vm), *vm));
         fit.dedup();
-        let large = fit.iter().filter(|vm| !sizes.is_small(**vm)).count();
-        if own_small && has_large && large == 0 {
+        let count = |rank| fit.iter().filter(|vm| sizes.rank(**vm) == rank).count();
+        let large = match count(SizeRank::Large) {
+            0 => count(SizeRank::Unknown),
+            large => large,
+        };
+        if has_large && count(SizeRank::Large) == 0 {
             // Small VMs that serve others in place of the large ones fill their links, are passed
             // over in turn, and end up cut off.
             return ViewSource::Store;
--- a/routing/tests/state.rs
+++ b/routing/tests/state.rs
@@ -226,6 +226,20 @@
     }
 }
 
+/// Guards against new VMs that draw the followers of large ones before they have said that they are small.
+#[test]
+fn new_vms_draw_no_followers() {
+    let vms: Vec<IpAddr> = (1..=40).map(|host| [10, 0, 0, host].into()).collect();
+    let mut sizes = VmSizes::default();
+    for vm in &vms[..20] {
+        sizes.note(*vm, !vms[..2].contains(vm));
+    }
+    for own in &vms[2..20] {
+        let source = ReaderChoice::new(*own).source(NOW, vms.iter().copied(), &sizes);
+        assert!(matches!(source, ViewSource::Node(vm) if vms[..2].contains(&vm)), "{source:?}");
+    }
+}
+
 /// Guards against a data centre that stays without news when its reader fails.
 #[test]
 fn next_node_takes_over_reading() {
@@ -265,8 +279,13 @@
     };
     for _ in 0..4 {
         for own in &vms {
-            let ViewSource::Node(vm) = source(*own, &ReaderChoice::new(*own), &known) else {
-                continue;
+            let vm = match source(*own, &ReaderChoice::new(*own), &known) {
+                ViewSource::Node(vm) => vm,
+                // A node that reads the store asks one whose size it does not know.
+                ViewSource::Store => match vms.iter().find(|vm| !known[own].knows(**vm)) {
+                    Some(vm) => *vm,
+                    None => continue,
+                },
             };
             let told: Vec<_> = known[own].iter().collect();
             let asked = known.get_mut(&vm).expect("it is a VM");
--- a/sidecar/src/follower.rs
+++ b/sidecar/src/follower.rs
@@ -79,8 +79,8 @@
     source: ViewSource,
     /// Whether the view was read whole once, so that changes suffice.
     listed: bool,
-    /// Whether the store is known to be out of reach.
-    away: bool,
+    /// When the store was found to be out of reach, if it is.
+    lost: Option<ClockTime>,
     /// How long the next watch waits.
     wait: ClockSpan,
 }
@@ -101,7 +101,7 @@
             heard: 0,
             source: ViewSource::Store,
             listed: false,
-            away: false,
+            lost: None,
             wait: WATCH_FIRST,
             state,
         }
@@ -179,7 +179,7 @@
         }
         match age {
             Some(age) => {
-                self.away = false;
+                self.lost = None;
                 self.answered = Some(self.state.clock.now());
                 self.state.confirm_view(ClockSpan::new(age));
             }
@@ -187,6 +187,29 @@
         }
     }
 
+    /// Exchanges sizes with a VM whose size is not known. A node that reads the store asks no other
+    /// one, so that nobody would learn of it.
+    fn meet_unknown(&mut self) {
+        let settings = self.state.settings.load();
+        let unknown: Vec<_> = {
+            let sizes = lock(&self.state.sizes);
+            let near =
+                self.registry.iter().filter(|entry| *entry.data_centre == *settings.data_centre);
+            let vms = near.map(|entry| entry.address.ip());
+            vms.filter(|vm| !sizes.knows(*vm)).collect()
+        };
+        let index = (self.random.random::<f64>() * unknown.len() as f64) as usize;
+        let Some(vm) = unknown.get(index).copied() else { return };
+        let note = self.sync_note(ClockSpan::ZERO);
+        let (state, sizes) = (self.state.clone(), lock(&self.state.sizes).iter().collect());
+        task::spawn(async move {
+            let asked = within(ASK_PERIOD, ask_sync(&state, vm, true, note, sizes)).await;
+            if let Some(Some(answer)) = asked {
+                lock(&state.sizes).learn(answer.sizes);
+            }
+        });
+    }
+
     fn sync_note(&self, wait: ClockSpan) -> SyncNote {
         SyncNote {
             after: lock(&self.state.view).at(),
@@ -233,15 +256,17 @@
         self.apply(changes);
         if changed {
             task::sleep(MERGE_PAUSE).await;
+        } else {
+            // The nodes of new VMs have started by now; one that has not would count as lost.
+            self.meet_unknown();
         }
         Ok(())
     }
 
     fn note_answer(&mut self) {
         let now = self.state.clock.now();
-        if self.away {
-            self.away = false;
-            let away = self.answered.map_or(ClockSpan::ZERO, |answered| now.since(answered));
+        if let Some(lost) = self.lost.take() {
+            let away = now.since(lost);
             if away >= AWAY_MIN {
                 self.state.extend_lapse(now + LAPSE_SPAN);
             }
@@ -254,11 +279,9 @@
     fn note_failure(&mut self, err: &StoreError) {
         self.wait = WATCH_FIRST;
         self.state.set_reading(false);
-        if !self.away {
-            self.away = true;
+        if self.lost.is_none() {
+            self.lost = Some(self.state.clock.now());
             log::warn!("store lost: {err}");
-            // A watch may have waited long without an answer, which is not an absence.
-            self.answered = Some(self.state.clock.now());
         }
     }
 
@@ -267,7 +290,7 @@
         let jitter = 0.75 + self.random.random::<f64>() / 2.0;
         task::sleep(pause.mul_f64(jitter)).await;
         let now = self.state.clock.now();
-        if self.answered.is_some_and(|answered| now.since(answered) < ASK_AFTER) {
+        if self.lost.is_some_and(|lost| now.since(lost) < ASK_AFTER) {
             return;
         }
         let Some(vm) = self.random_node() else { return };
