Keep bodies that are turned away off slow links

At aberystwyth-16, 22 uploads a second were offered to one target and most turned away, each with up to 32 KB on the link already: four fifths of its 7 Mbit/s. The node lost touch with the others and the store from 8.3 s to 11.6 s.

Ruled out: copies of the configuration (1 KB a second there), uploads that the node itself sends (0.4 MB a second at the most).

Change: small VMs open streams with a window of 8 KB. `bodies_turned_away_leave_the_link_free` reads the window that a node announces; it failed with 32 KB.

--- a/sidecar/src/links.rs
+++ b/sidecar/src/links.rs
@@ -48,8 +48,9 @@
 pub(crate) const STREAM_WINDOW: u32 = 1 << 20;
 
 /// The same towards a small VM, whose node decides on a body by its length before most of it is on the
-/// link. Even so, a round trip of 10 ms allows for 26 Mbit/s.
-pub(crate) const SMALL_STREAM_WINDOW: u32 = 32 * 1024;
+/// link. A window of 32 KB let bodies that were turned away take four fifths of a link of 7 Mbit/s; a
+/// round trip of 7 ms still allows for 9 Mbit/s.
+pub(crate) const SMALL_STREAM_WINDOW: u32 = 8 * 1024;
 
 /// Bytes that may be under way in all calls of a connection.
 pub(crate) const CONNECTION_WINDOW: u32 = 4 << 20;
--- a/sidecar/tests/path.rs
+++ b/sidecar/tests/path.rs
@@ -2,6 +2,7 @@
 
 mod mesh;
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use async_std::io::{ReadExt, WriteExt};
@@ -385,6 +386,39 @@
     });
 }
 
+/// Bytes of a body that a node lets its peer send before it has decided on the call, as it announces them
+/// when a connection opens.
+async fn announced_window(address: SocketAddr) -> u32 {
+    const SETTINGS: u8 = 4;
+    const INITIAL_WINDOW: u16 = 4;
+    let mut stream = TcpStream::connect(address).await.expect("a node");
+    let hello = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\x00\x00\x00\x04\x00\x00\x00\x00\x00";
+    stream.write_all(hello).await.expect("the node reads");
+    let mut head = [0; 9];
+    stream.read_exact(&mut head).await.expect("a frame");
+    assert_eq!(head[3], SETTINGS, "the first frame holds the settings");
+    let mut entries = vec![0; usize::from(u16::from_be_bytes([head[1], head[2]]))];
+    stream.read_exact(&mut entries).await.expect("the settings");
+    let entry = entries.chunks_exact(6).find(|entry| entry[..2] == INITIAL_WINDOW.to_be_bytes());
+    let entry = entry.expect("the node states its window");
+    u32::from_be_bytes([entry[2], entry[3], entry[4], entry[5]])
+}
+
+/// Guards against bodies that are turned away and fill the link all the same: 22 of them a second were seen
+/// at one target, and may take a quarter of a link of 7 Mbit/s, which carries 875 bytes in a ms.
+#[test]
+fn bodies_turned_away_leave_the_link_free() {
+    task::block_on(async {
+        let slow = Mesh::start_with(&["alpha"], 7.0).await;
+        assert!(22 * announced_window(slow.address(0, 1)).await <= 875 * 1_000 / 4);
+        let fast = Mesh::start(&["alpha"]).await;
+        assert!(
+            announced_window(fast.address(0, 1)).await >= 1 << 20,
+            "uploads wait for round trips"
+        );
+    });
+}
+
 /// Guards against entries of other writers that stop the use of good ones.
 #[test]
 fn entries_of_other_writers_are_ignored() {
