Judge targets by the usual time of a route, and cross only for a call's aim

The reported time of a target was a mean over all routes. A new target whose first call was a long one looked slow, short calls crossed to a target with many short calls, and the first one was never asked again. A surcharge of 230 ms for a crossing did not prevent that, since the mean of a long route exceeds it.

Ruled out: pings and the store's content between data centres; 0.9 MB of content stayed within them.

Change: a node reports the time of the call's own route; the picker compares it with the route's usual time over all targets, and the known slowness fades. A call crosses only if no target of its data centre is expected to answer within 0.8 of the time to its aim, a long body only if it would come too late. A choice looks at 32 targets at the most. Three new tests fail on the former picker.

--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -18,7 +18,7 @@
 pub use budget::{RepeatAllowance, RepeatBudget};
 pub use held::{CrashHistory, HELD_SPAN};
 pub use intake::{IntakeStep, LARGE_BODY, LinkIntake};
-pub use picker::{PickedTarget, TargetPicker, TargetSignal};
+pub use picker::{OtherTargets, PickedTarget, TargetPicker, TargetSignal};
 pub use plan::{AttemptEnd, CallPlan, PlanCall, PlanStep};
 pub use readers::{ReaderChoice, ViewSource, VmSizes, is_small};
 pub use registry::{TargetListing, TargetRegistry, TargetState};
--- a/routing/src/picker.rs
+++ b/routing/src/picker.rs
@@ -1,10 +1,12 @@
 //! Which target a call is sent to.
 //!
-//! Each candidate is given the time in which it is expected to answer, with a surcharge for another
-//! data centre and for failures, and the smallest sum wins. This answers uneven load between data
-//! centres, targets of different or changing speed, and targets that fail behind a good health
-//! check: what the nodes beside the targets report and what answers show is believed, and nothing
-//! else.
+//! Each candidate is given the time in which it is expected to answer, with a surcharge for failures,
+//! and the smallest one wins. A target of another data centre is chosen only if none of the own one is
+//! expected to answer within the call's aim. This answers uneven load between data centres, targets
+//! of different or changing speed, and targets that fail behind a good health check: what the nodes
+//! beside the targets report and what answers show is believed, and nothing else.
+//!
+//! A choice looks at a bounded sample of the targets, so that its cost does not grow with the fleet.
 
 use std::net::IpAddr;
 use std::sync::Arc;
@@ -12,18 +14,22 @@
 use fescuestack_core::{ClockSpan, ClockTime};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::intake::LARGE_BODY;
+use crate::plan::PlanCall;
 use crate::registry::{TargetListing, TargetState};
 use crate::slots::SlotLoad;
 
-/// Surcharge in ms for a target in another data centre. Traffic between data centres is costly, and
-/// the links have delays of several ms each way.
-const CROSSING_MS: f64 = 230.0;
+/// Share of the time to its aim in which a call has to be expected to end in its own data centre, so
+/// that it stays there. The rest is for the spread of service times.
+const NEAR_SHARE: f64 = 0.8;
+
+/// Delay in ms of a call to another data centre. The links have delays of several ms each way.
+const CROSSING_MS: f64 = 12.0;
 
-/// Further surcharge in ms for each KB of a body that crosses.
-const CROSSING_MS_PER_KB: f64 = 12.0;
+/// Most targets that one choice looks at in the own data centre, and in the others.
+const SAMPLE: usize = 32;
 
 /// Surcharge in ms for a target that fails all calls. It is weighed with the share of failures.
 const FAILURE_MS: f64 = 1_500.0;
@@ -40,6 +46,19 @@
 /// Service time that is assumed before a report, in ms.
 const FIRST_SERVICE_MS: f64 = 150.0;
 
+/// Weight of the newest report in the usual time of a route, over all targets.
+const ROUTE_WEIGHT: f64 = 0.05;
+
+/// Weight of the newest report in the slowness of a target. Reports are means already.
+const SLOWNESS_WEIGHT: f64 = 0.5;
+
+/// Bounds of the slowness that one report can show.
+const SLOWNESS_BOUNDS: (f64, f64) = (0.2, 12.0);
+
+/// Time in which the known slowness of a target halves without reports, so that one that was slow
+/// is tried again.
+const SLOWNESS_HALF_LIFE: ClockSpan = ClockSpan::new(3_000);
+
 /// How much slower a target is while it warms up.
 const COLD_FACTOR: f64 = 1.6;
 
@@ -91,6 +110,19 @@
     pub slots: u32,
     /// Whether the target is in another data centre.
     pub crosses: bool,
+    /// Which other targets the call could be sent to.
+    pub others: OtherTargets,
+}
+
+/// Which other targets a call could be sent to, beside the one that was chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OtherTargets {
+    /// None.
+    None,
+    /// Some, all of them in other data centres.
+    Far,
+    /// Some in the node's own data centre.
+    Near,
 }
 
 #[derive(Debug)]
@@ -100,6 +132,9 @@
     in_flight: u32,
     report: SlotLoad,
     reported: Option<ClockTime>,
+    /// Time of its calls, as a multiple of what their routes usually take.
+    slowness: f64,
+    slowness_at: ClockTime,
     sent_since: u32,
     failures: f64,
     failed_at: ClockTime,
@@ -109,13 +144,38 @@
     refusals: Vec<(Arc<str>, ClockTime)>,
 }
 
+/// The targets of a service.
+#[derive(Debug, Default)]
+struct ServiceTargets {
+    /// Those of the node's own data centre.
+    near: Vec<Arc<str>>,
+    far: Vec<Arc<str>>,
+}
+
+impl ServiceTargets {
+    fn list(&mut self, near: bool) -> &mut Vec<Arc<str>> {
+        if near { &mut self.near } else { &mut self.far }
+    }
+}
+
+/// The best of a sample of targets.
+#[derive(Debug, Default)]
+struct SampleResult {
+    /// The one with the smallest expected time in ms, and that time.
+    best: Option<(f64, Arc<str>)>,
+    /// Targets that could take the call.
+    usable: usize,
+}
+
 /// Everything a node knows about the targets of all services.
 #[derive(Debug)]
 pub struct TargetPicker {
     data_centre: Arc<str>,
     records: FxHashMap<Arc<str>, TargetRecord>,
-    services: FxHashMap<Arc<str>, Vec<Arc<str>>>,
-    down: FxHashMap<IpAddr, ()>,
+    services: FxHashMap<Arc<str>, ServiceTargets>,
+    /// Usual time of the calls of each route in ms.
+    route_times: FxHashMap<Arc<str>, f64>,
+    down: FxHashSet<IpAddr>,
     random: Pcg32,
 }
 
@@ -126,7 +186,8 @@
             data_centre,
             records: FxHashMap::default(),
             services: FxHashMap::default(),
-            down: FxHashMap::default(),
+            route_times: FxHashMap::default(),
+            down: FxHashSet::default(),
             random: Pcg32::seed_from_u64(seed),
         }
     }
@@ -135,11 +196,13 @@
     pub fn insert(&mut self, now: ClockTime, entry: &TargetListing) {
         let warm_at = now + entry.cold_left;
         if let Some(record) = self.records.get_mut(&entry.id) {
-            let moved = record.entry.service != entry.service;
+            let moved = record.entry.service != entry.service
+                || record.entry.data_centre != entry.data_centre;
             if record.entry.started != entry.started {
                 record.failures = 0.0;
                 record.avoid_until = ClockTime::ZERO;
                 record.reported = None;
+                record.slowness = 1.0;
             }
             let former = std::mem::replace(&mut record.entry, entry.clone());
             record.warm_at = warm_at;
@@ -154,6 +217,8 @@
                 in_flight: 0,
                 report: SlotLoad::default(),
                 reported: None,
+                slowness: 1.0,
+                slowness_at: now,
                 sent_since: 0,
                 failures: 0.0,
                 failed_at: now,
@@ -162,8 +227,9 @@
             };
             self.records.insert(entry.id.clone(), record);
         }
-        let ids = self.services.entry(entry.service.clone()).or_default();
-        ids.push(entry.id.clone());
+        let near = entry.data_centre == self.data_centre;
+        let targets = self.services.entry(entry.service.clone()).or_default();
+        targets.list(near).push(entry.id.clone());
     }
 
     /// Forgets a target.
@@ -174,8 +240,9 @@
     }
 
     fn unlist(&mut self, entry: &TargetListing) {
-        if let Some(ids) = self.services.get_mut(&entry.service) {
-            ids.retain(|id| *id != entry.id);
+        let near = entry.data_centre == self.data_centre;
+        if let Some(targets) = self.services.get_mut(&entry.service) {
+            targets.list(near).retain(|id| *id != entry.id);
         }
     }
 
@@ -184,7 +251,7 @@
         if reachable {
             self.down.remove(&vm);
         } else {
-            self.down.insert(vm, ());
+            self.down.insert(vm);
         }
     }
 
@@ -207,62 +274,81 @@
         self.records.is_empty()
     }
 
-    /// Number of targets of a service that could be chosen.
-    pub fn candidates(&self, now: ClockTime, service: &str) -> usize {
-        let ids = self.services.get(service).map_or(&[][..], Vec::as_slice);
-        ids.iter().filter(|id| self.is_usable(now, id)).count()
-    }
-
-    /// Chooses a target of `service` for a call of `route` with `body_bytes` of body, none of `tried`
-    /// and none that has just refused a call of this route.
+    /// Chooses a target for a call: none of `tried`, and none that has just refused a call of its route.
     pub fn choose(
         &mut self,
         now: ClockTime,
-        service: &str,
-        route: &str,
-        body_bytes: usize,
+        call: &PlanCall,
         tried: &[Arc<str>],
     ) -> Option<PickedTarget> {
-        let ids = self.services.get(service)?;
-        let crossing = CROSSING_MS + CROSSING_MS_PER_KB * body_bytes as f64 / 1024.0;
-        let mut best: Option<(f64, &Arc<str>)> = None;
-        for id in ids {
-            if tried.contains(id) || !self.is_usable(now, id) {
-                continue;
-            }
-            let Some(record) = self.records.get(id) else { continue };
-            if record.refuses(now, route) {
-                continue;
-            }
-            let crosses = record.entry.data_centre != self.data_centre;
-            let mut sum =
-                record.expected_time(now) + self.random.random::<f64>() * record.spread(now);
-            if body_bytes as u64 >= LARGE_BODY {
-                sum += record.intake_time(now);
+        let targets = self.services.get(&call.service)?;
+        let offset = self.random.random::<u32>() as usize;
+        let near = self.sample(now, call, tried, &targets.near, offset);
+        // A long body crosses only if it would come too late otherwise, as links between data centres
+        // are costly.
+        let limit = match call.body_bytes as u64 >= LARGE_BODY {
+            true => call.deadline.since(now).millis() as f64,
+            false => call.aim_at.since(now).millis() as f64 * NEAR_SHARE,
+        };
+        let stays = near.best.as_ref().is_some_and(|(time, _)| *time <= limit);
+        let far = match stays {
+            true => SampleResult::default(),
+            false => self.sample(now, call, tried, &targets.far, offset),
+        };
+        let far_limit = limit - CROSSING_MS;
+        let (near_usable, far_usable) = (near.usable, far.usable);
+        let (id, crosses) = match (near.best, far.best) {
+            (Some((_, id)), None) => (id, false),
+            (None, Some((_, id))) => (id, true),
+            (Some((near_time, near)), Some((far_time, far))) => {
+                let crosses = far_time <= far_limit && far_time + CROSSING_MS < near_time;
+                (if crosses { far } else { near }, crosses)
             }
-            if crosses {
-                sum += crossing;
+            (None, None) => return None,
+        };
+        let others = if near_usable > usize::from(!crosses) {
+            OtherTargets::Near
+        } else if (stays && !targets.far.is_empty()) || far_usable > usize::from(crosses) {
+            OtherTargets::Far
+        } else {
+            OtherTargets::None
+        };
+        let entry = &self.records.get(&id)?.entry;
+        Some(PickedTarget { vm: entry.address.ip(), slots: entry.slots, crosses, others, id })
+    }
+
+    /// Looks at up to [`SAMPLE`] of the targets `ids`, from a random one on.
+    fn sample(
+        &self,
+        now: ClockTime,
+        call: &PlanCall,
+        tried: &[Arc<str>],
+        ids: &[Arc<str>],
+        offset: usize,
+    ) -> SampleResult {
+        let mut random = Pcg32::seed_from_u64(offset as u64);
+        let usual = self.route_times.get(&call.route).copied().unwrap_or(FIRST_SERVICE_MS);
+        let (first, second) = ids.split_at(offset % ids.len().max(1));
+        let usable = second.iter().chain(first).filter_map(|id| {
+            let record = self.records.get(id).filter(|_| !tried.contains(id))?;
+            let usable = record.is_usable(now)
+                && !record.refuses(now, &call.route)
+                && !self.down.contains(&record.entry.address.ip());
+            usable.then_some((id, record))
+        });
+        let mut result = SampleResult::default();
+        for (id, record) in usable.take(SAMPLE) {
+            result.usable += 1;
+            let mut time = record.expected_time(now, usual);
+            time += random.random::<f64>() * record.spread(now, usual);
+            if call.body_bytes as u64 >= LARGE_BODY {
+                time += record.intake_time(now);
             }
-            if best.is_none_or(|(least, _)| sum < least) {
-                best = Some((sum, id));
+            if result.best.as_ref().is_none_or(|(least, _)| time < *least) {
+                result.best = Some((time, id.clone()));
             }
         }
-        let id = best?.1.clone();
-        let record = self.records.get(&id)?;
-        Some(PickedTarget {
-            vm: record.entry.address.ip(),
-            slots: record.entry.slots,
-            crosses: record.entry.data_centre != self.data_centre,
-            id,
-        })
-    }
-
-    fn is_usable(&self, now: ClockTime, id: &str) -> bool {
-        self.records.get(id).is_some_and(|record| {
-            record.entry.state == TargetState::Ready
-                && record.avoid_until <= now
-                && !self.down.contains_key(&record.entry.address.ip())
-        })
+        result
     }
 
     /// Counts a call that is sent.
@@ -304,36 +390,59 @@
         record.refusals.push((route.clone(), until));
     }
 
-    /// Takes over the load that a target's node reported.
-    pub fn report(&mut self, now: ClockTime, id: &str, load: SlotLoad) {
-        if let Some(record) = self.records.get_mut(id) {
-            record.report = load;
-            record.reported = Some(now);
-            record.sent_since = 0;
+    /// Takes over the load that a target's node reported after a call of `route`.
+    pub fn report(&mut self, now: ClockTime, id: &str, route: &Arc<str>, load: SlotLoad) {
+        let Some(record) = self.records.get_mut(id) else { return };
+        record.report = load;
+        record.reported = Some(now);
+        record.sent_since = 0;
+        if let Some(time) = load.route_time
+            && now >= record.warm_at
+        {
+            let time = time.millis().max(1) as f64;
+            let usual = self.route_times.entry(route.clone()).or_insert(time);
+            *usual += (time - *usual) * ROUTE_WEIGHT;
+            record.note_slowness(now, time / *usual);
         }
     }
 }
 
 impl TargetRecord {
-    /// Expected time to an answer in ms, with the surcharge for failures.
-    fn expected_time(&self, now: ClockTime) -> f64 {
+    fn is_usable(&self, now: ClockTime) -> bool {
+        self.entry.state == TargetState::Ready && self.avoid_until <= now
+    }
+
+    /// Expected time in ms to the answer to a call that usually takes `usual`, with the surcharge for
+    /// failures.
+    fn expected_time(&self, now: ClockTime, usual: f64) -> f64 {
         let fresh = self.reported.filter(|reported| now.since(*reported) < REPORT_SPAN);
-        let mut service = FIRST_SERVICE_MS;
-        if self.reported.is_some() {
-            service = self.report.service.millis().max(1) as f64;
-        }
+        let mut service = usual * self.slowness(now);
         if now < self.warm_at {
             service *= COLD_FACTOR;
         }
         let mut load = self.in_flight;
+        let mut ahead = service;
         if fresh.is_some() {
             load = load.max(self.report.running + self.report.queued + self.sent_since);
+            ahead = self.report.service.millis().max(1) as f64;
         }
         let slots = f64::from(self.entry.slots.max(1));
         let excess = (f64::from(load) + 1.0 - slots).max(0.0);
         // Targets slow down when they are nearly full, so an emptier one is a little better.
         let crowding = f64::from(load) / slots * 0.15 * service;
-        service + crowding + excess * service / slots + self.failure_share(now) * FAILURE_MS
+        service + crowding + excess * ahead / slots + self.failure_share(now) * FAILURE_MS
+    }
+
+    fn note_slowness(&mut self, now: ClockTime, ratio: f64) {
+        let known = self.slowness(now);
+        let (least, most) = SLOWNESS_BOUNDS;
+        self.slowness = known + (ratio.clamp(least, most) - known) * SLOWNESS_WEIGHT;
+        self.slowness_at = now;
+    }
+
+    /// The known slowness, which fades towards the usual one.
+    fn slowness(&self, now: ClockTime) -> f64 {
+        1.0 + (self.slowness - 1.0) * faded(now.since(self.slowness_at), SLOWNESS_HALF_LIFE)
     }
 
     /// Time in ms until the link of the target's VM is free, as far as it is known.
@@ -343,11 +452,10 @@
     }
 
     /// Size of the random part in ms: the less is known of the load, the larger.
-    fn spread(&self, now: ClockTime) -> f64 {
-        let service = self.report.service.millis().max(FIRST_SERVICE_MS as u64) as f64;
+    fn spread(&self, now: ClockTime, usual: f64) -> f64 {
         let age = self.reported.map_or(REPORT_SPAN, |reported| now.since(reported));
         let unknown = age.millis().min(REPORT_SPAN.millis()) as f64 / REPORT_SPAN.millis() as f64;
-        JITTER_MS + unknown * UNKNOWN_SPREAD * service
+        JITTER_MS + unknown * UNKNOWN_SPREAD * usual
     }
 
     fn refuses(&self, now: ClockTime, route: &str) -> bool {
@@ -355,7 +463,11 @@
     }
 
     fn failure_share(&self, now: ClockTime) -> f64 {
-        let age = now.since(self.failed_at).millis() as f64;
-        self.failures * 0.5f64.powf(age / FAILURE_HALF_LIFE.millis() as f64)
+        self.failures * faded(now.since(self.failed_at), FAILURE_HALF_LIFE)
     }
 }
+
+/// What is left of a value after `age`, as a share.
+fn faded(age: ClockSpan, half_life: ClockSpan) -> f64 {
+    0.5f64.powf(age.millis() as f64 / half_life.millis() as f64)
+}
--- a/routing/src/plan.rs
+++ b/routing/src/plan.rs
@@ -8,7 +8,7 @@
 use fescuestack_core::{ClockSpan, ClockTime};
 
 use crate::budget::{RepeatAllowance, RepeatBudget};
-use crate::picker::{PickedTarget, TargetPicker};
+use crate::picker::{OtherTargets, PickedTarget, TargetPicker};
 use crate::routes::RepeatKind;
 
 /// Most nodes that may refuse a request before it is given up.
@@ -203,7 +203,7 @@
             return self.give_up();
         }
         let call = &self.call;
-        let choice = picker.choose(now, &call.service, &call.route, call.body_bytes, &self.tried);
+        let choice = picker.choose(now, call, &self.tried);
         let Some(target) = choice else { return self.give_up() };
         // A repeat is paid for when it is sent, also if the node beside the target refuses it.
         if repeats && !budget.take(self.may_have_run) {
@@ -212,8 +212,7 @@
         if self.last.is_none() {
             budget.count_call(allowance);
         }
-        let others = picker.candidates(now, &call.service) > self.tried.len() + 1;
-        let wait_limit = self.wait_limit(now, &target, others);
+        let wait_limit = self.wait_limit(now, &target);
         self.current = Some(target.id.clone());
         PlanStep::Send { target, wait_limit }
     }
@@ -232,12 +231,15 @@
 
     /// The first nodes say at once if the wait is long, while another target may be better. One that
     /// is chosen again in spite of that may let the request wait.
-    fn wait_limit(&self, now: ClockTime, target: &PickedTarget, others: bool) -> ClockSpan {
-        if !others || self.busy.contains(&target.id) || self.refusals + 1 >= REFUSAL_LIMIT {
-            return self.call.deadline.since(now);
+    fn wait_limit(&self, now: ClockTime, target: &PickedTarget) -> ClockSpan {
+        let last = self.busy.contains(&target.id) || self.refusals + 1 >= REFUSAL_LIMIT;
+        let to_aim = ClockSpan::new(self.call.aim_at.since(now).millis() / 2);
+        match target.others {
+            _ if last => self.call.deadline.since(now),
+            OtherTargets::None => self.call.deadline.since(now),
+            OtherTargets::Near if !target.crosses => to_aim.min(NEAR_WAIT),
+            OtherTargets::Near | OtherTargets::Far => to_aim,
         }
-        let left = ClockSpan::new(self.call.aim_at.since(now).millis() / 2);
-        if target.crosses { left } else { left.min(NEAR_WAIT) }
     }
 
     fn give_up(&self) -> PlanStep {
--- a/routing/src/slots.rs
+++ b/routing/src/slots.rs
@@ -114,8 +114,10 @@
     pub running: u32,
     /// Calls that wait.
     pub queued: u32,
-    /// Mean time that a call takes.
+    /// Mean time that a call takes, of any route.
     pub service: ClockSpan,
+    /// Mean time that a call of the route in question takes. `None` if it was not measured.
+    pub route_time: Option<ClockSpan>,
     /// Time until the bodies that are on their way to the node have arrived.
     pub intake: ClockSpan,
 }
@@ -203,10 +205,16 @@
             running: self.running.len() as u32,
             queued: self.waiting.len() as u32,
             service: ClockSpan::new(self.mean as u64),
+            route_time: None,
             intake: ClockSpan::ZERO,
         }
     }
 
+    /// Mean time that a call of `route` takes, if it was measured.
+    pub fn route_time(&self, route: &str) -> Option<ClockSpan> {
+        self.times.get(route).map(|time| ClockSpan::new(time.mean as u64))
+    }
+
     /// Decides on a call that arrives.
     pub fn arrive(&mut self, now: ClockTime, call: QueuedCall) -> SlotStep {
         if !self.open {
--- a/routing/tests/plan.rs
+++ b/routing/tests/plan.rs
@@ -12,7 +12,8 @@
 const NOW: ClockTime = ClockTime::new(10_000);
 
 fn load(running: u32, queued: u32, service: u64) -> SlotLoad {
-    SlotLoad { running, queued, service: ClockSpan::new(service), intake: ClockSpan::ZERO }
+    let service = ClockSpan::new(service);
+    SlotLoad { running, queued, service, route_time: Some(service), intake: ClockSpan::ZERO }
 }
 
 fn entry(id: &str, host: u8, data_centre: &str) -> TargetListing {
@@ -37,17 +38,21 @@
     picker
 }
 
-fn plan(kind: RepeatKind, attempts: u32) -> CallPlan {
-    CallPlan::new(PlanCall {
+fn call(now: ClockTime, route: &str, body_bytes: usize) -> PlanCall {
+    PlanCall {
         service: "s".into(),
-        route: "r".into(),
-        kind,
-        attempts,
-        arrived: NOW,
-        aim_at: NOW + ClockSpan::new(400),
-        deadline: NOW + ClockSpan::new(1_000),
-        body_bytes: 0,
-    })
+        route: route.into(),
+        kind: RepeatKind::Safe,
+        attempts: 2,
+        arrived: now,
+        aim_at: now + ClockSpan::new(400),
+        deadline: now + ClockSpan::new(1_000),
+        body_bytes,
+    }
+}
+
+fn plan(kind: RepeatKind, attempts: u32) -> CallPlan {
+    CallPlan::new(PlanCall { kind, attempts, ..call(NOW, "r", 0) })
 }
 
 fn allowance() -> RepeatAllowance {
@@ -151,26 +156,99 @@
 fn calls_stay_in_their_data_centre() {
     let mut picker = picker(&[entry("near", 1, "here"), entry("far", 2, "there")]);
     let busy = load(6, 1, 120);
-    picker.report(NOW, "near", busy);
-    let choice = picker.choose(NOW, "s", "r", 0, &[]).expect("two targets are ready");
+    picker.report(NOW, "near", &"r".into(), busy);
+    let choice = picker.choose(NOW, &call(NOW, "r", 0), &[]).expect("two targets are ready");
     assert_eq!(&*choice.id, "near");
     let full = load(6, 30, 120);
-    picker.report(NOW, "near", full);
-    let choice = picker.choose(NOW, "s", "r", 0, &[]).expect("two targets are ready");
+    picker.report(NOW, "near", &"r".into(), full);
+    let choice = picker.choose(NOW, &call(NOW, "r", 0), &[]).expect("two targets are ready");
     assert!(choice.crosses, "a wait of 600 ms was preferred to another data centre");
-    let choice = picker.choose(NOW, "s", "r", 200_000, &[]).expect("two targets are ready");
+    let choice = picker.choose(NOW, &call(NOW, "r", 200_000), &[]).expect("two targets are ready");
     assert!(!choice.crosses, "a long body was sent to another data centre");
 }
 
+/// Guards against calls that cross only because a target elsewhere is faster: the slower one of the own
+/// data centre answers within the aim as well. One that does not is passed over.
+#[test]
+fn calls_cross_only_for_their_aim() {
+    for (time, crosses) in [(280, false), (380, true)] {
+        let mut picker = picker(&[entry("near", 1, "here"), entry("far", 2, "there")]);
+        for _ in 0..20 {
+            picker.report(NOW, "far", &"r".into(), load(0, 0, 100));
+        }
+        picker.report(NOW, "near", &"r".into(), load(0, 0, time));
+        picker.report(NOW, "near", &"r".into(), load(0, 0, time));
+        let choice = picker.choose(NOW, &call(NOW, "r", 0), &[]).expect("two targets are ready");
+        assert_eq!(choice.crosses, crosses, "a call takes {time} ms in the own data centre");
+    }
+}
+
+/// Guards against a target that is shunned for the time of the only calls that it had, which are of a
+/// longer route, while short ones cross to another data centre instead.
+#[test]
+fn long_calls_do_not_make_a_target_slow() {
+    let mut picker = picker(&[entry("near", 1, "here"), entry("far", 2, "there")]);
+    let (long, short) = ("long".into(), "short".into());
+    let times = |service, route_time| SlotLoad {
+        route_time: Some(ClockSpan::new(route_time)),
+        ..load(0, 0, service)
+    };
+    for _ in 0..10 {
+        picker.report(NOW, "far", &long, times(60, 400));
+        picker.report(NOW, "far", &short, times(60, 40));
+    }
+    picker.report(NOW, "near", &long, times(400, 400));
+    let choice = picker.choose(NOW, &call(NOW, "short", 0), &[]).expect("two targets are ready");
+    assert_eq!(&*choice.id, "near");
+}
+
+/// Guards against a target that was slow once and is never tried again.
+#[test]
+fn slow_target_is_tried_again() {
+    let mut picker = picker(&[entry("slow", 1, "here"), entry("far", 2, "there")]);
+    picker.report(NOW, "far", &"r".into(), load(0, 0, 100));
+    picker.report(NOW, "slow", &"r".into(), load(0, 0, 900));
+    let choose = |picker: &mut TargetPicker, now| {
+        picker.choose(now, &call(now, "r", 0), &[]).expect("two targets are ready").crosses
+    };
+    assert!(choose(&mut picker, NOW), "the slow target was chosen");
+    assert!(!choose(&mut picker, NOW + ClockSpan::new(12_000)), "it is not tried again");
+}
+
+/// Guards against a choice whose cost grows with the fleet: of thousands of targets it looks at a few,
+/// and spreads the calls over all of them.
+#[test]
+fn choice_spreads_over_a_large_service() {
+    let entries: Vec<_> = (0..2_000u32)
+        .map(|index| {
+            let [_, _, high, low] = index.to_be_bytes();
+            let address = SocketAddr::from(([10, 1, high, low], 80));
+            TargetListing { address, ..entry(&format!("t{index}"), 1, "here") }
+        })
+        .collect();
+    let mut picker = picker(&entries);
+    let mut chosen = std::collections::BTreeSet::new();
+    for _ in 0..1_000 {
+        let choice = picker.choose(NOW, &call(NOW, "r", 0), &[]).expect("all are ready");
+        chosen.insert(choice.id);
+    }
+    assert!(chosen.len() > 600, "{} of 2,000 targets were chosen", chosen.len());
+}
+
 /// Guards against uploads that all go to the target that looks idle since its link is full of them.
 #[test]
 fn uploads_avoid_full_links() {
     let mut picker = picker(&[entry("full", 1, "here"), entry("free", 2, "here")]);
-    picker.report(NOW, "full", SlotLoad { intake: ClockSpan::new(400), ..load(0, 0, 100) });
-    picker.report(NOW, "free", load(5, 0, 100));
-    let choice = picker.choose(NOW, "s", "r", 60_000, &[]).expect("two targets are ready");
+    picker.report(
+        NOW,
+        "full",
+        &"r".into(),
+        SlotLoad { intake: ClockSpan::new(400), ..load(0, 0, 100) },
+    );
+    picker.report(NOW, "free", &"r".into(), load(5, 0, 100));
+    let choice = picker.choose(NOW, &call(NOW, "r", 60_000), &[]).expect("two targets are ready");
     assert_eq!(&*choice.id, "free");
-    let choice = picker.choose(NOW, "s", "r", 100, &[]).expect("two targets are ready");
+    let choice = picker.choose(NOW, &call(NOW, "r", 100), &[]).expect("two targets are ready");
     assert_eq!(&*choice.id, "full", "a short body does not wait for the long ones");
 }
 
@@ -181,16 +259,16 @@
     let draining = TargetListing { state: TargetState::Draining, ..entry("a", 1, "here") };
     picker.insert(NOW, &draining);
     for _ in 0..20 {
-        let choice = picker.choose(NOW, "s", "r", 0, &[]).expect("one target is ready");
+        let choice = picker.choose(NOW, &call(NOW, "r", 0), &[]).expect("one target is ready");
         assert_eq!(&*choice.id, "b");
     }
     picker.sent("b");
     picker.ended(NOW, "b", TargetSignal::Gone);
-    assert_eq!(picker.choose(NOW, "s", "r", 0, &[]), None);
+    assert_eq!(picker.choose(NOW, &call(NOW, "r", 0), &[]), None);
     let later = NOW + ClockSpan::new(4_000);
-    assert!(picker.choose(later, "s", "r", 0, &[]).is_some());
+    assert!(picker.choose(later, &call(later, "r", 0), &[]).is_some());
     picker.set_reachable(entry("b", 2, "here").address.ip(), false);
-    assert_eq!(picker.choose(later, "s", "r", 0, &[]), None);
+    assert_eq!(picker.choose(later, &call(later, "r", 0), &[]), None);
 }
 
 /// Guards against a target that fails its calls but looks idle, and so draws more of them.
@@ -201,14 +279,14 @@
     let mut now = NOW;
     for _ in 0..200 {
         now = now + ClockSpan::new(20);
-        let choice = picker.choose(now, "s", "r", 0, &[]).expect("two targets are ready");
+        let choice = picker.choose(now, &call(now, "r", 0), &[]).expect("two targets are ready");
         picker.sent(&choice.id);
         let failed = &*choice.id == "bad";
         sent += u32::from(failed);
         let signal = if failed { TargetSignal::Failed } else { TargetSignal::Served };
         picker.ended(now, &choice.id, signal);
         let load = load(1, 0, 100);
-        picker.report(now, &choice.id, load);
+        picker.report(now, &choice.id, &"r".into(), load);
     }
     assert!(sent < 40, "{sent} of 200 calls went to the target that fails");
 }
@@ -218,7 +296,11 @@
 fn refusal_holds_for_a_moment() {
     let mut picker = picker(&[entry("a", 1, "here")]);
     picker.refused(NOW, "a", &"r".into(), ClockSpan::new(500));
-    assert_eq!(picker.choose(NOW, "s", "r", 0, &[]), None);
-    assert!(picker.choose(NOW, "s", "other", 0, &[]).is_some());
-    assert!(picker.choose(NOW + ClockSpan::new(130), "s", "r", 0, &[]).is_some());
+    assert_eq!(picker.choose(NOW, &call(NOW, "r", 0), &[]), None);
+    assert!(picker.choose(NOW, &call(NOW, "other", 0), &[]).is_some());
+    assert!(
+        picker
+            .choose(NOW + ClockSpan::new(130), &call(NOW + ClockSpan::new(130), "r", 0), &[])
+            .is_some()
+    );
 }
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -265,7 +265,7 @@
                 }
             }
         };
-        account.report(&reply);
+        account.report(&self.route.name, &reply);
         if reply.end == ReplyEnd::Refused {
             let span = ClockSpan::new(reply.retry_after);
             let now = state.clock.now();
@@ -313,9 +313,9 @@
 }
 
 impl AttemptAccount<'_> {
-    fn report(&self, reply: &ReplyNote) {
+    fn report(&self, route: &Arc<str>, reply: &ReplyNote) {
         let now = self.state.clock.now();
-        lock(&self.state.routing).picker.report(now, &self.target.id, reply.load());
+        lock(&self.state.routing).picker.report(now, &self.target.id, route, reply.load());
     }
 }
 
--- a/sidecar/src/note.rs
+++ b/sidecar/src/note.rs
@@ -78,6 +78,8 @@
     pub(crate) queued: u32,
     /// Mean time of a call.
     pub(crate) service: u64,
+    /// Mean time of a call of the same route.
+    pub(crate) route_time: Option<u64>,
     /// Time until the large bodies that are on their way have arrived.
     pub(crate) intake: u64,
     /// Whether the target crashed while it ran the call.
@@ -92,6 +94,7 @@
             running: self.running,
             queued: self.queued,
             service: ClockSpan::new(self.service),
+            route_time: self.route_time.map(ClockSpan::new),
             intake: ClockSpan::new(self.intake),
         }
     }
--- a/sidecar/src/peer.rs
+++ b/sidecar/src/peer.rs
@@ -89,7 +89,9 @@
     let announced = state.clock.now();
     let intake = match state.target.announce(&note) {
         Ok(intake) => intake,
-        Err((end, retry_after)) => return reply_answer(state.target.reply(end, retry_after)),
+        Err((end, retry_after)) => {
+            return reply_answer(state.target.reply(&note.route, end, retry_after));
+        }
     };
     let Ok(body) = Limited::new(body, BODY_BYTES).collect().await else {
         return empty_answer(StatusCode::BAD_REQUEST);
@@ -103,7 +105,7 @@
     parts.headers.insert(HOST, host);
     let call = whole_request(parts, body.to_bytes());
     let reply = if state.is_refusing() {
-        state.target.refuse_leaving()
+        state.target.refuse_leaving(&note)
     } else {
         run_beside(&state, &note, call).await
     };
--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -145,15 +145,15 @@
         let now = self.clock.now();
         let deadline = now + ClockSpan::new(note.left);
         if self.is_gone(&note.target) {
-            return self.reply(ReplyEnd::Gone, ClockSpan::ZERO);
+            return self.reply(&note.route, ReplyEnd::Gone, ClockSpan::ZERO);
         }
         let ticket = match self.admit(now, note).await {
             Ok(ticket) => ticket,
-            Err((end, retry_after)) => return self.reply(end, retry_after),
+            Err((end, retry_after)) => return self.reply(&note.route, end, retry_after),
         };
         let left = deadline.since(self.clock.now());
         if left.is_zero() {
-            return self.reply(ReplyEnd::Refused, ClockSpan::ZERO);
+            return self.reply(&note.route, ReplyEnd::Refused, ClockSpan::ZERO);
         }
         let headers = &mut request.headers;
         headers.insert(TIME_LEFT, HeaderValue::from(left.millis()));
@@ -163,7 +163,7 @@
         let limit = Duration::from_millis(left.millis()) + ANSWER_SLACK;
         let Some(outcome) = within(limit, self.exchange(note, &request)).await else {
             // The answer would come too late. The target learns of it by the closed connection.
-            return self.reply(ReplyEnd::Lost, ClockSpan::ZERO);
+            return self.reply(&note.route, ReplyEnd::Lost, ClockSpan::ZERO);
         };
         let mut crashed = false;
         let (end, answer) = match outcome {
@@ -187,7 +187,7 @@
         };
         let measured = matches!(end, ReplyEnd::Answered);
         ticket.end(if measured { CallEnd::Answered } else { CallEnd::Broken });
-        let mut reply = self.reply(end, ClockSpan::ZERO);
+        let mut reply = self.reply(&note.route, end, ClockSpan::ZERO);
         reply.note.crashed = crashed;
         TargetReply { answer, ..reply }
     }
@@ -286,18 +286,20 @@
     }
 
     /// Refuses a call because the node is about to end.
-    pub(crate) fn refuse_leaving(&self) -> TargetReply {
-        self.reply(ReplyEnd::Leaving, ClockSpan::ZERO)
+    pub(crate) fn refuse_leaving(&self, note: &CallNote) -> TargetReply {
+        self.reply(&note.route, ReplyEnd::Leaving, ClockSpan::ZERO)
     }
 
-    /// The reply to a call that has no answer of the target.
-    pub(crate) fn reply(&self, end: ReplyEnd, retry_after: ClockSpan) -> TargetReply {
+    /// The reply to a call of `route` that has no answer of the target.
+    pub(crate) fn reply(&self, route: &str, end: ReplyEnd, retry_after: ClockSpan) -> TargetReply {
         let load = self.load();
+        let route_time = lock(&self.state).queue.route_time(route);
         let note = ReplyNote {
             end,
             running: load.running,
             queued: load.queued,
             service: load.service.millis(),
+            route_time: route_time.map(ClockSpan::millis),
             intake: load.intake.millis(),
             crashed: false,
             retry_after: retry_after.millis(),
