Serve callers first that can still be answered in time

Callers that were refused come back with an aim that has passed, but counted as new ones, and took the slots of new calls. A queue of calls whose aim had passed made the wait of a new call look too long, though it passes them. In the order of aims, the call that was about to miss its own came first, so that half of those that ran were late.

Ruled out: fewer slots than needed; cs-a had room while cs-c refused.

Change: the time that a caller says it has left tells how long it has waited already (routing/src/waits.rs). The expected wait counts only the calls that go before. A call meets its aim if it would with half as much service time again. One that its data centre refuses crosses only for its aim, and one refusal elsewhere ends the search. A refusal of a call whose aim has passed says nothing of others.

--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -14,6 +14,7 @@
 mod silence;
 mod slots;
 mod view;
+mod waits;
 
 pub use budget::{RepeatAllowance, RepeatBudget};
 pub use held::{CrashHistory, HELD_SPAN};
@@ -26,3 +27,4 @@
 pub use silence::{LOOK_PERIOD, LinkSilence};
 pub use slots::{CallEnd, QueuedCall, SlotAction, SlotLoad, SlotQueue, SlotStep, SlotTicket};
 pub use view::{StoreView, StoredItem, ViewChange};
+pub use waits::CallerWaits;
--- a/routing/src/picker.rs
+++ b/routing/src/picker.rs
@@ -165,6 +165,8 @@
     best: Option<(f64, Arc<str>)>,
     /// Targets that could take the call.
     usable: usize,
+    /// Targets that can be reached, those that were tried or have refused included.
+    live: usize,
 }
 
 /// Everything a node knows about the targets of all services.
@@ -286,25 +288,28 @@
         let near = self.sample(now, call, tried, &targets.near, offset);
         // A long body crosses only if it would come too late otherwise, as links between data centres
         // are costly.
+        let to_aim = call.aim_at.since(now).millis() as f64;
         let limit = match call.body_bytes as u64 >= LARGE_BODY {
             true => call.deadline.since(now).millis() as f64,
-            false => call.aim_at.since(now).millis() as f64 * NEAR_SHARE,
+            false => to_aim * NEAR_SHARE,
         };
         let stays = near.best.as_ref().is_some_and(|(time, _)| *time <= limit);
         let far = match stays {
             true => SampleResult::default(),
             false => self.sample(now, call, tried, &targets.far, offset),
         };
-        let far_limit = limit - CROSSING_MS;
-        let (near_usable, far_usable) = (near.usable, far.usable);
+        let (near_usable, far_usable, alone) = (near.usable, far.usable, near.live == 0);
         let (id, crosses) = match (near.best, far.best) {
-            (Some((_, id)), None) => (id, false),
-            (None, Some((_, id))) => (id, true),
-            (Some((near_time, near)), Some((far_time, far))) => {
-                let crosses = far_time <= far_limit && far_time + CROSSING_MS < near_time;
-                (if crosses { far } else { near }, crosses)
+            // A call that was refused in its own data centre may well be refused elsewhere too, so it
+            // crosses only for its aim.
+            (None, Some((time, id))) if alone || time + CROSSING_MS <= to_aim => (id, true),
+            (None, _) => return None,
+            (Some((near_time, _)), Some((time, id)))
+                if time + CROSSING_MS <= limit.min(near_time) =>
+            {
+                (id, true)
             }
-            (None, None) => return None,
+            (Some((_, id)), _) => (id, false),
         };
         let others = if near_usable > usize::from(!crosses) {
             OtherTargets::Near
@@ -329,15 +334,17 @@
         let mut random = Pcg32::seed_from_u64(offset as u64);
         let usual = self.route_times.get(&call.route).copied().unwrap_or(FIRST_SERVICE_MS);
         let (first, second) = ids.split_at(offset % ids.len().max(1));
-        let usable = second.iter().chain(first).filter_map(|id| {
-            let record = self.records.get(id).filter(|_| !tried.contains(id))?;
-            let usable = record.is_usable(now)
-                && !record.refuses(now, &call.route)
-                && !self.down.contains(&record.entry.address.ip());
-            usable.then_some((id, record))
+        let live = second.iter().chain(first).filter_map(|id| {
+            let record = self.records.get(id)?;
+            let live = record.is_usable(now) && !self.down.contains(&record.entry.address.ip());
+            live.then_some((id, record))
         });
         let mut result = SampleResult::default();
-        for (id, record) in usable.take(SAMPLE) {
+        for (id, record) in live.take(SAMPLE) {
+            result.live += 1;
+            if tried.contains(id) || record.refuses(now, &call.route) {
+                continue;
+            }
             result.usable += 1;
             let mut time = record.expected_time(now, usual);
             time += random.random::<f64>() * record.spread(now, usual);
--- a/routing/src/plan.rs
+++ b/routing/src/plan.rs
@@ -115,10 +115,13 @@
     tried: Vec<Arc<str>>,
     /// Targets whose wait was over the limit. They may be the best choice all the same.
     busy: Vec<Arc<str>>,
-    current: Option<Arc<str>>,
+    current: Option<PickedTarget>,
     last: Option<AttemptEnd>,
     arrivals: u32,
     refusals: u32,
+    /// Whether a node of another data centre has refused it. It is chosen for its room, so that
+    /// there is hardly more elsewhere.
+    refused_far: bool,
     may_have_run: bool,
     answered: bool,
     retry_after: Option<ClockSpan>,
@@ -135,6 +138,7 @@
             last: None,
             arrivals: 0,
             refusals: 0,
+            refused_far: false,
             may_have_run: false,
             answered: false,
             retry_after: None,
@@ -159,7 +163,8 @@
     /// Notes how the attempt that was sent last has ended.
     pub fn end(&mut self, end: AttemptEnd) {
         let list = if end == AttemptEnd::Busy { &mut self.busy } else { &mut self.tried };
-        list.extend(self.current.take());
+        let crossed = self.current.as_ref().is_some_and(|target| target.crosses);
+        list.extend(self.current.take().map(|target| target.id));
         match end {
             AttemptEnd::Answered { .. } => {
                 self.arrivals += 1;
@@ -175,6 +180,7 @@
             AttemptEnd::NotSent | AttemptEnd::Busy => self.refusals += 1,
             AttemptEnd::Refused { retry_after } => {
                 self.refusals += 1;
+                self.refused_far |= crossed;
                 let known = self.retry_after.unwrap_or(retry_after);
                 self.retry_after = Some(known.min(retry_after));
             }
@@ -213,13 +219,14 @@
             budget.count_call(allowance);
         }
         let wait_limit = self.wait_limit(now, &target);
-        self.current = Some(target.id.clone());
+        self.current = Some(target.clone());
         PlanStep::Send { target, wait_limit }
     }
 
     fn is_over(&self, now: ClockTime) -> bool {
         self.arrivals >= self.call.attempts.max(1)
             || self.refusals >= REFUSAL_LIMIT
+            || self.refused_far
             || self.call.deadline.since(now) < LEFT_MIN
             || (matches!(self.last, Some(AttemptEnd::Refused { .. })) && self.is_late(now))
     }
--- a/routing/src/slots.rs
+++ b/routing/src/slots.rs
@@ -27,6 +27,10 @@
 /// queue. Work that ends later helps few callers and delays the rest.
 const LATE_SHARE: f64 = 0.35;
 
+/// How much longer than on average a call may take and still meet its aim with good chance. Without it,
+/// those that are just about to miss it come first in an overload, and half of them do.
+const SPREAD_FACTOR: f64 = 1.5;
+
 /// Share of a mean service time that has to be left when a call is started.
 const START_SHARE: f64 = 0.6;
 
@@ -228,15 +232,16 @@
             }
             return SlotStep::Run(self.start(now, &call, guess));
         }
-        let wait = self.expected_wait(now, call.rank);
-        if now + span(wait + service) > latest_end(&call) {
+        let waiting = WaitingCall { ticket: self.next_ticket(), guess, call };
+        let wait = self.expected_wait(now, &waiting);
+        if now + span(wait + service) > latest_end(&waiting.call) {
             return SlotStep::Refuse { retry_after: self.retry_after(wait) };
         }
-        if span(wait) > call.wait_limit {
+        if span(wait) > waiting.call.wait_limit {
             return SlotStep::Busy;
         }
-        let ticket = self.next_ticket();
-        self.waiting.push(WaitingCall { ticket, guess, call });
+        let ticket = waiting.ticket;
+        self.waiting.push(waiting);
         SlotStep::Wait(ticket)
     }
 
@@ -309,7 +314,8 @@
     /// The most urgent call comes first, of equals one that still meets its aim, of those the one
     /// whose aim comes first.
     fn order(&self, now: ClockTime, waiting: &WaitingCall) -> (u8, bool, ClockTime, SlotTicket) {
-        let done = now + span(self.service_time(now, &waiting.call.route, waiting.guess));
+        let service = self.service_time(now, &waiting.call.route, waiting.guess);
+        let done = now + span(service * SPREAD_FACTOR);
         let call = &waiting.call;
         (call.rank, done > call.aim_at, call.aim_at, waiting.ticket)
     }
@@ -337,12 +343,14 @@
         self.waiting.iter().all(|waiting| waiting.call.rank > rank)
     }
 
-    /// Expected time in ms until a call of `rank` starts.
-    fn expected_wait(&self, now: ClockTime, rank: u8) -> f64 {
-        let ahead = self.waiting.iter().filter(|waiting| waiting.call.rank <= rank);
+    /// Expected time in ms until a call starts. Those that wait count if they go before it: one that
+    /// can still meet its aim passes those that cannot.
+    fn expected_wait(&self, now: ClockTime, call: &WaitingCall) -> f64 {
+        let order = self.order(now, call);
+        let ahead = self.waiting.iter().filter(|waiting| self.order(now, waiting) < order);
         let ahead: f64 =
             ahead.map(|waiting| self.service_time(now, &waiting.call.route, waiting.guess)).sum();
-        ahead / self.slots_left(now, rank) + self.first_free(now)
+        ahead / self.slots_left(now, call.call.rank) + self.first_free(now)
     }
 
     /// Slots that calls of `rank` can have, since more urgent ones that will come pass them.
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -132,7 +132,10 @@
 
     trace.route = Some(route.clone());
     trace.service = Some(service.clone());
-    let left = client_time(&parts.headers).map_or(route.timeout, |left| left.min(route.timeout));
+    let told = client_time(&parts.headers);
+    let waited =
+        told.map(|left| lock(&state.routing).waits.arrive(&route.name, left)).unwrap_or_default();
+    let left = told.map_or(route.timeout, |left| left.min(route.timeout));
     let deadline = arrived + left;
     let limit = Duration::from_millis(left.millis());
     let limited =
@@ -155,7 +158,7 @@
         kind: route.kind,
         attempts: route.attempts,
         arrived,
-        aim_at: arrived + route.aim,
+        aim_at: arrived + route.aim.less(waited),
         deadline,
         body_bytes: call.request.body.len(),
     });
@@ -266,9 +269,10 @@
             }
         };
         account.report(&self.route.name, &reply);
-        if reply.end == ReplyEnd::Refused {
+        let now = state.clock.now();
+        // What is refused to a call whose aim has passed may be open to others.
+        if reply.end == ReplyEnd::Refused && now < progress.plan.call().aim_at {
             let span = ClockSpan::new(reply.retry_after);
-            let now = state.clock.now();
             lock(&state.routing).picker.refused(now, &target.id, &self.route.name, span);
         }
         let (end, signal) = attempt_end(&reply, answer.as_ref());
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -14,8 +14,8 @@
 use fescuestack_operators::{ExplainRing, MetricsError, NodeMetrics};
 use fescuestack_platform::MachineSettings;
 use fescuestack_routing::{
-    CrashHistory, RepeatAllowance, RepeatBudget, RouteTable, StoreView, TargetPicker, VmSizes,
-    is_small,
+    CallerWaits, CrashHistory, RepeatAllowance, RepeatBudget, RouteTable, StoreView, TargetPicker,
+    VmSizes, is_small,
 };
 use http_body_util::Full;
 use rustc_hash::{FxHashMap, FxHasher};
@@ -81,6 +81,7 @@
 pub(crate) struct RoutingState {
     pub(crate) picker: TargetPicker,
     pub(crate) allowance: RepeatAllowance,
+    pub(crate) waits: CallerWaits,
     budgets: FxHashMap<Arc<str>, RepeatBudget>,
 }
 
@@ -98,7 +99,12 @@
         let seed = seed(&settings.node, clock.now().millis());
         let picker = TargetPicker::new(settings.data_centre.as_str().into(), seed);
         let allowance = RepeatAllowance::new(settings.repeat_ratio, settings.repeat_slack, 1);
-        let routing = RoutingState { picker, allowance, budgets: FxHashMap::default() };
+        let routing = RoutingState {
+            picker,
+            allowance,
+            waits: CallerWaits::default(),
+            budgets: FxHashMap::default(),
+        };
         let target = TargetSide::new(settings.target, settings.link_mbps, clock);
         let state = Arc::new(NodeState {
             settings: ArcSwap::from_pointee(settings),
