Count the grace from the last request to stop

The node counted its grace from the first request and cut off calls at its end, while the platform counts from the second one.

Change: a repeated request to stop prolongs the wait for calls in flight. The new test fails without it.

The mesh now waits until each node reaches all others; no bound changed.

--- a/fescuestack/src/cli.rs
+++ b/fescuestack/src/cli.rs
@@ -151,7 +151,7 @@
     task::block_on(async {
         match SidecarNode::start(path).await {
             Ok(node) => {
-                node.run(wait_for_stop(), wait_for_reload).await;
+                node.run(wait_for_stop, wait_for_reload).await;
                 log::logger().flush();
                 ExitCode::SUCCESS
             }
--- a/sidecar/src/run.rs
+++ b/sidecar/src/run.rs
@@ -4,13 +4,13 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::pin::Pin;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use async_channel::Receiver;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
-use fescuestack_http::{ServedStream, TaskExecutor, TaskTimer, prepare_socket};
+use fescuestack_http::{ServedStream, TaskExecutor, TaskTimer, lock, prepare_socket};
 use fescuestack_operators::{MetricsError, NodeMetrics};
 use fescuestack_platform::headers::READY_PATH;
 use fescuestack_platform::{MachineError, MachineSettings};
@@ -123,19 +123,30 @@
         Ok(SidecarNode { path, state, started: Instant::now() })
     }
 
-    /// Follows the platform until `stop` completes, then stops gracefully.
-    pub async fn run(self, stop: impl Future<Output = ()>, reload: impl AsyncFn()) {
+    /// Follows the platform until `stop` completes, then stops gracefully. `stop` is asked again
+    /// meanwhile.
+    pub async fn run(self, stop: impl AsyncFn(), reload: impl AsyncFn()) {
         let follower = StoreFollower::new(self.state.clone()).run();
         let settings = follow_settings(self.path.clone(), self.state.clone(), reload);
         let stopping = async {
-            stop.await;
-            self.stop().await;
+            stop().await;
+            let asked = Mutex::new(Instant::now());
+            let repeated = async {
+                loop {
+                    stop().await;
+                    log::info!("stop asked for again");
+                    *lock(&asked) = Instant::now();
+                    task::sleep(TICK).await;
+                }
+            };
+            future::or(self.stop(&asked), repeated).await;
         };
         future::or(stopping, future::or(follower, settings)).await;
     }
 
-    /// Lets clients go elsewhere and calls in flight end.
-    async fn stop(&self) {
+    /// Lets clients go elsewhere and calls in flight end, within the grace since the node was last
+    /// `asked` to stop.
+    async fn stop(&self, asked: &Mutex<Instant>) {
         let begun = Instant::now();
         let grace = Duration::from_millis(self.state.settings.load().grace.millis());
         let bound = grace.saturating_sub(GRACE_MARGIN);
@@ -153,7 +164,7 @@
             }
         }
         self.state.close_connections();
-        while self.state.calls() > 0 && begun.elapsed() < bound {
+        while self.state.calls() > 0 && lock(asked).elapsed() < bound {
             task::sleep(TICK).await;
         }
         // Answers that were just written leave the process before it ends.
--- a/sidecar/tests/mesh/mod.rs
+++ b/sidecar/tests/mesh/mod.rs
@@ -14,7 +14,7 @@
 };
 use fescuestack_sidecar::SidecarNode;
 use http::Method;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 pub const LIMIT: Duration = Duration::from_secs(5);
 
@@ -49,11 +49,14 @@
     pub async fn start_with(services: &[&str], link_mbps: f64) -> Mesh {
         let mesh = NEXT_MESH.fetch_add(1, Ordering::Relaxed);
         let store = StandinStore::start().await.expect("a free port");
-        let mut ports = [0; 3];
-        for port in &mut ports {
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-            *port = listener.local_addr().expect("a bound port").port();
+        // All are held until the last one is bound, or the same port may be given out twice.
+        let mut held = Vec::new();
+        for _ in 0..3 {
+            held.push(TcpListener::bind("127.0.0.1:0").await.expect("a free port"));
         }
+        let port = |index: usize| held[index].local_addr().expect("a bound port").port();
+        let ports = [0, 1, 2].map(port);
+        drop(held);
         store.put(CONFIG_KEY, config(1, &[("/a/", "alpha"), ("/b/", "beta")]));
         let mut nodes = Vec::new();
         for (index, service) in services.iter().enumerate() {
@@ -80,10 +83,13 @@
             let (stop, stopping) = async_channel::bounded(1);
             let node = SidecarNode::start(path.clone()).await.expect("free addresses");
             let running = task::spawn(async move {
-                let stop = async move {
-                    let _ = stopping.recv().await;
+                let stop = move || {
+                    let stopping = stopping.clone();
+                    async move {
+                        let _ = stopping.recv().await;
+                    }
                 };
-                node.run(stop, async || std::future::pending().await).await;
+                node.run(stop, std::future::pending).await;
             });
             let running = Some(running);
             nodes.push(MeshNode { vm, application, ports, settings: path, stop, running });
@@ -91,6 +97,12 @@
         let mesh = Mesh { store, nodes };
         for index in 0..mesh.nodes.len() {
             eventually("the node is ready", async || mesh.is_ready(index).await).await;
+            // A node that was asked before it listened counts as lost for a moment.
+            let reaches_all = async || {
+                let status = mesh.status(index).await;
+                status["targets"] == mesh.nodes.len() && status["lost_nodes"] == json!([])
+            };
+            eventually("the node reaches all others", reaches_all).await;
         }
         mesh
     }
@@ -152,11 +164,14 @@
         self.store.put(&target_key("silent"), record.value());
     }
 
-    /// Asks a node to stop, as SIGTERM does.
-    pub fn stop(&mut self, node: usize) -> JoinHandle<()> {
-        let node = &mut self.nodes[node];
-        node.stop.close();
-        node.running.take().expect("a node is stopped once")
+    /// Asks a node to stop, as SIGTERM does. It may be asked again while it stops.
+    pub fn ask_to_stop(&self, node: usize) {
+        self.nodes[node].stop.try_send(()).expect("the node listens");
+    }
+
+    /// The end of a node that was asked to stop.
+    pub fn stopped(&mut self, node: usize) -> JoinHandle<()> {
+        self.nodes[node].running.take().expect("a node is stopped once")
     }
 
     /// Lists a target at a node's place.
--- a/sidecar/tests/path.rs
+++ b/sidecar/tests/path.rs
@@ -378,6 +378,12 @@
         let served = statuses.iter().filter(|status| **status == 200).count();
         let runs: usize = mesh.nodes.iter().map(|node| node.application.runs().len()).sum();
         assert_eq!(runs, served, "{statuses:?}");
+        if served < 2 {
+            for index in 0..12 {
+                let decided = mesh.ask_ready(0, &format!("/explain/u{index}")).await;
+                println!("u{index}: {:?}", decided.map(|answer| answer.body));
+            }
+        }
         assert!(served >= 2, "each of two links takes one: {statuses:?}");
         assert!(served < 12, "300 KB take 340 ms on each link: {statuses:?}");
         task::sleep(Duration::from_millis(500)).await;
@@ -448,7 +454,8 @@
         let mut mesh = Mesh::start(&["alpha", "alpha"]).await;
         mesh.nodes[0].application.set_work(Duration::from_millis(700));
         mesh.nodes[1].application.set_work(Duration::from_millis(700));
-        let running = mesh.stop(0);
+        mesh.ask_to_stop(0);
+        let running = mesh.stopped(0);
         let started = Instant::now();
         eventually("the node is not ready", async || !mesh.is_ready(0).await).await;
         let mut served = 0;
@@ -463,6 +470,31 @@
     });
 }
 
+/// Guards against a call that is cut off at the end of the first grace, though the platform has asked the
+/// node again to stop, and its grace counts from then.
+#[test]
+fn second_stop_prolongs_the_grace() {
+    task::block_on(async {
+        let mut mesh = Mesh::start(&["alpha"]).await;
+        let slow = config_with(2, &[("/s/", "alpha")], Duration::from_secs(10));
+        mesh.store.put(CONFIG_KEY, slow);
+        mesh.eventually_served(0, "/s/").await;
+        mesh.nodes[0].application.set_work(Duration::from_millis(7_000));
+        let mut call = TestCall::get("long", "/s/");
+        call.left = 10_000;
+        let mut connection = mesh.connect(0).await.expect("a node");
+        let long = task::spawn(async move {
+            connection.exchange(&call.request(), None).await.map(|answer| answer.status)
+        });
+        task::sleep(Duration::from_millis(100)).await;
+        mesh.ask_to_stop(0);
+        task::sleep(Duration::from_millis(3_000)).await;
+        mesh.ask_to_stop(0);
+        mesh.stopped(0).await;
+        assert_eq!(long.await.expect("an answer"), 200);
+    });
+}
+
 /// Guards against a flood of bytes that are no request, and against heads beyond the limit.
 #[test]
 fn garbage_does_not_stop_a_node() {
