Bound the bytes that all messages of a node hold together

Cause: an answer may have 16 MB and a body as much as the configuration allows, each with a limit of its own. Twelve targets' answers without end took 192 MB, and a small VM has 160 MB.

Change: answers of targets and nodes and bodies of clients and nodes share a sixth of the VM's memory. A client whose body finds no room is told that its request has not run and when to come back.

Tests: http/tests/exchange.rs sends bytes without end in heads, informational answers and bodies of all framings over twelve connections; without the budget, more than it allows is kept.

--- a/http/src/exchange.rs
+++ b/http/src/exchange.rs
@@ -3,6 +3,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use async_std::net::TcpStream;
@@ -13,6 +14,7 @@
 use socket2::{SockRef, TcpKeepalive};
 
 use crate::ChunkScanner;
+use crate::budget::{ByteBudget, ByteLease};
 use crate::ticks::within;
 
 /// Longest head of an answer in bytes.
@@ -108,6 +110,7 @@
     reusable: bool,
     used: Instant,
     keep: Option<Duration>,
+    budget: Option<Arc<ByteBudget>>,
 }
 
 /// Opens a connection whose silent loss is noticed. Fails when it takes longer than `limit`.
@@ -138,7 +141,13 @@
         let stream =
             connect(address, limit).await.map_err(|source| ExchangeError::NotSent { source })?;
         let (buffer, used) = (Vec::new(), Instant::now());
-        Ok(ExchangeConnection { stream, buffer, reusable: true, used, keep: None })
+        Ok(ExchangeConnection { stream, buffer, reusable: true, used, keep: None, budget: None })
+    }
+
+    /// Answers count against `budget`.
+    pub fn with_budget(mut self, budget: &Arc<ByteBudget>) -> ExchangeConnection {
+        self.budget = Some(budget.clone());
+        self
     }
 
     /// How long the connection was unused.
@@ -182,8 +191,9 @@
             written = sent.await.is_ok();
             future::pending().await
         };
-        let mut reader =
-            AnswerReader { stream: &self.stream, buffer: &mut self.buffer, begun: false };
+        let lease = self.budget.as_ref().map(ByteBudget::lease);
+        let (stream, buffer) = (&self.stream, &mut self.buffer);
+        let mut reader = AnswerReader { stream, buffer, read: 0, lease };
         let (answer, ends) = future::or(reader.read_answer(&request.method, tag), sending).await?;
         self.used = Instant::now();
         self.keep = keep_alive(&answer.headers);
@@ -195,8 +205,9 @@
 struct AnswerReader<'a> {
     stream: &'a TcpStream,
     buffer: &'a mut Vec<u8>,
-    /// Whether anything of an answer has arrived.
-    begun: bool,
+    /// Bytes that were read so far.
+    read: usize,
+    lease: Option<ByteLease>,
 }
 
 impl AnswerReader<'_> {
@@ -251,8 +262,8 @@
                 while self.buffer.len() < length {
                     self.fill().await?;
                 }
-                let body = self.buffer.drain(..length).collect::<Vec<_>>();
-                Ok((body.into(), false))
+                let body = self.buffer.drain(..length).collect();
+                Ok((self.hold(body), false))
             }
             AnswerFraming::Chunked => Ok((self.read_chunks().await?, false)),
             AnswerFraming::UntilEnd => {
@@ -261,7 +272,8 @@
                         return Err(ExchangeError::Garbled { reason: "its body is too long" });
                     }
                 }
-                Ok((std::mem::take(self.buffer).into(), true))
+                let body = std::mem::take(self.buffer);
+                Ok((self.hold(body), true))
             }
         }
     }
@@ -275,7 +287,7 @@
                 .map_err(|_| ExchangeError::Garbled { reason: "its chunks cannot be read" })?;
             self.buffer.drain(..framed);
             if scanner.is_done() {
-                return Ok(body.into());
+                return Ok(self.hold(body));
             }
             let left = usize::try_from(scanner.data_left()).unwrap_or(usize::MAX);
             let count = left.min(self.buffer.len());
@@ -306,12 +318,23 @@
         let read = self.stream.read(&mut self.buffer[start..]).await;
         let count = *read.as_ref().unwrap_or(&0);
         self.buffer.truncate(start + count);
-        self.begun |= count > 0;
+        self.read += count;
+        if !self.lease.as_mut().is_none_or(|lease| lease.grow(self.read)) {
+            return Err(ExchangeError::Garbled { reason: "no memory is left for it" });
+        }
         read.map(|count| count > 0).map_err(|source| self.lost(source))
     }
 
+    /// The whole body, with what it takes of the budget.
+    fn hold(&mut self, body: Vec<u8>) -> Bytes {
+        match self.lease.take() {
+            Some(lease) => lease.hold(body),
+            None => body.into(),
+        }
+    }
+
     fn lost(&self, source: io::Error) -> ExchangeError {
-        if self.begun { ExchangeError::Cut { source } } else { ExchangeError::Broken { source } }
+        if self.read > 0 { ExchangeError::Cut { source } } else { ExchangeError::Broken { source } }
     }
 }
 
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -4,6 +4,7 @@
 //! in two ways, bound each body by its framing and report every early end as an error.
 
 mod body;
+mod budget;
 mod chunk;
 mod client;
 mod clock;
@@ -20,6 +21,7 @@
 mod writer;
 
 pub use body::lock;
+pub use budget::{ByteBudget, ByteLease, CollectError, collect_body};
 pub use chunk::ChunkScanner;
 pub use client::{ClientConnection, LossCause, SendError};
 pub use clock::{CallClock, wall_time};
--- a/http/tests/exchange.rs
+++ b/http/tests/exchange.rs
@@ -1,14 +1,20 @@
 //! Exchanges with a server that answers badly, over real sockets.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
 use async_std::io::{ReadExt, WriteExt};
 use async_std::net::TcpListener;
 use async_std::task;
 use bytes::Bytes;
-use fescuestack_http::{AnswerTag, ExchangeConnection, ExchangeError, WholeAnswer, WholeRequest};
+use fescuestack_http::{
+    AnswerTag, ByteBudget, CollectError, ExchangeConnection, ExchangeError, WholeAnswer,
+    WholeRequest, collect_body, within,
+};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use http_body_util::Full;
 
 const LIMIT: Duration = Duration::from_secs(5);
 
@@ -148,3 +154,114 @@
         assert!(!connection.is_reusable().await);
     });
 }
+
+/// Serves every connection with `head`, then with `piece` again and again until the client closes. Returns the
+/// address, and a count of the connections that were closed.
+async fn endless(head: &'static [u8], piece: &'static [u8]) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound port");
+    let closed = Arc::new(AtomicUsize::new(0));
+    let count = closed.clone();
+    task::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let count = count.clone();
+            task::spawn(async move {
+                let mut buffer = [0; 4096];
+                let _ = stream.read(&mut buffer).await;
+                let mut sent = stream.write_all(head).await;
+                while sent.is_ok() {
+                    sent = stream.write_all(piece).await;
+                }
+                count.fetch_add(1, Ordering::SeqCst);
+            });
+        }
+    });
+    (address, closed)
+}
+
+/// Guards against bytes without end: in a head, in informational answers, in a body of each framing. The
+/// exchange ends by itself, the connection is closed, and all of them together stay within the budget,
+/// while an ordinary answer still passes.
+#[test]
+fn endless_answers_end() {
+    const CALLS: usize = 12;
+    const BUDGET: usize = 4 * 1024 * 1024;
+    static ZEROS: [u8; 64 * 1024] = [b'0'; 64 * 1024];
+    let answers: [(&'static [u8], &'static [u8]); 7] = [
+        (b"", &ZEROS),
+        (b"HTTP/1.1 200 OK\r\nid: ", &ZEROS),
+        (b"HTTP/1.1 200 OK\r\n", b"a: b\r\n"),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        (b"HTTP/1.1 200 OK\r\nid: 1\r\n\r\n", &ZEROS),
+        (b"HTTP/1.1 200 OK\r\nid: 1\r\ncontent-length: 16000000\r\n\r\n", &ZEROS),
+        (b"HTTP/1.1 200 OK\r\nid: 1\r\ntransfer-encoding: chunked\r\n\r\nFFFFFFFF\r\n", &ZEROS),
+    ];
+    for (head, piece) in answers {
+        let name =
+            String::from_utf8_lossy(&[head, &piece[..piece.len().min(24)]].concat()).into_owned();
+        task::block_on(async {
+            let budget = ByteBudget::new(BUDGET);
+            let (address, closed) = endless(head, piece).await;
+            let call = move |budget: Arc<ByteBudget>| async move {
+                let connection = ExchangeConnection::open(address, LIMIT).await.expect("a server");
+                let mut connection = connection.with_budget(&budget);
+                let outcome = within(LIMIT, ask(&mut connection, "1")).await;
+                assert!(budget.used() <= BUDGET + CALLS * 32 * 1024, "{}", budget.used());
+                outcome
+            };
+            let calls: Vec<_> = (0..CALLS).map(|_| task::spawn(call(budget.clone()))).collect();
+            let mut whole = 0;
+            for outcome in calls {
+                let outcome = outcome.await;
+                match outcome.expect("it ends by itself") {
+                    Ok(answer) => whole += usize::from(answer.body.len() == 16_000_000),
+                    Err(ExchangeError::Garbled { .. }) => (),
+                    Err(err) => panic!("{name}: {err}"),
+                }
+            }
+            assert_eq!(whole, 0, "{name}: more than the budget was kept");
+            assert_eq!(budget.used(), 0, "{name}: the budget was not given back");
+            let started = Instant::now();
+            while closed.load(Ordering::SeqCst) < CALLS {
+                assert!(started.elapsed() < LIMIT, "{name}: a connection stays open");
+                task::sleep(Duration::from_millis(10)).await;
+            }
+        });
+    }
+}
+
+/// Guards against ordinary answers that are given up because long ones have used up the memory.
+#[test]
+fn short_answers_pass_a_full_budget() {
+    task::block_on(async {
+        let budget = ByteBudget::new(100_000);
+        let mut lease = budget.lease();
+        assert!(!lease.grow(200_000));
+        let address =
+            script(vec![b"HTTP/1.1 200 OK\r\nid: 1\r\ncontent-length: 3\r\n\r\none"]).await;
+        let connection = ExchangeConnection::open(address, LIMIT).await.expect("a server");
+        let mut connection = connection.with_budget(&budget);
+        assert_eq!(&ask(&mut connection, "1").await.expect("an answer").body[..], b"one");
+        drop(lease);
+        assert_eq!(budget.used(), 0);
+    });
+}
+
+/// Guards against a body that is kept after its limit, and against a budget that is not given back once the
+/// body is dropped.
+#[test]
+fn bodies_hold_their_part_of_the_budget() {
+    task::block_on(async {
+        let budget = ByteBudget::new(1_000_000);
+        let body = |bytes: usize| Full::new(Bytes::from(vec![0; bytes]));
+        let held = collect_body(body(600_000), usize::MAX, &budget).await.expect("there is room");
+        assert_eq!((held.len(), budget.used()), (600_000, 600_000));
+        let refused = collect_body(body(600_000), usize::MAX, &budget).await;
+        assert!(matches!(refused, Err(CollectError::Exhausted)), "{refused:?}");
+        drop(held);
+        assert_eq!(budget.used(), 0);
+        let refused = collect_body(body(600_000), 500_000, &budget).await;
+        assert!(matches!(refused, Err(CollectError::TooLong)), "{refused:?}");
+        assert_eq!(budget.used(), 0);
+    });
+}
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use fescuestack_core::{ClockSpan, ClockTime, RequestFingerprint};
-use fescuestack_http::{CloseWatch, WholeAnswer, WholeRequest, lock, within};
+use fescuestack_http::{
+    CloseWatch, CollectError, WholeAnswer, WholeRequest, collect_body, lock, within,
+};
 use fescuestack_platform::headers::{CALLER_SERVICE, EXPECTED_TARGET, REQUEST_ID, TIME_LEFT};
 use fescuestack_routing::{
     AttemptEnd, CallPlan, PickedTarget, PlanCall, PlanStep, RouteRule, TargetSignal,
@@ -12,13 +14,12 @@
 use futures_lite::future;
 use http::header::{CONNECTION, HOST, RETRY_AFTER};
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
 use crate::message::{FullAnswer, empty_answer, full_answer, whole_request};
 use crate::node::NodeState;
 use crate::note::{CallNote, ReplyEnd, ReplyNote};
-use crate::peer::{fingerprint, run_beside, send_call};
+use crate::peer::{EXHAUSTED_RETRY, fingerprint, run_beside, send_call};
 use crate::report::keep_decisions;
 
 /// When a client comes back to a node that has no configuration yet.
@@ -138,12 +139,14 @@
     let left = told.map_or(route.timeout, |left| left.min(route.timeout));
     let deadline = arrived + left;
     let limit = Duration::from_millis(left.millis());
-    let limited =
-        Limited::new(body, usize::try_from(routes.limits.body_bytes).unwrap_or(usize::MAX));
-    let body = match within(limit, limited.collect()).await {
-        Some(Ok(body)) => body.to_bytes(),
-        Some(Err(err)) if err.is::<LengthLimitError>() => return Err(EntryFault::TooLong),
-        Some(Err(_)) => return Err(EntryFault::Invalid),
+    let most = usize::try_from(routes.limits.body_bytes).unwrap_or(usize::MAX);
+    let body = match within(limit, collect_body(body, most, &state.bytes)).await {
+        Some(Ok(body)) => body,
+        Some(Err(CollectError::TooLong)) => return Err(EntryFault::TooLong),
+        Some(Err(CollectError::Exhausted)) => {
+            return Err(EntryFault::NotRun { retry_after: EXHAUSTED_RETRY });
+        }
+        Some(Err(CollectError::Broken { .. })) => return Err(EntryFault::Invalid),
         None => return Err(EntryFault::BodyLate),
     };
     parts.headers.remove(&EXPECTED_TARGET);
--- a/sidecar/src/links.rs
+++ b/sidecar/src/links.rs
@@ -9,10 +9,13 @@
 use async_std::task;
 use bytes::Bytes;
 use fescuestack_core::ClockSpan;
-use fescuestack_http::{LifeSigns, ServedStream, TaskExecutor, TaskTimer, connect, lock, within};
+use fescuestack_http::{
+    ByteBudget, LifeSigns, ServedStream, TaskExecutor, TaskTimer, collect_body, connect, lock,
+    within,
+};
 use fescuestack_routing::LinkSilence;
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::client::conn::http2;
 use rustc_hash::FxHashMap;
 use snafu::Snafu;
@@ -136,11 +139,13 @@
 pub(crate) struct LinkTable {
     links: Mutex<FxHashMap<SocketAddr, Arc<NodeLink>>>,
     observer: Mutex<Option<std::sync::Weak<dyn LinkObserver>>>,
+    bytes: Arc<ByteBudget>,
 }
 
 impl LinkTable {
-    pub(crate) fn new() -> Arc<LinkTable> {
-        Arc::new(LinkTable { links: Mutex::default(), observer: Mutex::new(None) })
+    /// Creates a table without connections. Answers count against `bytes`.
+    pub(crate) fn new(bytes: Arc<ByteBudget>) -> Arc<LinkTable> {
+        Arc::new(LinkTable { links: Mutex::default(), observer: Mutex::new(None), bytes })
     }
 
     pub(crate) fn set_observer(&self, observer: std::sync::Weak<dyn LinkObserver>) {
@@ -169,8 +174,8 @@
             }
         };
         let (parts, body) = answer.into_parts();
-        match Limited::new(body, ANSWER_BYTES).collect().await {
-            Ok(body) => Ok(Response::from_parts(parts, body.to_bytes())),
+        match collect_body(body, ANSWER_BYTES, &self.bytes).await {
+            Ok(body) => Ok(Response::from_parts(parts, body)),
             Err(err) => Err(LinkError::Lost { reason: err.to_string() }),
         }
     }
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use event_listener::Event;
 use fescuestack_core::{ClockSpan, ClockTime};
-use fescuestack_http::{CallClock, lock};
+use fescuestack_http::{ByteBudget, CallClock, lock};
 use fescuestack_operators::{ExplainRing, MetricsError, NodeMetrics};
 use fescuestack_platform::MachineSettings;
 use fescuestack_routing::{
@@ -24,6 +24,10 @@
 use crate::report::EXPLAIN_REQUESTS;
 use crate::target::TargetSide;
 
+/// One part of so many of a VM's memory is for the bodies of calls. They are copied once or twice on
+/// their way, and the rest of the node takes about 40 MB.
+const MEMORY_PARTS: u64 = 6;
+
 /// Age from which a node's content is no longer passed on. Contact is confirmed about every half
 /// second on each level of the tree.
 const AGE_MAX: ClockSpan = ClockSpan::new(2_500);
@@ -44,6 +48,8 @@
     pub(crate) view: Mutex<StoreView>,
     /// Notified when the view has changed, or whether this node reads the store.
     pub(crate) view_changed: Event,
+    /// What the bodies of all calls may take of the memory.
+    pub(crate) bytes: Arc<ByteBudget>,
     /// Sizes of the VMs of the data centre.
     pub(crate) sizes: Mutex<VmSizes>,
     /// The last content that was sent to other nodes.
@@ -105,14 +111,16 @@
             waits: CallerWaits::default(),
             budgets: FxHashMap::default(),
         };
-        let target = TargetSide::new(settings.target, settings.link_mbps, clock);
+        let bytes = ByteBudget::new((settings.memory_bytes / MEMORY_PARTS) as usize);
+        let target = TargetSide::new(settings.target, settings.link_mbps, clock, bytes.clone());
         let state = Arc::new(NodeState {
             settings: ArcSwap::from_pointee(settings),
             clock,
             routes: ArcSwapOption::empty(),
             routing: Mutex::new(routing),
             target,
-            links: LinkTable::new(),
+            links: LinkTable::new(bytes.clone()),
+            bytes,
             metrics,
             store_calls: AtomicU64::new(0),
             view: Mutex::default(),
--- a/sidecar/src/peer.rs
+++ b/sidecar/src/peer.rs
@@ -4,12 +4,12 @@
 
 use async_std::task;
 use bytes::Bytes;
-use fescuestack_core::RequestFingerprint;
-use fescuestack_http::{WholeAnswer, WholeRequest, lock};
+use fescuestack_core::{ClockSpan, RequestFingerprint};
+use fescuestack_http::{CollectError, WholeAnswer, WholeRequest, collect_body, lock};
 use fescuestack_routing::{AttemptEnd, PickedTarget};
 use http::header::HOST;
 use http::{HeaderValue, Request, StatusCode, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 
 use crate::links::LinkError;
@@ -23,6 +23,10 @@
 /// began, possibly by another version.
 const BODY_BYTES: usize = 256 * 1024 * 1024;
 
+/// When a caller comes back whose body found no room in the memory of a node. Bodies pass within
+/// about this time.
+pub(crate) const EXHAUSTED_RETRY: ClockSpan = ClockSpan::new(500);
+
 /// Sends a call to the node beside a target. Without its reply, the error says whether the call may
 /// have run.
 pub(crate) async fn send_call(
@@ -73,10 +77,13 @@
 pub(crate) async fn serve(state: Arc<NodeState>, request: Request<Incoming>) -> FullAnswer {
     let (mut parts, body) = request.into_parts();
     if let Some(note) = SyncNote::take(&mut parts.headers) {
-        let Ok(body) = Limited::new(body, BODY_BYTES).collect().await else {
-            return empty_answer(StatusCode::BAD_REQUEST);
+        return match collect_body(body, BODY_BYTES, &state.bytes).await {
+            Ok(body) => answer_sync(&state, note, &body).await,
+            Err(err) => {
+                log::info!(node = note.vm.to_string().as_str(); "question not read: {err}");
+                empty_answer(StatusCode::BAD_REQUEST)
+            }
         };
-        return answer_sync(&state, note, &body.to_bytes()).await;
     }
     if let Some(crash) = CrashNote::take(&mut parts.headers) {
         note_crash(&state, &crash);
@@ -93,8 +100,16 @@
             return reply_answer(state.target.reply(&note.route, end, retry_after));
         }
     };
-    let Ok(body) = Limited::new(body, BODY_BYTES).collect().await else {
-        return empty_answer(StatusCode::BAD_REQUEST);
+    let body = match collect_body(body, BODY_BYTES, &state.bytes).await {
+        Ok(body) => body,
+        Err(CollectError::Exhausted) => {
+            let refused = ReplyEnd::Refused;
+            return reply_answer(state.target.reply(&note.route, refused, EXHAUSTED_RETRY));
+        }
+        Err(err) => {
+            log::info!(target = &*note.target; "call not read: {err}");
+            return empty_answer(StatusCode::BAD_REQUEST);
+        }
     };
     drop(intake);
     note.pass(state.clock.now().since(announced));
@@ -103,7 +118,7 @@
         return empty_answer(StatusCode::BAD_REQUEST);
     };
     parts.headers.insert(HOST, host);
-    let call = whole_request(parts, body.to_bytes());
+    let call = whole_request(parts, body);
     let reply = if state.is_refusing() {
         state.target.refuse_leaving(&note)
     } else {
--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -7,8 +7,8 @@
 use async_channel::{Receiver, Sender};
 use fescuestack_core::{ClockSpan, ClockTime};
 use fescuestack_http::{
-    AnswerTag, CallClock, ExchangeConnection, ExchangeError, WholeAnswer, WholeRequest, lock,
-    within,
+    AnswerTag, ByteBudget, CallClock, ExchangeConnection, ExchangeError, WholeAnswer, WholeRequest,
+    lock, within,
 };
 use fescuestack_platform::headers::{
     EXPECTED_TARGET, NOT_RUN, REQUEST_ID, SIGNATURE, TARGET_ID, TIME_LEFT,
@@ -56,6 +56,7 @@
 /// The target beside this node.
 pub(crate) struct TargetSide {
     clock: CallClock,
+    bytes: Arc<ByteBudget>,
     intake: Mutex<LinkIntake>,
     state: Mutex<SideState>,
 }
@@ -72,7 +73,13 @@
 
 impl TargetSide {
     /// Creates the side of the target at `address`, on a VM whose link has `link_mbps` Mbit/s.
-    pub(crate) fn new(address: SocketAddr, link_mbps: f64, clock: CallClock) -> Arc<TargetSide> {
+    /// Its answers count against `bytes`.
+    pub(crate) fn new(
+        address: SocketAddr,
+        link_mbps: f64,
+        clock: CallClock,
+        bytes: Arc<ByteBudget>,
+    ) -> Arc<TargetSide> {
         let state = SideState {
             address,
             queue: SlotQueue::new(1),
@@ -82,7 +89,7 @@
             waiters: FxHashMap::default(),
         };
         let intake = Mutex::new(LinkIntake::new(link_mbps));
-        Arc::new(TargetSide { clock, intake, state: Mutex::new(state) })
+        Arc::new(TargetSide { clock, bytes, intake, state: Mutex::new(state) })
     }
 
     /// Takes over what the platform lists at the target's address. Without an entry, a target that
@@ -275,7 +282,8 @@
                 (state.address, state.idle.pop())
             };
             let Some(mut connection) = idle else {
-                return ExchangeConnection::open(address, CONNECT_LIMIT).await;
+                let connection = ExchangeConnection::open(address, CONNECT_LIMIT).await?;
+                return Ok(connection.with_budget(&self.bytes));
             };
             let told = connection.keep_alive().map(|keep| keep.saturating_sub(KEEP_MARGIN));
             let limit = told.unwrap_or(KEEP).min(if idempotent { KEEP } else { FRESH });
