Count only calls as urgent when a wait is expected

Cause: a node took all calls that wait at a target for ones that go before its own, though the queue there runs the more urgent ones first. Change: the nodes report the calls that wait by rank, and the chooser counts those that are as urgent as the call in question. Ruled out: a larger share of the aim for calls that stay; it moves the calls of all ranks alike. Test: urgent_calls_pass_the_queue_at_home fails with the former sum.

--- a/routing/src/picker.rs
+++ b/routing/src/picker.rs
@@ -18,6 +18,7 @@
 
 use crate::intake::LARGE_BODY;
 use crate::plan::PlanCall;
+use crate::ranks::RankCounts;
 use crate::registry::{TargetListing, TargetState};
 use crate::slots::SlotLoad;
 
@@ -135,7 +136,8 @@
     /// Time of its calls, as a multiple of what their routes usually take.
     slowness: f64,
     slowness_at: ClockTime,
-    sent_since: u32,
+    /// Calls sent since the last report.
+    sent_since: RankCounts,
     failures: f64,
     failed_at: ClockTime,
     /// Until when the node beside the target takes no calls.
@@ -221,7 +223,7 @@
                 reported: None,
                 slowness: 1.0,
                 slowness_at: now,
-                sent_since: 0,
+                sent_since: RankCounts::new(),
                 failures: 0.0,
                 failed_at: now,
                 avoid_until: ClockTime::ZERO,
@@ -346,7 +348,7 @@
                 continue;
             }
             result.usable += 1;
-            let mut time = record.expected_time(now, usual);
+            let mut time = record.expected_time(now, call.rank, usual);
             time += random.random::<f64>() * record.spread(now, usual);
             if call.body_bytes as u64 >= LARGE_BODY {
                 time += record.intake_time(now);
@@ -359,10 +361,10 @@
     }
 
     /// Counts a call that is sent.
-    pub fn sent(&mut self, id: &str) {
+    pub fn sent(&mut self, id: &str, rank: u8) {
         if let Some(record) = self.records.get_mut(id) {
             record.in_flight += 1;
-            record.sent_since += 1;
+            record.sent_since.add(rank, 1);
         }
     }
 
@@ -402,7 +404,7 @@
         let Some(record) = self.records.get_mut(id) else { return };
         record.report = load;
         record.reported = Some(now);
-        record.sent_since = 0;
+        record.sent_since = RankCounts::new();
         if let Some(time) = load.route_time
             && now >= record.warm_at
         {
@@ -419,9 +421,9 @@
         self.entry.state == TargetState::Ready && self.avoid_until <= now
     }
 
-    /// Expected time in ms to the answer to a call that usually takes `usual`, with the surcharge for
-    /// failures.
-    fn expected_time(&self, now: ClockTime, usual: f64) -> f64 {
+    /// Expected time in ms to the answer to a call of `rank` that usually takes `usual`, with the surcharge
+    /// for failures. Less urgent calls that wait do not count, since it passes them.
+    fn expected_time(&self, now: ClockTime, rank: u8, usual: f64) -> f64 {
         let fresh = self.reported.filter(|reported| now.since(*reported) < REPORT_SPAN);
         let mut service = usual * self.slowness(now);
         if now < self.warm_at {
@@ -430,7 +432,8 @@
         let mut load = self.in_flight;
         let mut ahead = service;
         if fresh.is_some() {
-            load = load.max(self.report.running + self.report.queued + self.sent_since);
+            let queued = self.report.queued.up_to(rank) + self.sent_since.up_to(rank);
+            load = self.report.running + queued;
             ahead = self.report.service.millis().max(1) as f64;
         }
         let slots = f64::from(self.entry.slots.max(1));
--- a/routing/src/plan.rs
+++ b/routing/src/plan.rs
@@ -35,6 +35,8 @@
     pub service: Arc<str>,
     /// Its route.
     pub route: Arc<str>,
+    /// Urgency; lower goes first.
+    pub rank: u8,
     /// What may be repeated.
     pub kind: RepeatKind,
     /// Most targets that it may be sent to.
--- a/routing/src/slots.rs
+++ b/routing/src/slots.rs
@@ -11,6 +11,8 @@
 use fescuestack_core::{ClockSpan, ClockTime};
 use rustc_hash::FxHashMap;
 
+use crate::ranks::RankCounts;
+
 /// Weight of the newest service time in the running mean.
 const MEAN_WEIGHT: f64 = 0.15;
 
@@ -116,8 +118,8 @@
 pub struct SlotLoad {
     /// Calls that run.
     pub running: u32,
-    /// Calls that wait.
-    pub queued: u32,
+    /// Calls that wait, by their urgency.
+    pub queued: RankCounts,
     /// Mean time that a call takes, of any route.
     pub service: ClockSpan,
     /// Mean time that a call of the route in question takes. `None` if it was not measured.
@@ -198,6 +200,11 @@
         self.open = open;
     }
 
+    /// Whether calls wait.
+    pub fn has_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
     /// Number of calls that run.
     pub fn running(&self) -> usize {
         self.running.len()
@@ -205,9 +212,13 @@
 
     /// The load to report.
     pub fn load(&self) -> SlotLoad {
+        let mut queued = RankCounts::new();
+        for waiting in &self.waiting {
+            queued.add(waiting.call.rank, 1);
+        }
         SlotLoad {
             running: self.running.len() as u32,
-            queued: self.waiting.len() as u32,
+            queued,
             service: ClockSpan::new(self.mean as u64),
             route_time: None,
             intake: ClockSpan::ZERO,
--- a/routing/tests/plan.rs
+++ b/routing/tests/plan.rs
@@ -5,14 +5,16 @@
 
 use fescuestack_core::{ClockSpan, ClockTime};
 use fescuestack_routing::{
-    AttemptEnd, CallPlan, PlanCall, PlanStep, RepeatAllowance, RepeatBudget, RepeatKind, SlotLoad,
-    TargetListing, TargetPicker, TargetSignal, TargetState,
+    AttemptEnd, CallPlan, PlanCall, PlanStep, RankCounts, RepeatAllowance, RepeatBudget,
+    RepeatKind, SlotLoad, TargetListing, TargetPicker, TargetSignal, TargetState,
 };
 
 const NOW: ClockTime = ClockTime::new(10_000);
 
-fn load(running: u32, queued: u32, service: u64) -> SlotLoad {
+fn load(running: u32, waiting: u32, service: u64) -> SlotLoad {
     let service = ClockSpan::new(service);
+    let mut queued = RankCounts::new();
+    queued.add(2, waiting);
     SlotLoad { running, queued, service, route_time: Some(service), intake: ClockSpan::ZERO }
 }
 
@@ -42,6 +44,7 @@
     PlanCall {
         service: "s".into(),
         route: route.into(),
+        rank: 2,
         kind: RepeatKind::Safe,
         attempts: 2,
         arrived: now,
@@ -167,6 +170,18 @@
     assert!(!choice.crosses, "a long body was sent to another data centre");
 }
 
+/// Guards against urgent calls that cross to another data centre though they pass all that wait in their own.
+#[test]
+fn urgent_calls_pass_the_queue_at_home() {
+    let mut picker = picker(&[entry("near", 1, "here"), entry("far", 2, "there")]);
+    picker.report(NOW, "near", &"r".into(), load(6, 30, 120));
+    let urgent = PlanCall { rank: 1, ..call(NOW, "r", 0) };
+    let choice = picker.choose(NOW, &urgent, &[]).expect("two targets are ready");
+    assert_eq!(&*choice.id, "near");
+    let choice = picker.choose(NOW, &call(NOW, "r", 0), &[]).expect("two targets are ready");
+    assert!(choice.crosses, "a wait of 600 ms was preferred to another data centre");
+}
+
 /// Guards against calls that cross only because a target elsewhere is faster: the slower one of the own
 /// data centre answers within the aim as well. One that does not is passed over.
 #[test]
@@ -262,7 +277,7 @@
         let choice = picker.choose(NOW, &call(NOW, "r", 0), &[]).expect("one target is ready");
         assert_eq!(&*choice.id, "b");
     }
-    picker.sent("b");
+    picker.sent("b", 0);
     picker.ended(NOW, "b", TargetSignal::Gone);
     assert_eq!(picker.choose(NOW, &call(NOW, "r", 0), &[]), None);
     let later = NOW + ClockSpan::new(4_000);
@@ -280,7 +295,7 @@
     for _ in 0..200 {
         now = now + ClockSpan::new(20);
         let choice = picker.choose(now, &call(now, "r", 0), &[]).expect("two targets are ready");
-        picker.sent(&choice.id);
+        picker.sent(&choice.id, 0);
         let failed = &*choice.id == "bad";
         sent += u32::from(failed);
         let signal = if failed { TargetSignal::Failed } else { TargetSignal::Served };
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -158,6 +158,7 @@
     let plan = CallPlan::new(PlanCall {
         service,
         route: route.name.clone(),
+        rank: route.priority,
         kind: route.kind,
         attempts: route.attempts,
         arrived,
@@ -212,7 +213,7 @@
                 let (picker, budget) = routing.parts(&progress.plan.call().service.clone());
                 let step = progress.plan.next(state.clock.now(), picker, budget, allowance);
                 if let PlanStep::Send { target, .. } = &step {
-                    picker.sent(&target.id);
+                    picker.sent(&target.id, self.route.priority);
                 }
                 step
             };
@@ -231,7 +232,10 @@
             let (end, latest) = self.attempt(state, progress, &target, wait_limit).await;
             progress.sending = false;
             log::debug!(request = self.id(), target = &*target.id, crosses = target.crosses,
-                bytes = self.request.body.len(), end = format!("{end:?}").as_str();
+                route = &*self.route.name, priority = self.route.priority,
+                bytes = self.request.body.len(),
+                answer_bytes = latest.as_ref().map_or(0, |answer| answer.body.len()),
+                end = format!("{end:?}").as_str();
                 "attempt ended");
             progress.plan.end(end);
             progress.trace.attempts.push((target.id.clone(), end));
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -237,7 +237,7 @@
         let targets = lock(&self.routing).picker.len();
         let load = self.target.load();
         self.metrics.record_state(version, targets, self.store_calls.load(Ordering::Relaxed));
-        self.metrics.record_queue(load.running, load.queued);
+        self.metrics.record_queue(load.running, load.queued.total());
         self.metrics.encode()
     }
 
--- a/sidecar/src/note.rs
+++ b/sidecar/src/note.rs
@@ -6,7 +6,7 @@
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD_NO_PAD;
 use fescuestack_core::{ClockSpan, RequestFingerprint};
-use fescuestack_routing::SlotLoad;
+use fescuestack_routing::{RankCounts, SlotLoad};
 use http::{HeaderMap, HeaderName, HeaderValue};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -74,8 +74,8 @@
     pub(crate) end: ReplyEnd,
     /// Calls that run at the target.
     pub(crate) running: u32,
-    /// Calls that wait for it.
-    pub(crate) queued: u32,
+    /// Calls that wait for it, by their urgency.
+    pub(crate) queued: [u32; 4],
     /// Mean time of a call.
     pub(crate) service: u64,
     /// Mean time of a call of the same route.
@@ -92,7 +92,7 @@
     pub(crate) fn load(&self) -> SlotLoad {
         SlotLoad {
             running: self.running,
-            queued: self.queued,
+            queued: RankCounts::from_array(self.queued),
             service: ClockSpan::new(self.service),
             route_time: self.route_time.map(ClockSpan::new),
             intake: ClockSpan::new(self.intake),
--- a/sidecar/src/report.rs
+++ b/sidecar/src/report.rs
@@ -45,7 +45,7 @@
         "targets": lock(&state.routing).picker.len(),
         "lost_nodes": state.links.lost(),
         "calls": state.calls(),
-        "target": {"running": load.running, "waiting": load.queued,
+        "target": {"running": load.running, "waiting": load.queued.total(),
             "service_ms": load.service.millis()},
     });
     json_answer(&status)
--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -140,7 +140,7 @@
 
     /// Whether calls wait for the target.
     pub(crate) fn has_waiting(&self) -> bool {
-        lock(&self.state).queue.load().queued > 0
+        lock(&self.state).queue.has_waiting()
     }
 
     /// Refuses calls that wait in vain. Comes every few milliseconds.
@@ -310,7 +310,7 @@
         let note = ReplyNote {
             end,
             running: load.running,
-            queued: load.queued,
+            queued: load.queued.to_array(),
             service: load.service.millis(),
             route_time: route_time.map(ClockSpan::millis),
             intake: load.intake.millis(),
