Refuse calls at once that calls in time would pass

A call that misses its aim while it waits is passed by all later ones that still meet theirs, but its wait was computed as if only the calls before it counted. Change: the slots that calls in time have used lately count as taken for those that are late, or will be when they start, as those of more urgent ranks do for less urgent ones. A freed slot falls to a class by the share that is left to it.

--- a/routing/src/slots.rs
+++ b/routing/src/slots.rs
@@ -42,8 +42,8 @@
 /// Time constant over which the use of slots is averaged.
 const USAGE_SPAN: ClockSpan = ClockSpan::new(1_500);
 
-/// Share of the slots that less urgent calls are expected to have at least.
-const LEFT_SHARE_MIN: f64 = 0.15;
+/// Share of the slots that less preferred calls are expected to have at least.
+const LEFT_SHARE_MIN: f64 = 0.05;
 
 /// Share of the time to its aim that a call is taken to need before its route was measured. Operators
 /// set aims a few times as long as the work.
@@ -149,10 +149,17 @@
 struct RunningCall {
     route: Arc<str>,
     guess: f64,
-    rank: u8,
+    class: CallClass,
     started: ClockTime,
 }
 
+/// Which calls are preferred: the more urgent ones, of equals those that still meet their aim.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct CallClass {
+    rank: u8,
+    late: bool,
+}
+
 /// The queue in front of one target.
 #[derive(Debug)]
 pub struct SlotQueue {
@@ -163,7 +170,7 @@
     times: FxHashMap<Arc<str>, RouteTime>,
     mean: f64,
     last_ticket: u64,
-    usage: RankUsage,
+    usage: ClassUsage,
 }
 
 impl SlotQueue {
@@ -177,7 +184,7 @@
             times: FxHashMap::default(),
             mean: FIRST_SERVICE_MS,
             last_ticket: 0,
-            usage: RankUsage::default(),
+            usage: ClassUsage::default(),
         }
     }
 
@@ -263,7 +270,7 @@
             return;
         }
         let taken = now.since(running.started).millis() as f64;
-        self.usage.add(now, running.rank, taken);
+        self.usage.add(now, running.class, taken);
         self.mean += (taken - self.mean) * MEAN_WEIGHT;
         let time = self.times.entry(running.route).or_insert(RouteTime { mean: taken, at: now });
         time.mean += (taken - time.mean) * MEAN_WEIGHT;
@@ -283,12 +290,13 @@
             && let Some(index) = self.next_waiting(now)
         {
             let waiting = self.waiting.swap_remove(index);
+            let class = self.class(now, &waiting.call, waiting.guess);
             self.running.insert(
                 waiting.ticket,
                 RunningCall {
                     route: waiting.call.route,
                     guess: waiting.guess,
-                    rank: waiting.call.rank,
+                    class,
                     started: now,
                 },
             );
@@ -304,11 +312,14 @@
         }
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.sort_by_key(|waiting| self.order(now, waiting));
-        let mut wait = self.first_free(now);
+        let free = self.first_free(now);
+        let mut ahead = 0.0;
         for call in waiting {
             let service = self.service_time(now, &call.call.route, call.guess);
+            let class = self.class(now, &call.call, call.guess);
+            let wait = self.wait_behind(now, class, ahead, free);
             if self.open && now + span(wait + service * START_SHARE) <= latest_end(&call.call) {
-                wait += service / self.slots_left(now, call.call.rank);
+                ahead += service;
                 self.waiting.push(call);
             } else {
                 let retry_after = self.retry_after(wait);
@@ -324,19 +335,23 @@
 
     /// The most urgent call comes first, of equals one that still meets its aim, of those the one
     /// whose aim comes first.
-    fn order(&self, now: ClockTime, waiting: &WaitingCall) -> (u8, bool, ClockTime, SlotTicket) {
-        let service = self.service_time(now, &waiting.call.route, waiting.guess);
-        let done = now + span(service * SPREAD_FACTOR);
-        let call = &waiting.call;
-        (call.rank, done > call.aim_at, call.aim_at, waiting.ticket)
+    fn order(&self, now: ClockTime, waiting: &WaitingCall) -> (CallClass, ClockTime, SlotTicket) {
+        let class = self.class(now, &waiting.call, waiting.guess);
+        (class, waiting.call.aim_at, waiting.ticket)
+    }
+
+    /// The class of a call that starts at `start`.
+    fn class(&self, start: ClockTime, call: &QueuedCall, guess: f64) -> CallClass {
+        let service = self.service_time(start, &call.route, guess);
+        let late = start + span(service * SPREAD_FACTOR) > call.aim_at;
+        CallClass { rank: call.rank, late }
     }
 
     fn start(&mut self, now: ClockTime, call: &QueuedCall, guess: f64) -> SlotTicket {
         let ticket = self.next_ticket();
-        self.running.insert(
-            ticket,
-            RunningCall { route: call.route.clone(), guess, rank: call.rank, started: now },
-        );
+        let class = self.class(now, call, guess);
+        self.running
+            .insert(ticket, RunningCall { route: call.route.clone(), guess, class, started: now });
         ticket
     }
 
@@ -355,19 +370,32 @@
     }
 
     /// Expected time in ms until a call starts. Those that wait count if they go before it: one that
-    /// can still meet its aim passes those that cannot.
+    /// can still meet its aim passes those that cannot. One that would miss its aim while it waits is
+    /// passed by later ones, and so waits like one that has missed it.
     fn expected_wait(&self, now: ClockTime, call: &WaitingCall) -> f64 {
-        let order = self.order(now, call);
+        let free = self.first_free(now);
+        let class = self.class(now, &call.call, call.guess);
+        let wait = self.wait_behind(now, class, self.time_ahead(now, class, call), free);
+        let start_class = self.class(now + span(wait), &call.call, call.guess);
+        if start_class == class {
+            return wait;
+        }
+        self.wait_behind(now, start_class, self.time_ahead(now, start_class, call), free)
+    }
+
+    /// Time in ms that the waiting calls take which go before a call of `class`.
+    fn time_ahead(&self, now: ClockTime, class: CallClass, call: &WaitingCall) -> f64 {
+        let order = (class, call.call.aim_at, call.ticket);
         let ahead = self.waiting.iter().filter(|waiting| self.order(now, waiting) < order);
-        let ahead: f64 =
-            ahead.map(|waiting| self.service_time(now, &waiting.call.route, waiting.guess)).sum();
-        ahead / self.slots_left(now, call.call.rank) + self.first_free(now)
+        ahead.map(|waiting| self.service_time(now, &waiting.call.route, waiting.guess)).sum()
     }
 
-    /// Slots that calls of `rank` can have, since more urgent ones that will come pass them.
-    fn slots_left(&self, now: ClockTime, rank: u8) -> f64 {
+    /// Expected time in ms until a call of `class` starts, when waiting calls go before it that take `ahead`
+    /// and the next slot is free in `free`. Preferred calls that will come pass it.
+    fn wait_behind(&self, now: ClockTime, class: CallClass, ahead: f64, free: f64) -> f64 {
         let slots = f64::from(self.slots);
-        (slots - self.usage.above(now, rank)).max(slots * LEFT_SHARE_MIN)
+        let left = (slots - self.usage.above(now, class)).max(slots * LEFT_SHARE_MIN);
+        (ahead / slots + free) * (slots / left)
     }
 
     /// Expected time in ms until the first slot becomes free.
@@ -398,27 +426,27 @@
     }
 }
 
-/// Slots that the calls of each rank have used lately.
+/// Slots that the calls of each class have used lately.
 #[derive(Debug, Default)]
-struct RankUsage {
-    /// Rank, slot time in ms with older time fading, and when that was computed.
-    ranks: Vec<(u8, f64, ClockTime)>,
+struct ClassUsage {
+    /// Class, slot time in ms with older time fading, and when that was computed.
+    classes: Vec<(CallClass, f64, ClockTime)>,
 }
 
-impl RankUsage {
-    fn add(&mut self, now: ClockTime, rank: u8, taken: f64) {
-        match self.ranks.iter_mut().find(|(known, ..)| *known == rank) {
+impl ClassUsage {
+    fn add(&mut self, now: ClockTime, class: CallClass, taken: f64) {
+        match self.classes.iter_mut().find(|(known, ..)| *known == class) {
             Some((_, time, at)) => {
                 *time = fade(*time, now.since(*at)) + taken;
                 *at = now;
             }
-            None => self.ranks.push((rank, taken, now)),
+            None => self.classes.push((class, taken, now)),
         }
     }
 
-    /// Mean number of slots that more urgent calls than those of `rank` have used.
-    fn above(&self, now: ClockTime, rank: u8) -> f64 {
-        let above = self.ranks.iter().filter(|(known, ..)| *known < rank);
+    /// Mean number of slots that calls have used which are preferred to those of `class`.
+    fn above(&self, now: ClockTime, class: CallClass) -> f64 {
+        let above = self.classes.iter().filter(|(known, ..)| *known < class);
         let time: f64 = above.map(|(_, time, at)| fade(*time, now.since(*at))).sum();
         time / USAGE_SPAN.millis() as f64
     }
--- a/routing/tests/waits.rs
+++ b/routing/tests/waits.rs
@@ -21,6 +21,8 @@
     began: u64,
     deadline: u64,
     tries: u32,
+    /// When it was let into the queue last.
+    queued: u64,
 }
 
 #[derive(Debug, Default)]
@@ -28,6 +30,9 @@
     offered: u32,
     in_aim: u32,
     late: u32,
+    refusals: u32,
+    /// Time in ms that refused callers have spent in the queue.
+    held: u64,
 }
 
 /// Plays `load` times the capacity of one target. Refused callers come back twice, after what they were
@@ -59,11 +64,12 @@
             let patience = 0.85 + 0.15 * random.random::<f64>();
             let deadline = now + (DEADLINE * patience) as u64;
             result.offered += 1;
-            arriving.push(PlayedCaller { began: now, deadline, tries: 0 });
+            arriving.push(PlayedCaller { began: now, deadline, tries: 0, queued: now });
         }
         let mut refused = Vec::new();
         let mut started = Vec::new();
-        for caller in arriving {
+        for mut caller in arriving {
+            caller.queued = now;
             let left = ClockSpan::new(caller.deadline.saturating_sub(now));
             let waited = waits.arrive(&route, left);
             let waited = if aware { waited } else { ClockSpan::ZERO };
@@ -101,6 +107,8 @@
             running.push((now + (SERVICE * factor) as u64, ticket));
         }
         for (retry_after, caller) in refused {
+            result.refusals += 1;
+            result.held += now - caller.queued;
             let pause = retry_after.millis().min(caller.deadline.saturating_sub(now) / 3);
             if caller.tries < 2 {
                 let caller = PlayedCaller { tries: caller.tries + 1, ..caller };
@@ -125,6 +133,17 @@
     }
 }
 
+/// Guards against callers that are let into the queue and refused half a second later, when they can no
+/// longer be answered within their aim anywhere.
+#[test]
+fn refused_callers_learn_it_early() {
+    for load in [1.2, 1.5, 2.0] {
+        let result = play(load, true);
+        let held = result.held / u64::from(result.refusals.max(1));
+        assert!(held < AIM / 5, "held for {held} ms on average at load {load}: {result:?}");
+    }
+}
+
 /// Guards against new callers that count as returning ones because they are less patient than others.
 #[test]
 fn new_callers_have_not_waited() {
