Tell the cause of each loss in the logs, and count them with losses

Cause: logs said how a request ended, but not why it was late, and the table of what a fleet has lost had to be put together by hand. Change: routing names a closed list of causes; a node logs one with each request that it does not serve and with each answer that is a failure or late, together with where its time went. The node beside a target tells how long a call waited there. An attempt tells a target that has left from a node out of reach, and a broken link from a broken answer. `fescuestack losses LOGS` counts them by cause, route, data centre and second. Code 609: a log cannot be read. Tests: operators/tests/losses.rs.

--- a/fescuestack/src/cli.rs
+++ b/fescuestack/src/cli.rs
@@ -1,11 +1,14 @@
 //! The command line.
 
+use std::fs::File;
+use std::io::BufReader;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use async_std::task;
 use clap::{Parser, Subcommand};
+use fescuestack_operators::LossTable;
 use fescuestack_platform::MachineSettings;
 use fescuestack_questionnaire::QuestionnaireCommand;
 use fescuestack_sidecar::SidecarNode;
@@ -62,6 +65,12 @@
         /// Request id, from the header `fescuestack-request`.
         request: String,
     },
+    /// Show what a fleet refused, failed or answered late, by cause, from the logs of its nodes.
+    Losses {
+        /// Logs of the nodes, one file each or collected ones.
+        #[arg(required = true)]
+        logs: Vec<PathBuf>,
+    },
     /// Run a whole deployment on loopback. The last line is one JSON object.
     Demo(DemoSettings),
     /// Measure the product on loopback.
@@ -107,6 +116,7 @@
                 check_machine(&file)
             }
             MainCommand::Settings(SettingsCommand::Check { file, .. }) => check_settings(&file),
+            MainCommand::Losses { logs } => print_losses(&logs),
             MainCommand::Status { node } => print_answer(node, "/status"),
             MainCommand::Explain { node, request } => {
                 print_answer(node, &format!("/explain/{request}"))
@@ -212,6 +222,20 @@
     }
 }
 
+fn print_losses(logs: &[PathBuf]) -> ExitCode {
+    let mut table = LossTable::new();
+    for path in logs {
+        let name = path.file_stem().unwrap_or_default().to_string_lossy();
+        let read = File::open(path).and_then(|file| table.read(&name, BufReader::new(file)));
+        if let Err(err) = read {
+            eprintln!("609 {}: {err}", path.display());
+            return ExitCode::FAILURE;
+        }
+    }
+    print!("{table}");
+    ExitCode::SUCCESS
+}
+
 fn replay_files(files: &[PathBuf]) -> ExitCode {
     for file in files {
         let text = match std::fs::read_to_string(file) {
--- a/operators/src/lib.rs
+++ b/operators/src/lib.rs
@@ -1,11 +1,13 @@
-//! Operator port: status, explain, recording and metrics.
+//! Operator port: status, explain, recording and metrics. Tables from logs.
 
 mod client;
 mod explain;
+mod losses;
 mod metrics;
 mod port;
 
 pub use client::{ClientError, fetch};
 pub use explain::ExplainRing;
+pub use losses::LossTable;
 pub use metrics::{MetricsError, NodeMetrics};
 pub use port::{OperatorPort, OperatorView};
--- /dev/null
+++ b/operators/tests/losses.rs
@@ -0,0 +1,95 @@
+//! Tables of losses from the logs of nodes.
+
+use fescuestack_operators::LossTable;
+use fescuestack_routing::{AnswerTimes, AttemptEnd, LossCause};
+
+const LOG: &str = r#"
+{"data_centre":"north","level":"INFO","node":"n1","text":"node started","time":"2026-01-02T03:04:05.006Z"}
+{"attempts":"a Busy","cause":"queue-full","fault":"NotRun { retry_after: ClockSpan(90) }","route":"r1","text":"request not served","time":"2026-01-02T03:04:07.100Z"}
+{"cause":"queue-full","fault":"NotRun { retry_after: ClockSpan(90) }","route":"r1","text":"request not served","time":"2026-01-02T03:04:07.200Z"}
+{"cause":"lost-on-link","fault":"Lost","route":"r2","text":"request not served","time":"2026-01-02T03:04:08.200Z"}
+{"cause":"slow-target","route":"r2","status":200,"text":"request answered late or with a failure","time":"2026-01-02T03:04:09.000Z"}
+{"cause":"target-failed","route":"r2","status":500,"text":"request answered late or with a failure","time":"2026-01-02T03:04:09.500Z"}
+{"text":"node lost","node":"10.0.0.1:1"}
+not a line of a node
+"#;
+
+/// Guards against losses that are counted twice, or not at all.
+#[test]
+fn each_loss_counts_once() {
+    let mut table = LossTable::new();
+    table.read("n1", LOG.as_bytes()).expect("bytes can be read");
+    let text = table.to_string();
+    let row = |name: &str| {
+        let line = text.lines().find(|line| line.starts_with(name)).expect(name);
+        let numbers = line[24..].split_whitespace().filter_map(|word| word.parse().ok());
+        numbers.collect::<Vec<u64>>()
+    };
+    assert_eq!(row("queue-full"), [2, 0, 0]);
+    assert_eq!(row("lost-on-link"), [0, 1, 0]);
+    assert_eq!(row("slow-target"), [0, 0, 1]);
+    assert_eq!(row("target-failed"), [0, 1, 0]);
+    assert_eq!(row("r2"), [0, 2, 1]);
+    assert_eq!(row("north"), [2, 2, 1]);
+    assert_eq!(row("03:04:07"), [2, 0, 0]);
+    assert!(!text.contains("could not be read"), "{text}");
+}
+
+/// Guards against losses of collected logs that are put down to no data centre.
+#[test]
+fn prefix_names_the_node() {
+    let mut table = LossTable::new();
+    let log: String = LOG
+        .lines()
+        .filter(|line| line.starts_with('{'))
+        .map(|line| format!("  1.25 n1 {line}\n"))
+        .collect();
+    table.read("all.log", log.as_bytes()).expect("bytes can be read");
+    assert!(table.to_string().contains("north"), "{table}");
+}
+
+/// Guards against a loss without a line: a cause that the table does not know.
+#[test]
+fn unknown_cause_is_reported() {
+    let mut table = LossTable::new();
+    let line = r#"{"cause":"bad luck","fault":"Lost","text":"request not served"}"#;
+    table.read("n1", line.as_bytes()).expect("bytes can be read");
+    assert!(table.to_string().contains("1 lines could not be read"), "{table}");
+}
+
+/// Guards against labels of logs that cannot be read back.
+#[test]
+fn labels_are_read_back() {
+    for cause in LossCause::ALL {
+        assert_eq!(LossCause::from_label(cause.label()), Some(cause));
+    }
+}
+
+/// Guards against a loss whose cause is told as its last refusal, though it may have run before.
+#[test]
+fn cause_follows_from_the_attempts() {
+    let refused = AttemptEnd::Refused { retry_after: Default::default() };
+    let cases = [
+        (&[][..], LossCause::NoTarget),
+        (&[AttemptEnd::Busy, refused], LossCause::QueueFull),
+        (&[AttemptEnd::Lost, refused], LossCause::LostAtTarget),
+        (&[AttemptEnd::LinkLost], LossCause::LostOnLink),
+        (&[AttemptEnd::Moved], LossCause::FormerTarget),
+        (&[AttemptEnd::Busy, AttemptEnd::NotSent], LossCause::NodeUnreachable),
+        (&[AttemptEnd::Rejected], LossCause::TargetRejected),
+    ];
+    for (ends, cause) in cases {
+        assert_eq!(LossCause::of_attempts(ends), cause, "{ends:?}");
+    }
+}
+
+/// Guards against late answers that are put down to the wrong part of their way.
+#[test]
+fn lateness_is_put_down_to_the_largest_part() {
+    let times = |to_aim, searched, queued, taken| AnswerTimes { to_aim, searched, queued, taken };
+    assert_eq!(times(400, 10, 20, 300).cause(), None);
+    assert_eq!(times(0, 10, 20, 300).cause(), Some(LossCause::CameBackLate));
+    assert_eq!(times(200, 150, 20, 300).cause(), Some(LossCause::SeveralAttempts));
+    assert_eq!(times(200, 10, 180, 300).cause(), Some(LossCause::LongWait));
+    assert_eq!(times(200, 10, 20, 300).cause(), Some(LossCause::SlowTarget));
+}
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -6,6 +6,7 @@
 mod budget;
 mod held;
 mod intake;
+mod loss;
 mod picker;
 mod plan;
 mod ranks;
@@ -20,6 +21,7 @@
 pub use budget::{RepeatAllowance, RepeatBudget};
 pub use held::{CrashHistory, HELD_SPAN};
 pub use intake::{IntakeStep, LARGE_BODY, LinkIntake};
+pub use loss::{AnswerTimes, LossCause};
 pub use picker::{OtherTargets, PickedTarget, TargetPicker, TargetSignal};
 pub use plan::{AttemptEnd, CallPlan, PlanCall, PlanStep};
 pub use ranks::RankCounts;
--- a/routing/src/plan.rs
+++ b/routing/src/plan.rs
@@ -70,8 +70,12 @@
     Rejected,
     /// Nothing reached the target.
     NotSent,
+    /// Nothing reached the target, since it has left or been replaced, or its node is about to end.
+    Moved,
     /// It may have run.
     Lost,
+    /// It may have run: the connection to the node beside the target broke.
+    LinkLost,
 }
 
 impl AttemptEnd {
@@ -84,7 +88,9 @@
             AttemptEnd::Refused { .. } => "refused",
             AttemptEnd::Rejected => "rejected",
             AttemptEnd::NotSent => "not sent",
+            AttemptEnd::Moved => "moved",
             AttemptEnd::Lost => "lost",
+            AttemptEnd::LinkLost => "link lost",
         }
     }
 }
@@ -173,13 +179,13 @@
                 self.may_have_run = true;
                 self.answered = true;
             }
-            AttemptEnd::Lost => {
+            AttemptEnd::Lost | AttemptEnd::LinkLost => {
                 self.arrivals += 1;
                 self.may_have_run = true;
                 self.refusals = 0;
             }
             AttemptEnd::Rejected => self.arrivals += 1,
-            AttemptEnd::NotSent | AttemptEnd::Busy => self.refusals += 1,
+            AttemptEnd::NotSent | AttemptEnd::Moved | AttemptEnd::Busy => self.refusals += 1,
             AttemptEnd::Refused { retry_after } => {
                 self.refusals += 1;
                 self.refused_far |= crossed;
@@ -201,11 +207,18 @@
         let repeats = match self.last {
             None => false,
             Some(AttemptEnd::Answered { failed: false }) => return PlanStep::Answer,
-            Some(AttemptEnd::Answered { failed: true } | AttemptEnd::Lost) => true,
-            Some(AttemptEnd::Rejected) => true,
-            Some(AttemptEnd::Refused { .. } | AttemptEnd::Busy | AttemptEnd::NotSent) => {
-                self.arrivals > 0
-            }
+            Some(
+                AttemptEnd::Answered { failed: true }
+                | AttemptEnd::Rejected
+                | AttemptEnd::Lost
+                | AttemptEnd::LinkLost,
+            ) => true,
+            Some(
+                AttemptEnd::Refused { .. }
+                | AttemptEnd::Busy
+                | AttemptEnd::NotSent
+                | AttemptEnd::Moved,
+            ) => self.arrivals > 0,
         };
         if self.is_over(now) || (self.may_have_run && !self.call.kind.is_idempotent()) {
             return self.give_up();
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -9,7 +9,8 @@
 };
 use fescuestack_platform::headers::{CALLER_SERVICE, EXPECTED_TARGET, REQUEST_ID, TIME_LEFT};
 use fescuestack_routing::{
-    AttemptEnd, CallPlan, PickedTarget, PlanCall, PlanStep, RouteRule, TargetSignal,
+    AnswerTimes, AttemptEnd, CallPlan, LossCause, PickedTarget, PlanCall, PlanStep, RouteRule,
+    TargetSignal,
 };
 use futures_lite::future;
 use http::header::{CONNECTION, HOST, RETRY_AFTER};
@@ -71,9 +72,13 @@
     }
 }
 
-/// What log and records say of a request that is not served.
+/// What log and records say of a request that is not served, or late.
 #[derive(Debug, Default)]
 pub(crate) struct EntryTrace {
+    /// Why it was refused or failed, where that does not follow from its attempts.
+    pub(crate) cause: Option<LossCause>,
+    /// Where the time of its last attempt went.
+    pub(crate) times: AnswerTimes,
     pub(crate) route: Option<Arc<RouteRule>>,
     pub(crate) service: Option<Arc<str>>,
     pub(crate) version: u64,
@@ -95,7 +100,11 @@
     let fault = outcome.as_ref().err().copied();
     keep_decisions(&state, id.as_ref(), arrived, fault, &trace);
     let mut answer = match outcome {
-        Ok(answer) => full_answer(answer),
+        Ok(answer) => {
+            trace.times.taken = state.clock.now().since(arrived).millis();
+            log_loss_of_answer(&state, id.as_ref(), answer.status, &trace);
+            full_answer(answer)
+        }
         Err(fault) => {
             log_fault(&state, id.as_ref(), arrived, fault, &trace);
             refusal(fault, id)
@@ -116,9 +125,11 @@
     trace: &mut EntryTrace,
 ) -> Result<WholeAnswer, EntryFault> {
     if state.is_refusing() {
+        trace.cause = Some(LossCause::Stopping);
         return Err(EntryFault::NotRun { retry_after: STOPPING_RETRY });
     }
     let Some(routes) = state.routes.load_full() else {
+        trace.cause = Some(LossCause::NoConfiguration);
         return Err(EntryFault::NotRun { retry_after: NOT_READY_RETRY });
     };
     trace.version = routes.version;
@@ -138,12 +149,14 @@
         told.map(|left| lock(&state.routing).waits.arrive(&route.name, left)).unwrap_or_default();
     let left = told.map_or(route.timeout, |left| left.min(route.timeout));
     let deadline = arrived + left;
+    trace.times.to_aim = route.aim.less(waited).millis();
     let limit = Duration::from_millis(left.millis());
     let most = usize::try_from(routes.limits.body_bytes).unwrap_or(usize::MAX);
     let body = match within(limit, collect_body(body, most, &state.bytes)).await {
         Some(Ok(body)) => body,
         Some(Err(CollectError::TooLong)) => return Err(EntryFault::TooLong),
         Some(Err(CollectError::Exhausted)) => {
+            trace.cause = Some(LossCause::MemoryFull);
             return Err(EntryFault::NotRun { retry_after: EXHAUSTED_RETRY });
         }
         Some(Err(CollectError::Broken { .. })) => return Err(EntryFault::Invalid),
@@ -204,6 +217,7 @@
     ) -> Result<WholeAnswer, EntryFault> {
         let mut answer = None;
         if lock(&state.crashes).is_held(state.clock.now(), self.fingerprint) {
+            progress.trace.cause = Some(LossCause::CrashesTargets);
             return Err(EntryFault::NotRun { retry_after: HELD_RETRY });
         }
         loop {
@@ -229,6 +243,8 @@
                 PlanStep::Fail => return Err(EntryFault::Lost),
             };
             progress.sending = true;
+            let arrived = progress.plan.call().arrived;
+            progress.trace.times.searched = state.clock.now().since(arrived).millis();
             let (end, latest) = self.attempt(state, progress, &target, wait_limit).await;
             progress.sending = false;
             log::debug!(request = self.id(), target = &*target.id, crosses = target.crosses,
@@ -246,7 +262,7 @@
     async fn attempt(
         &self,
         state: &Arc<NodeState>,
-        progress: &EntryProgress<'_>,
+        progress: &mut EntryProgress<'_>,
         target: &PickedTarget,
         wait_limit: ClockSpan,
     ) -> (AttemptEnd, Option<WholeAnswer>) {
@@ -276,6 +292,7 @@
             }
         };
         account.report(&self.route.name, &reply);
+        progress.trace.times.queued = reply.waited;
         let now = state.clock.now();
         // What is refused to a call whose aim has passed may be open to others.
         if reply.end == ReplyEnd::Refused && now < progress.plan.call().aim_at {
@@ -309,8 +326,8 @@
             let retry_after = ClockSpan::new(reply.retry_after);
             (AttemptEnd::Refused { retry_after }, TargetSignal::Refused)
         }
-        (ReplyEnd::Leaving, _) => (AttemptEnd::NotSent, TargetSignal::Leaving),
-        (ReplyEnd::Gone, _) => (AttemptEnd::NotSent, TargetSignal::Gone),
+        (ReplyEnd::Leaving, _) => (AttemptEnd::Moved, TargetSignal::Leaving),
+        (ReplyEnd::Gone, _) => (AttemptEnd::Moved, TargetSignal::Gone),
         (ReplyEnd::Rejected, _) => (AttemptEnd::Rejected, TargetSignal::Failed),
         (ReplyEnd::NotSent, _) => (AttemptEnd::NotSent, TargetSignal::Failed),
     }
@@ -376,6 +393,44 @@
     response
 }
 
+fn fault_cause(fault: EntryFault, trace: &EntryTrace) -> LossCause {
+    match fault {
+        EntryFault::Invalid | EntryFault::NoRoute | EntryFault::TooLong | EntryFault::BodyLate => {
+            LossCause::BadRequest
+        }
+        EntryFault::Late => LossCause::DeadlinePassed,
+        EntryFault::ClientGone => LossCause::ClientLeft,
+        EntryFault::NotRun { .. } | EntryFault::Lost => trace.cause.unwrap_or_else(|| {
+            let ends: Vec<_> = trace.attempts.iter().map(|(_, end)| *end).collect();
+            LossCause::of_attempts(&ends)
+        }),
+    }
+}
+
+/// Logs an answer that is a failure or came after the route's aim.
+fn log_loss_of_answer(
+    state: &NodeState,
+    id: Option<&HeaderValue>,
+    status: u16,
+    trace: &EntryTrace,
+) {
+    let cause = match status {
+        500.. => Some(LossCause::TargetFailed),
+        _ => trace.times.cause(),
+    };
+    let Some(cause) = cause else { return };
+    let AnswerTimes { to_aim, searched, queued, taken } = trace.times;
+    log::info!(
+        request = id.and_then(|id| id.to_str().ok()).unwrap_or(""),
+        cause = cause.label(), status = status, node = state.settings.load().node.as_str(),
+        route = trace.route.as_ref().map_or("", |route| &*route.name),
+        service = trace.service.as_deref().unwrap_or(""),
+        aim_left_ms = to_aim, searched_ms = searched, queued_ms = queued, taken_ms = taken,
+        attempts = trace.attempts.len();
+        "request answered late or with a failure"
+    );
+}
+
 fn log_fault(
     state: &NodeState,
     id: Option<&HeaderValue>,
@@ -388,6 +443,7 @@
     log::info!(
         request = id.and_then(|id| id.to_str().ok()).unwrap_or(""),
         fault = format!("{fault:?}").as_str(),
+        cause = fault_cause(fault, trace).label(),
         held_ms = state.clock.now().since(arrived).millis(),
         version = trace.version,
         route = trace.route.as_ref().map_or("", |route| &*route.name),
--- a/sidecar/src/note.rs
+++ b/sidecar/src/note.rs
@@ -82,6 +82,8 @@
     pub(crate) route_time: Option<u64>,
     /// Time until the large bodies that are on their way have arrived.
     pub(crate) intake: u64,
+    /// Time for which the call waited in the queue.
+    pub(crate) waited: u64,
     /// Whether the target crashed while it ran the call.
     pub(crate) crashed: bool,
     /// After a refusal, when there is likely to be room.
--- a/sidecar/src/peer.rs
+++ b/sidecar/src/peer.rs
@@ -45,11 +45,11 @@
             let node = address.to_string();
             log::info!(target = &*note.target, node = node.as_str(), reason = reason.as_str();
                 "call lost on its way");
-            return Err(AttemptEnd::Lost);
+            return Err(AttemptEnd::LinkLost);
         }
     };
     let (mut parts, body) = answer.into_parts();
-    let Some(reply) = ReplyNote::take(&mut parts.headers) else { return Err(AttemptEnd::Lost) };
+    let Some(reply) = ReplyNote::take(&mut parts.headers) else { return Err(AttemptEnd::LinkLost) };
     let status = parts.status.as_u16();
     let answered = reply.end == ReplyEnd::Answered;
     let answer = answered.then_some(WholeAnswer { status, headers: parts.headers, body });
--- a/sidecar/src/run.rs
+++ b/sidecar/src/run.rs
@@ -112,7 +112,7 @@
     pub async fn start(path: PathBuf) -> Result<SidecarNode, SidecarError> {
         let settings = MachineSettings::load(&path).context(SettingsSnafu)?;
         let (ready, outbound, inbound) = (settings.ready, settings.outbound, settings.inbound);
-        let name = settings.node.clone();
+        let (name, data_centre) = (settings.node.clone(), settings.data_centre.clone());
         let metrics = NodeMetrics::new().context(MetricsSnafu)?;
         let state = NodeState::new(settings, metrics);
         let ready = bind("ready", ready).await?;
@@ -122,7 +122,7 @@
         task::spawn(accept(outbound, state.clone(), serve_client));
         task::spawn(accept(inbound, state.clone(), serve_node));
         task::spawn(tick(state.clone()));
-        log::info!(node = name.as_str(); "node started");
+        log::info!(node = name.as_str(), data_centre = data_centre.as_str(); "node started");
         Ok(SidecarNode { path, state, started: Instant::now() })
     }
 
--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -163,6 +163,7 @@
             Ok(ticket) => ticket,
             Err((end, retry_after)) => return self.reply(&note.route, end, retry_after),
         };
+        let waited = self.clock.now().since(now);
         let left = deadline.since(self.clock.now());
         if left.is_zero() {
             return self.reply(&note.route, ReplyEnd::Refused, ClockSpan::ZERO);
@@ -200,6 +201,7 @@
         let measured = matches!(end, ReplyEnd::Answered);
         ticket.end(if measured { CallEnd::Answered } else { CallEnd::Broken });
         let mut reply = self.reply(&note.route, end, ClockSpan::ZERO);
+        reply.note.waited = waited.millis();
         reply.note.crashed = crashed;
         TargetReply { answer, ..reply }
     }
@@ -314,6 +316,7 @@
             service: load.service.millis(),
             route_time: route_time.map(ClockSpan::millis),
             intake: load.intake.millis(),
+            waited: 0,
             crashed: false,
             retry_after: retry_after.millis(),
         };
