Drop the memory of refusals

Cause: a target that refused a call was not asked for calls of the same route for 120 ms. Change: the memory goes. The load that comes with each reply already tells the chooser that a target is full.

--- a/routing/src/picker.rs
+++ b/routing/src/picker.rs
@@ -71,10 +71,6 @@
 /// expires within a few seconds.
 const GONE_SPAN: ClockSpan = ClockSpan::new(3_000);
 
-/// Longest time for which a refusal holds for further calls of the same route. Load changes quickly,
-/// but asking again for each call would cost a round trip and traffic each time.
-const REFUSAL_SPAN: ClockSpan = ClockSpan::new(120);
-
 /// Random part of the sum in ms, which keeps nodes from choosing the same target at once.
 const JITTER_MS: f64 = 8.0;
 
@@ -142,8 +138,6 @@
     failed_at: ClockTime,
     /// Until when the node beside the target takes no calls.
     avoid_until: ClockTime,
-    /// Routes whose calls were refused, and until when that holds.
-    refusals: Vec<(Arc<str>, ClockTime)>,
 }
 
 /// The targets of a service.
@@ -167,7 +161,7 @@
     best: Option<(f64, Arc<str>)>,
     /// Targets that could take the call.
     usable: usize,
-    /// Targets that can be reached, those that were tried or have refused included.
+    /// Targets that can be reached, those that were tried included.
     live: usize,
 }
 
@@ -227,7 +221,6 @@
                 failures: 0.0,
                 failed_at: now,
                 avoid_until: ClockTime::ZERO,
-                refusals: Vec::new(),
             };
             self.records.insert(entry.id.clone(), record);
         }
@@ -278,7 +271,7 @@
         self.records.is_empty()
     }
 
-    /// Chooses a target for a call: none of `tried`, and none that has just refused a call of its route.
+    /// Chooses a target for a call: none of `tried`.
     pub fn choose(
         &mut self,
         now: ClockTime,
@@ -344,7 +337,7 @@
         let mut result = SampleResult::default();
         for (id, record) in live.take(SAMPLE) {
             result.live += 1;
-            if tried.contains(id) || record.refuses(now, &call.route) {
+            if tried.contains(id) {
                 continue;
             }
             result.usable += 1;
@@ -390,15 +383,6 @@
         record.failed_at = now;
     }
 
-    /// Notes that the node beside a target refused a call of `route` and named the time after which
-    /// there is likely to be room.
-    pub fn refused(&mut self, now: ClockTime, id: &str, route: &Arc<str>, retry_after: ClockSpan) {
-        let Some(record) = self.records.get_mut(id) else { return };
-        let until = now + retry_after.min(REFUSAL_SPAN);
-        record.refusals.retain(|(known, until)| *until > now && known != route);
-        record.refusals.push((route.clone(), until));
-    }
-
     /// Takes over the load that a target's node reported after a call of `route`.
     pub fn report(&mut self, now: ClockTime, id: &str, route: &Arc<str>, load: SlotLoad) {
         let Some(record) = self.records.get_mut(id) else { return };
@@ -468,10 +452,6 @@
         JITTER_MS + unknown * UNKNOWN_SPREAD * usual
     }
 
-    fn refuses(&self, now: ClockTime, route: &str) -> bool {
-        self.refusals.iter().any(|(known, until)| *until > now && **known == *route)
-    }
-
     fn failure_share(&self, now: ClockTime) -> f64 {
         self.failures * faded(now.since(self.failed_at), FAILURE_HALF_LIFE)
     }
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -293,12 +293,6 @@
         };
         account.report(&self.route.name, &reply);
         progress.trace.times.queued = reply.waited;
-        let now = state.clock.now();
-        // What is refused to a call whose aim has passed may be open to others.
-        if reply.end == ReplyEnd::Refused && now < progress.plan.call().aim_at {
-            let span = ClockSpan::new(reply.retry_after);
-            lock(&state.routing).picker.refused(now, &target.id, &self.route.name, span);
-        }
         let (end, signal) = attempt_end(&reply, answer.as_ref());
         account.signal = signal;
         if reply.end == ReplyEnd::Answered {
