Tell callers that a target turned away to come back soon

Change: a caller that a target has turned away is told 60 ms. Ruled out: repeats by the node, which the fleet's allowance bounds. Test: rejected_caller_comes_back_soon fails with 250 ms.

--- a/routing/src/plan.rs
+++ b/routing/src/plan.rs
@@ -25,6 +25,10 @@
 /// When a caller comes back that found no target to send to. Entries and links return within this.
 const NO_TARGET_RETRY: ClockSpan = ClockSpan::new(250);
 
+/// When a caller comes back that a target itself has turned away. The target had a free slot by all that its
+/// node knows, so that waiting longer only costs the caller its aim.
+const REJECTED_RETRY: ClockSpan = ClockSpan::new(60);
+
 /// Least time that has to be left for another attempt. A shorter one cannot be answered.
 const LEFT_MIN: ClockSpan = ClockSpan::new(30);
 
@@ -184,18 +188,26 @@
                 self.may_have_run = true;
                 self.refusals = 0;
             }
-            AttemptEnd::Rejected => self.arrivals += 1,
+            AttemptEnd::Rejected => {
+                self.arrivals += 1;
+                self.note_retry(REJECTED_RETRY);
+            }
             AttemptEnd::NotSent | AttemptEnd::Moved | AttemptEnd::Busy => self.refusals += 1,
             AttemptEnd::Refused { retry_after } => {
                 self.refusals += 1;
                 self.refused_far |= crossed;
-                let known = self.retry_after.unwrap_or(retry_after);
-                self.retry_after = Some(known.min(retry_after));
+                self.note_retry(retry_after);
             }
         }
         self.last = Some(end);
     }
 
+    /// Of several times after which there may be room, the shortest is told.
+    fn note_retry(&mut self, retry_after: ClockSpan) {
+        let known = self.retry_after.unwrap_or(retry_after);
+        self.retry_after = Some(known.min(retry_after));
+    }
+
     /// Decides on the next step.
     pub fn next(
         &mut self,
--- a/routing/tests/plan.rs
+++ b/routing/tests/plan.rs
@@ -315,3 +315,12 @@
     targets.sort_unstable();
     assert_eq!(targets.iter().map(|id| &**id).collect::<Vec<_>>(), ["a", "b", "c"]);
 }
+
+/// Guards against callers that lose their aim by waiting, though a target has only turned them away.
+#[test]
+fn rejected_caller_comes_back_soon() {
+    let (step, _) = follow(&mut plan(RepeatKind::Unsafe, 1), &[AttemptEnd::Rejected]);
+    let PlanStep::Refuse { retry_after } = step else { panic!("{step:?}") };
+    // The aim is 400 ms away, and a run takes 150 ms.
+    assert!(retry_after < ClockSpan::new(100), "{retry_after:?}");
+}
