Keep calls at a stopping node that its last link seems silent for

Change: a link that its node has announced to close may be silent for the grace, within which that node ends. Test: stop_cuts_off_no_call_of_another_node gets 502 without the change.

--- a/sidecar/src/links.rs
+++ b/sidecar/src/links.rs
@@ -140,12 +140,21 @@
     links: Mutex<FxHashMap<SocketAddr, Arc<NodeLink>>>,
     observer: Mutex<Option<std::sync::Weak<dyn LinkObserver>>>,
     bytes: Arc<ByteBudget>,
+    /// How long a connection may be silent that its node has announced to close. `hyper` sends no pings for
+    /// the last call on it, and the node ends within its grace.
+    closing_silence: ClockSpan,
 }
 
 impl LinkTable {
-    /// Creates a table without connections. Answers count against `bytes`.
-    pub(crate) fn new(bytes: Arc<ByteBudget>) -> Arc<LinkTable> {
-        Arc::new(LinkTable { links: Mutex::default(), observer: Mutex::new(None), bytes })
+    /// Creates a table without connections. Answers count against `bytes`. A node ends within `grace` once
+    /// it has been asked to.
+    pub(crate) fn new(bytes: Arc<ByteBudget>, grace: ClockSpan) -> Arc<LinkTable> {
+        Arc::new(LinkTable {
+            links: Mutex::default(),
+            observer: Mutex::new(None),
+            bytes,
+            closing_silence: grace,
+        })
     }
 
     pub(crate) fn set_observer(&self, observer: std::sync::Weak<dyn LinkObserver>) {
@@ -280,7 +289,7 @@
     pub(crate) fn look(self: &Arc<Self>) {
         let links: Vec<_> = lock(&self.links).values().cloned().collect();
         for link in links {
-            if let Some(connection) = link.end_silent() {
+            if let Some(connection) = link.end_silent(self.closing_silence) {
                 self.lose(&link, Some(&connection), "silent");
             }
         }
@@ -308,12 +317,17 @@
 }
 
 impl NodeLink {
-    /// Ends the connections that have gone silent. Returns the open one if it is among them.
-    fn end_silent(&self) -> Option<Arc<LinkConnection>> {
-        let (_, limit) = self.silence();
-        lock(&self.former).retain(|former| former.has_calls() && !former.end_if_silent(limit));
+    /// Ends the connections that have gone silent. Returns the open one if it is among them. One that its
+    /// node has announced to close may be silent for `closing`.
+    fn end_silent(&self, closing: ClockSpan) -> Option<Arc<LinkConnection>> {
+        let (_, open) = self.silence();
+        let end_if_silent = |connection: &Arc<LinkConnection>| {
+            let limit = if connection.sender.is_closed() { closing } else { open };
+            connection.end_if_silent(limit)
+        };
+        lock(&self.former).retain(|former| former.has_calls() && !end_if_silent(former));
         let LinkState::Open(connection) = &*lock(&self.state) else { return None };
-        connection.end_if_silent(limit).then(|| connection.clone())
+        end_if_silent(connection).then(|| connection.clone())
     }
 
     fn silence(&self) -> (Duration, ClockSpan) {
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -112,6 +112,7 @@
             budgets: FxHashMap::default(),
         };
         let bytes = ByteBudget::new((settings.memory_bytes / MEMORY_PARTS) as usize);
+        let links = LinkTable::new(bytes.clone(), settings.grace);
         let target = TargetSide::new(settings.target, settings.link_mbps, clock, bytes.clone());
         let state = Arc::new(NodeState {
             settings: ArcSwap::from_pointee(settings),
@@ -119,7 +120,7 @@
             routes: ArcSwapOption::empty(),
             routing: Mutex::new(routing),
             target,
-            links: LinkTable::new(bytes.clone()),
+            links,
             bytes,
             metrics,
             store_calls: AtomicU64::new(0),
--- a/sidecar/tests/path.rs
+++ b/sidecar/tests/path.rs
@@ -498,6 +498,35 @@
     });
 }
 
+/// Guards against a call from another node that is given up as silent, though the node beside its target
+/// has only announced that it is about to end and waits for the call.
+#[test]
+fn stop_cuts_off_no_call_of_another_node() {
+    task::block_on(async {
+        let mut mesh = Mesh::start(&["alpha", "beta"]).await;
+        let slow = config_with(2, &[("/s/", "alpha")], Duration::from_secs(10));
+        mesh.store.put(CONFIG_KEY, slow);
+        mesh.eventually_served(1, "/s/").await;
+        // Longer than the time for which a stopping node takes calls, and a silence of a second.
+        mesh.nodes[0].application.set_work(Duration::from_millis(5_000));
+        let mut call = TestCall::get("long", "/s/");
+        call.left = 10_000;
+        let mut connection = mesh.connect(1).await.expect("a node");
+        let long = task::spawn(async move {
+            connection.exchange(&call.request(), None).await.map(|answer| answer.status)
+        });
+        task::sleep(Duration::from_millis(100)).await;
+        mesh.ask_to_stop(0);
+        // The stopping node has announced to close the link by now, which the next call finds.
+        task::sleep(Duration::from_millis(3_300)).await;
+        let refused = mesh.ask(1, &TestCall::get("next", "/s/")).await.expect("an answer");
+        assert_eq!(refused.status, 503);
+        mesh.stopped(0).await;
+        let answered = within(Duration::from_millis(100), long).await;
+        assert_eq!(answered.expect("the node waits for the call").expect("an answer"), 200);
+    });
+}
+
 /// Guards against a flood of bytes that are no request, and against heads beyond the limit.
 #[test]
 fn garbage_does_not_stop_a_node() {
