Weigh failures of targets by the runs that they cost

It was 1.5 s for a target that fails all calls; a fifth of failed calls sufficed to send calls of 150 ms to other data centres, where targets failed as many. Change: the surcharge is three runs of the route. Test: calls_cross_from_targets_that_fail_most.

--- a/routing/src/picker.rs
+++ b/routing/src/picker.rs
@@ -32,8 +32,9 @@
 /// Most targets that one choice looks at in the own data centre, and in the others.
 const SAMPLE: usize = 32;
 
-/// Surcharge in ms for a target that fails all calls. It is weighed with the share of failures.
-const FAILURE_MS: f64 = 1_500.0;
+/// Surcharge for a target that fails all calls, in runs of the route. It is weighed with the share of
+/// failures. A failed call costs its caller the time until it comes back and a further run.
+const FAILURE_RUNS: f64 = 3.0;
 
 /// Weight of the newest outcome in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.12;
@@ -424,7 +425,7 @@
         let excess = (f64::from(load) + 1.0 - slots).max(0.0);
         // Targets slow down when they are nearly full, so an emptier one is a little better.
         let crowding = f64::from(load) / slots * 0.15 * service;
-        service + crowding + excess * ahead / slots + self.failure_share(now) * FAILURE_MS
+        service + crowding + excess * ahead / slots + self.failure_share(now) * FAILURE_RUNS * usual
     }
 
     fn note_slowness(&mut self, now: ClockTime, ratio: f64) {
--- a/routing/tests/plan.rs
+++ b/routing/tests/plan.rs
@@ -324,3 +324,20 @@
     // The aim is 400 ms away, and a run takes 150 ms.
     assert!(retry_after < ClockSpan::new(100), "{retry_after:?}");
 }
+
+/// Guards against calls that all cross since the targets of their data centre turn some of them away: those
+/// elsewhere may do so too. From a target that fails most calls they do cross.
+#[test]
+fn calls_cross_from_targets_that_fail_most() {
+    for (failed_of_ten, crosses) in [(0, false), (3, false), (10, true)] {
+        let mut picker = picker(&[entry("near", 1, "here"), entry("far", 2, "there")]);
+        picker.report(NOW, "near", &"r".into(), load(0, 0, 150));
+        for call in 0..100 {
+            let failed = call % 10 < failed_of_ten;
+            let signal = if failed { TargetSignal::Failed } else { TargetSignal::Served };
+            picker.ended(NOW, "near", signal);
+        }
+        let choice = picker.choose(NOW, &call(NOW, "r", 0), &[]).expect("two targets are ready");
+        assert_eq!(choice.crosses, crosses, "{failed_of_ten} of ten calls fail");
+    }
+}
