Keep new calls from links that may be cut

Unsafe ones cannot be sent again. Change: after 0.5 s without a sign of life (0.7 s from another data centre), when a question for one has gone unanswered, new calls go to other targets. Calls under way keep their 0.9 and 1.1 s. Ruled out: giving links up earlier; slow links answer late behind uploads. Test: silent_link_is_doubted_before_it_counts_as_cut.

--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -28,7 +28,7 @@
 pub use readers::{ReaderChoice, ViewSource, VmSizes, is_small};
 pub use registry::{TargetListing, TargetRegistry, TargetState};
 pub use routes::{ClientLimits, RepeatKind, RouteRule, RouteTable, ServiceRule, SplitPart};
-pub use silence::{LOOK_PERIOD, LinkSilence};
+pub use silence::{LOOK_PERIOD, LinkLife, LinkSilence, SilenceLimits};
 pub use slots::{CallEnd, QueuedCall, SlotAction, SlotLoad, SlotQueue, SlotStep, SlotTicket};
 pub use view::{StoreView, StoredItem, ViewChange};
 pub use waits::CallerWaits;
--- a/routing/src/silence.rs
+++ b/routing/src/silence.rs
@@ -1,13 +1,35 @@
 //! When a connection to another node counts as silent.
 //!
 //! A cut without a reset leaves calls without an answer, so that they have to be given up soon. A slow link
-//! that is busy with uploads delays a sign of life by more than a second, and is not cut.
+//! that is busy with uploads delays a sign of life by more than a second, and is not cut. New calls are kept
+//! from a connection well before that, since one that was cut would lose all of them.
 
 use fescuestack_core::ClockSpan;
 
 /// Time between two looks at a connection.
 pub const LOOK_PERIOD: ClockSpan = ClockSpan::new(100);
 
+/// How long a connection with open calls may be silent.
+#[derive(Debug, Clone, Copy)]
+pub struct SilenceLimits {
+    /// Until new calls go elsewhere.
+    pub doubt: ClockSpan,
+    /// Until it counts as cut.
+    pub cut: ClockSpan,
+}
+
+/// What the silence of a connection says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum LinkLife {
+    /// It works, or nothing is expected of it.
+    #[default]
+    Alive,
+    /// It may be cut.
+    Doubtful,
+    /// It counts as cut.
+    Cut,
+}
+
 /// Looks at a connection in each [`LOOK_PERIOD`].
 #[derive(Debug, Default)]
 pub struct LinkSilence {
@@ -18,15 +40,22 @@
 }
 
 impl LinkSilence {
-    /// Whether the connection has been silent for `limit` while calls were open. `signs` counts its
-    /// signs of life: reads, and writes that went on after they had to wait for the peer.
-    pub fn look(&mut self, signs: u64, busy: bool, limit: ClockSpan) -> bool {
+    /// Judges the connection. `signs` counts its signs of life: reads, and writes that went on after they had
+    /// to wait for the peer. `busy` says whether calls are open on it.
+    pub fn look(&mut self, signs: u64, busy: bool, limits: SilenceLimits) -> LinkLife {
         if signs != self.signs || !busy {
             self.signs = signs;
             self.looks = 0;
-            return false;
+            return LinkLife::Alive;
         }
         self.looks += 1;
-        self.looks * LOOK_PERIOD.millis() >= limit.millis()
+        let silent = self.looks * LOOK_PERIOD.millis();
+        if silent >= limits.cut.millis() {
+            LinkLife::Cut
+        } else if silent >= limits.doubt.millis() {
+            LinkLife::Doubtful
+        } else {
+            LinkLife::Alive
+        }
     }
 }
--- a/routing/tests/state.rs
+++ b/routing/tests/state.rs
@@ -6,9 +6,9 @@
 
 use fescuestack_core::{ClockSpan, ClockTime, RequestFingerprint};
 use fescuestack_routing::{
-    ClientLimits, CrashHistory, HELD_SPAN, LinkSilence, ReaderChoice, RepeatKind, RouteRule,
-    RouteTable, ServiceRule, SplitPart, StoreView, StoredItem, TargetListing, TargetRegistry,
-    TargetState, ViewChange, ViewSource, VmSizes,
+    ClientLimits, CrashHistory, HELD_SPAN, LinkLife, LinkSilence, ReaderChoice, RepeatKind,
+    RouteRule, RouteTable, ServiceRule, SilenceLimits, SplitPart, StoreView, StoredItem,
+    TargetListing, TargetRegistry, TargetState, ViewChange, ViewSource, VmSizes,
 };
 use quickcheck::quickcheck;
 
@@ -321,19 +321,19 @@
 /// is not noticed, and against an own pause that counts as silence of the peer.
 #[test]
 fn busy_links_are_not_silent() {
-    let limit = ClockSpan::new(900);
+    let limits = SilenceLimits { doubt: ClockSpan::new(500), cut: ClockSpan::new(900) };
     let looks = |silence: &mut LinkSilence, signs: u64, busy: bool| {
-        (1..=20).find(|_| silence.look(signs, busy, limit))
+        (1..=20).find(|_| silence.look(signs, busy, limits) == LinkLife::Cut)
     };
     let mut silence = LinkSilence::default();
     for signs in 1..30 {
-        assert!(!silence.look(signs, true, limit), "writes went on");
+        assert_eq!(silence.look(signs, true, limits), LinkLife::Alive, "writes went on");
     }
     assert_eq!(looks(&mut silence, 29, false), None, "no call is open");
     assert_eq!(looks(&mut silence, 29, true), Some(9));
     let mut silence = LinkSilence::default();
-    assert_eq!((1..=8).find(|_| silence.look(0, true, limit)), None);
-    assert!(!silence.look(1, true, limit), "the sign came in time");
+    assert_eq!((1..=8).find(|_| silence.look(0, true, limits) == LinkLife::Cut), None);
+    assert_eq!(silence.look(1, true, limits), LinkLife::Alive, "the sign came in time");
     assert_eq!(looks(&mut silence, 1, true), Some(9));
 }
 
@@ -370,3 +370,15 @@
     history.crash(NOW, &"c".into(), alike);
     assert!(!history.is_held(NOW, alike));
 }
+
+/// Guards against new calls on a link that has been cut but is not yet given up: all of them would be lost.
+#[test]
+fn silent_link_is_doubted_before_it_counts_as_cut() {
+    let limits = SilenceLimits { doubt: ClockSpan::new(500), cut: ClockSpan::new(900) };
+    let mut silence = LinkSilence::default();
+    let lives: Vec<_> = (0..9).map(|_| silence.look(0, true, limits)).collect();
+    assert_eq!(lives[..4], [LinkLife::Alive; 4]);
+    assert_eq!(lives[4..8], [LinkLife::Doubtful; 4]);
+    assert_eq!(lives[8], LinkLife::Cut);
+    assert_eq!(silence.look(1, true, limits), LinkLife::Alive);
+}
--- a/sidecar/src/links.rs
+++ b/sidecar/src/links.rs
@@ -1,7 +1,7 @@
 //! Connections to other nodes: one for each, shared by all calls to it.
 
 use std::net::{IpAddr, Shutdown, SocketAddr};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -13,7 +13,7 @@
     ByteBudget, LifeSigns, ServedStream, TaskExecutor, TaskTimer, collect_body, connect, lock,
     within,
 };
-use fescuestack_routing::LinkSilence;
+use fescuestack_routing::{LinkLife, LinkSilence, SilenceLimits};
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::client::conn::http2;
@@ -23,15 +23,26 @@
 /// How long a connection may take to open. Data centres are some ms apart.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 
-/// How long a connection with open calls may be silent before it is asked for a sign of life, and until
-/// it counts as cut, within a data centre. Most calls end before the first question. A VM that has used
-/// up its processor time answers after up to 100 ms, and uploads on a slow link hold up the answer for
-/// half a second after the last of them was written.
-const NEAR_SILENCE: (Duration, ClockSpan) = (Duration::from_millis(350), ClockSpan::new(900));
+/// How a connection with open calls is watched.
+struct LinkWatch {
+    /// Silence after which it is asked for a sign of life. Most calls end before the first question.
+    ping_after: Duration,
+    limits: SilenceLimits,
+}
+
+/// Within a data centre. A VM that has used up its processor time answers after up to 100 ms, and uploads on
+/// a slow link hold up the answer for half a second after the last of them was written.
+const NEAR_WATCH: LinkWatch = LinkWatch {
+    ping_after: Duration::from_millis(350),
+    limits: SilenceLimits { doubt: ClockSpan::new(500), cut: ClockSpan::new(900) },
+};
 
-/// The same between data centres, where traffic is costly and packets are lost now and then. A lost
-/// packet is sent again after 200 ms or more.
-const FAR_SILENCE: (Duration, ClockSpan) = (Duration::from_millis(400), ClockSpan::new(1_100));
+/// Between data centres, where traffic is costly and packets are lost now and then. A lost packet is sent
+/// again after 200 ms or more.
+const FAR_WATCH: LinkWatch = LinkWatch {
+    ping_after: Duration::from_millis(400),
+    limits: SilenceLimits { doubt: ClockSpan::new(700), cut: ClockSpan::new(1_100) },
+};
 
 /// How long the answer to the question for a sign of life may take while there are others. Uploads
 /// that follow one another on a slow link hold it up.
@@ -92,13 +103,15 @@
         self.calls.load(Ordering::Acquire) > 0
     }
 
-    /// Looks whether the connection has gone silent. Ends it and its calls then.
-    fn end_if_silent(&self, limit: ClockSpan) -> bool {
-        let silent = lock(&self.silence).look(self.signs.count(), self.has_calls(), limit);
-        if silent && let Err(err) = self.socket.shutdown(Shutdown::Both) {
+    /// Judges the silence of the connection. Ends it and its calls if it counts as cut.
+    fn look(&self, limits: SilenceLimits) -> LinkLife {
+        let life = lock(&self.silence).look(self.signs.count(), self.has_calls(), limits);
+        if life == LinkLife::Cut
+            && let Err(err) = self.socket.shutdown(Shutdown::Both)
+        {
             log::debug!("silent connection is closed already: {err}");
         }
-        silent
+        life
     }
 }
 
@@ -125,6 +138,8 @@
     /// Whether the node is in the same data centre.
     near: bool,
     state: Mutex<LinkState>,
+    /// Whether new calls go elsewhere because of the silence of the open connection.
+    doubted: AtomicBool,
     /// Former connections that still bring answers, since the node has announced to close them.
     former: Mutex<Vec<Arc<LinkConnection>>>,
     opening: async_std::sync::Mutex<()>,
@@ -196,6 +211,7 @@
                 address,
                 near,
                 state: Mutex::new(LinkState::Closed),
+                doubted: AtomicBool::new(false),
                 former: Mutex::default(),
                 opening: async_std::sync::Mutex::new(()),
             })
@@ -260,6 +276,7 @@
                 _ => std::mem::replace(&mut *state, LinkState::Lost),
             }
         };
+        link.doubted.store(false, Ordering::Release);
         if let LinkState::Open(connection) = former {
             lock(&link.former).push(connection);
         }
@@ -284,13 +301,20 @@
         });
     }
 
-    /// Closes the connections that have gone silent while calls are open. To be called in each
-    /// [`LOOK_PERIOD`](fescuestack_routing::LOOK_PERIOD).
+    /// Closes the connections that have gone silent while calls are open, and keeps new calls from those that
+    /// may have. To be called in each [`LOOK_PERIOD`](fescuestack_routing::LOOK_PERIOD).
     pub(crate) fn look(self: &Arc<Self>) {
         let links: Vec<_> = lock(&self.links).values().cloned().collect();
         for link in links {
-            if let Some(connection) = link.end_silent(self.closing_silence) {
+            link.end_former(self.closing_silence);
+            let Some((connection, life)) = link.look(self.closing_silence) else { continue };
+            let doubted = life == LinkLife::Doubtful;
+            if life == LinkLife::Cut {
                 self.lose(&link, Some(&connection), "silent");
+            } else if link.doubted.swap(doubted, Ordering::AcqRel) != doubted {
+                log::info!(node = link.address.to_string().as_str(), doubted = doubted;
+                    "silence of a node");
+                self.notify(link.address.ip(), !doubted);
             }
         }
     }
@@ -317,34 +341,41 @@
 }
 
 impl NodeLink {
-    /// Ends the connections that have gone silent. Returns the open one if it is among them. One that its
-    /// node has announced to close may be silent for `closing`.
-    fn end_silent(&self, closing: ClockSpan) -> Option<Arc<LinkConnection>> {
-        let (_, open) = self.silence();
-        let end_if_silent = |connection: &Arc<LinkConnection>| {
-            let limit = if connection.sender.is_closed() { closing } else { open };
-            connection.end_if_silent(limit)
-        };
-        lock(&self.former).retain(|former| former.has_calls() && !end_if_silent(former));
+    /// Ends the former connections that have gone silent, and forgets those without calls.
+    fn end_former(&self, closing: ClockSpan) {
+        lock(&self.former).retain(|former| {
+            former.has_calls() && former.look(self.limits(former, closing)) != LinkLife::Cut
+        });
+    }
+
+    /// Judges the silence of the open connection, if there is one.
+    fn look(&self, closing: ClockSpan) -> Option<(Arc<LinkConnection>, LinkLife)> {
         let LinkState::Open(connection) = &*lock(&self.state) else { return None };
-        end_if_silent(connection).then(|| connection.clone())
+        Some((connection.clone(), connection.look(self.limits(connection, closing))))
+    }
+
+    /// How long a connection may be silent. One that its node has announced to close may be for `closing`.
+    fn limits(&self, connection: &LinkConnection, closing: ClockSpan) -> SilenceLimits {
+        match connection.sender.is_closed() {
+            true => SilenceLimits { doubt: closing, cut: closing },
+            false => self.watch().limits,
+        }
     }
 
-    fn silence(&self) -> (Duration, ClockSpan) {
-        if self.near { NEAR_SILENCE } else { FAR_SILENCE }
+    fn watch(&self) -> &'static LinkWatch {
+        if self.near { &NEAR_WATCH } else { &FAR_WATCH }
     }
 
     async fn open(&self) -> Result<Arc<LinkConnection>, String> {
         let address = self.address;
         let stream = connect(address, CONNECT_LIMIT).await.map_err(|err| err.to_string())?;
-        let (interval, _) = self.silence();
         let socket = stream.clone();
         let stream = ServedStream::new(stream);
         let signs = stream.signs();
         let mut builder = http2::Builder::new(TaskExecutor);
         builder
             .timer(TaskTimer)
-            .keep_alive_interval(interval)
+            .keep_alive_interval(self.watch().ping_after)
             .keep_alive_timeout(PING_LIMIT)
             .initial_stream_window_size(STREAM_WINDOW)
             .initial_connection_window_size(CONNECTION_WINDOW);
