Drop the cold factor and the end of a search by time

Change: both go. The nodes beside cold targets report how slow they are, and a search asks four nodes at the most.

--- a/routing/src/picker.rs
+++ b/routing/src/picker.rs
@@ -61,9 +61,6 @@
 /// is tried again.
 const SLOWNESS_HALF_LIFE: ClockSpan = ClockSpan::new(3_000);
 
-/// How much slower a target is while it warms up.
-const COLD_FACTOR: f64 = 1.6;
-
 /// How long a target is left alone whose node said that it is about to end. Its successor starts
 /// within about a second.
 const LEAVING_SPAN: ClockSpan = ClockSpan::new(1_200);
@@ -410,10 +407,7 @@
     /// for failures. Less urgent calls that wait do not count, since it passes them.
     fn expected_time(&self, now: ClockTime, rank: u8, usual: f64) -> f64 {
         let fresh = self.reported.filter(|reported| now.since(*reported) < REPORT_SPAN);
-        let mut service = usual * self.slowness(now);
-        if now < self.warm_at {
-            service *= COLD_FACTOR;
-        }
+        let service = usual * self.slowness(now);
         let mut load = self.in_flight;
         let mut ahead = service;
         if fresh.is_some() {
--- a/routing/src/plan.rs
+++ b/routing/src/plan.rs
@@ -18,10 +18,6 @@
 /// one costs less than a millisecond.
 const NEAR_WAIT: ClockSpan = ClockSpan::new(25);
 
-/// Share of the time to its aim after which a request that was refused is given up. Its caller can
-/// come back in time only if it learns of the refusal early.
-const SEARCH_SHARE: u64 = 3;
-
 /// When a caller comes back that found no target to send to. Entries and links return within this.
 const NO_TARGET_RETRY: ClockSpan = ClockSpan::new(250);
 
@@ -255,12 +251,6 @@
             || self.refusals >= REFUSAL_LIMIT
             || self.refused_far
             || self.call.deadline.since(now) < LEFT_MIN
-            || (matches!(self.last, Some(AttemptEnd::Refused { .. })) && self.is_late(now))
-    }
-
-    fn is_late(&self, now: ClockTime) -> bool {
-        let aim = self.call.aim_at.since(self.call.arrived).millis();
-        now.since(self.call.arrived).millis() > aim / SEARCH_SHARE
     }
 
     /// The first nodes say at once if the wait is long, while another target may be better. One that
