Decode and log the rate limits and departures that targets state

Targets state both in headers of all responses. The platform package decodes them into TargetNotice; the node beside the target logs each change with the calls that it has sent since the previous one. No decision uses them yet.

--- a/routing/src/registry.rs
+++ b/routing/src/registry.rs
@@ -6,6 +6,8 @@
 use fescuestack_core::{ClockSpan, ClockTime};
 use rustc_hash::FxHashMap;
 
+use crate::pacer::RateLimit;
+
 /// Whether a target accepts new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TargetState {
@@ -15,6 +17,15 @@
     Draining,
 }
 
+/// What a target states about itself in a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct TargetNotice {
+    /// Rate of calls that the target accepts from all callers together, if it limits them.
+    pub rate_limit: Option<RateLimit>,
+    /// Whether the target is leaving.
+    pub is_leaving: bool,
+}
+
 /// A target's entry in the platform's store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TargetListing {
--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -10,12 +10,13 @@
     BufferedRequest, BufferedResponse, ByteBudget, CallClock, ExchangeConnection, ExchangeError,
     ResponseTag, lock, within,
 };
+use fescuestack_platform::decode_notice;
 use fescuestack_platform::headers::{
     DEADLINE_MS, EXPECTED_INSTANCE, INSTANCE_ID, NOT_EXECUTED, REQUEST_ID, RESPONSE_SIGNATURE,
 };
 use fescuestack_routing::{
-    AdmissionDecision, CallEnd, IngressDecision, IngressLink, QueuedCall, SlotAction, SlotLoad,
-    SlotQueue, SlotTicket, TargetListing, TargetState,
+    AdmissionDecision, CallEnd, IngressDecision, IngressLink, QueuedCall, RateLimit, SlotAction,
+    SlotLoad, SlotQueue, SlotTicket, TargetListing, TargetNotice, TargetState,
 };
 use http::HeaderValue;
 use rustc_hash::FxHashMap;
@@ -70,6 +71,11 @@
     listed_id: Option<Arc<str>>,
     /// Id that the target itself reports, if it differs from the listed one.
     actual_id: Option<Arc<str>>,
+    /// What the target stated about itself in its last response.
+    notice: TargetNotice,
+    /// Calls sent since the notice changed, and the time of the change.
+    sent_since_notice: u64,
+    notice_changed_at: ClockTime,
     idle: Vec<ExchangeConnection>,
     waiters: FxHashMap<SlotTicket, Sender<Result<(), ClockSpan>>>,
 }
@@ -88,6 +94,9 @@
             queue: SlotQueue::new(1),
             listed_id: None,
             actual_id: None,
+            notice: TargetNotice::default(),
+            sent_since_notice: 0,
+            notice_changed_at: clock.now(),
             idle: Vec::new(),
             waiters: FxHashMap::default(),
         };
@@ -236,6 +245,30 @@
         }
     }
 
+    /// Stores what the target states about itself. An invalid statement leaves the last one in place.
+    fn record_notice(&self, note: &CallNote, response: &BufferedResponse) {
+        let notice = match decode_notice(&response.headers) {
+            Ok(notice) => notice,
+            Err(err) => {
+                log::warn!(target = &*note.target; "ignoring invalid statement of the target: {err}");
+                return;
+            }
+        };
+        let now = self.clock.now();
+        let mut state = lock(&self.state);
+        if state.notice == notice {
+            return;
+        }
+        log::info!(target = &*note.target, limit = notice.rate_limit.map(RateLimit::per_second),
+            previous = state.notice.rate_limit.map(RateLimit::per_second),
+            leaving = notice.is_leaving, sent = state.sent_since_notice,
+            held_ms = now.since(state.notice_changed_at).millis();
+            "target changed its rate limit or is leaving");
+        state.notice = notice;
+        state.sent_since_notice = 0;
+        state.notice_changed_at = now;
+    }
+
     /// Waits for a slot. Fails with the reason and the time after which a retry is likely to be
     /// accepted.
     async fn acquire_slot(
@@ -284,7 +317,9 @@
             .get(&REQUEST_ID)
             .map(|value| ResponseTag { name: REQUEST_ID, value: value.clone() });
         let mut connection = self.connection(note.idempotent).await?;
+        lock(&self.state).sent_since_notice += 1;
         let response = connection.exchange(request, tag.as_ref()).await?;
+        self.record_notice(note, &response);
         let mut state = lock(&self.state);
         if state.idle.len() < MAX_IDLE_CONNECTIONS {
             state.idle.push(connection);
