Pace the calls to a target that limits its rate

Cause: no decision knew the limit; the queue beside the target admitted calls by free slots only.

Fix: every call to a target passes through the queue of its node, so that pacing there holds for the whole fleet without any coordination. Replies report the limit and the time until it allows a call, so that other nodes choose other targets. They also send the limit with their calls: a restarted node paces its target before the first response. CallNote and ReplyNote change, so a new build is rolled out by data centre.

--- a/routing/src/picker.rs
+++ b/routing/src/picker.rs
@@ -18,6 +18,7 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::intake::LARGE_BODY_BYTES;
+use crate::pacer::RateLimit;
 use crate::plan::CallParams;
 use crate::ranks::PriorityCounts;
 use crate::registry::{TargetListing, TargetState};
@@ -107,6 +108,8 @@
     pub vm: IpAddr,
     /// Number of slots of the target.
     pub slots: u32,
+    /// Rate of calls that the target accepts, as far as this node knows.
+    pub rate_limit: Option<RateLimit>,
     /// Whether the target is in another data centre.
     pub is_remote: bool,
     /// Where other targets for the call are available.
@@ -201,6 +204,7 @@
             if record.entry.started_ms != entry.started_ms {
                 record.failure_rate = 0.0;
                 record.avoid_until = ClockTime::ZERO;
+                record.load_report = SlotLoad::default();
                 record.load_reported_at = None;
                 record.slowdown = 1.0;
             }
@@ -299,10 +303,12 @@
         } else {
             Alternatives::None
         };
-        let entry = &self.stats.get(&id)?.entry;
+        let record = self.stats.get(&id)?;
+        let entry = &record.entry;
         Some(PickedTarget {
             vm: entry.address.ip(),
             slots: entry.slots,
+            rate_limit: record.load_report.rate_limit,
             is_remote,
             alternatives,
             id,
@@ -416,12 +422,27 @@
         let excess_calls = (f64::from(load) + 1.0 - slots).max(0.0);
         // Targets slow down when they are nearly full, so emptier ones are rated slightly better.
         let crowding = f64::from(load) / slots * 0.15 * service_ms;
+        let slot_wait_ms = excess_calls * queue_service_ms / slots;
         service_ms
             + crowding
-            + excess_calls * queue_service_ms / slots
+            + slot_wait_ms.max(self.rate_wait_ms(now, priority))
             + self.current_failure_rate(now) * FAILURE_PENALTY * route_time
     }
 
+    /// Expected time in ms until the target's rate limit allows another call of `priority`, or 0
+    /// without a limit or a recent report.
+    fn rate_wait_ms(&self, now: ClockTime, priority: u8) -> f64 {
+        let Some(limit) = self.load_report.rate_limit else { return 0.0 };
+        let Some(at) = self.load_reported_at.filter(|at| now.since(*at) < REPORT_TTL) else {
+            return 0.0;
+        };
+        let queued =
+            self.load_report.queued.at_least(priority) + self.sent_since_report.at_least(priority);
+        let delay =
+            self.load_report.rate_delay.millis() as f64 + f64::from(queued) * limit.interval_ms();
+        (delay - now.since(at).millis() as f64).max(0.0)
+    }
+
     fn update_slowdown(&mut self, now: ClockTime, ratio: f64) {
         let known = self.slowdown(now);
         let (min, max) = SLOWDOWN_BOUNDS;
--- a/routing/src/slots.rs
+++ b/routing/src/slots.rs
@@ -11,6 +11,7 @@
 use fescuestack_core::{ClockSpan, ClockTime};
 use rustc_hash::FxHashMap;
 
+use crate::pacer::{CallPacer, RateLimit};
 use crate::ranks::PriorityCounts;
 
 /// Weight of the latest service time in the moving averages.
@@ -130,6 +131,10 @@
     pub route_service_time: Option<ClockSpan>,
     /// Time until the bodies in transit to the node have arrived.
     pub ingress_delay: ClockSpan,
+    /// Rate of calls that the target accepts, if it limits them.
+    pub rate_limit: Option<RateLimit>,
+    /// Time until the limit allows the next call.
+    pub rate_delay: ClockSpan,
 }
 
 /// Measured service time of a route.
@@ -176,6 +181,7 @@
     mean_ms: f64,
     last_ticket: u64,
     usage: ClassUsage,
+    pacer: CallPacer,
 }
 
 impl SlotQueue {
@@ -190,6 +196,7 @@
             mean_ms: DEFAULT_SERVICE_MS,
             last_ticket: 0,
             usage: ClassUsage::default(),
+            pacer: CallPacer::default(),
         }
     }
 
@@ -204,6 +211,7 @@
         self.slots = slots.max(1);
         self.running.clear();
         self.route_times.clear();
+        self.pacer = CallPacer::default();
         self.accepting = true;
     }
 
@@ -213,6 +221,11 @@
         self.accepting = accepting;
     }
 
+    /// Sets the rate of calls that the target accepts, or that it does not limit them.
+    pub fn set_rate_limit(&mut self, limit: Option<RateLimit>) {
+        self.pacer.set_limit(limit);
+    }
+
     /// Whether calls are queued.
     pub fn has_waiting(&self) -> bool {
         !self.waiting.is_empty()
@@ -224,7 +237,7 @@
     }
 
     /// Returns the load to report.
-    pub fn load(&self) -> SlotLoad {
+    pub fn load(&self, now: ClockTime) -> SlotLoad {
         let mut queued = PriorityCounts::new();
         for waiting in &self.waiting {
             queued.add(waiting.call.priority, 1);
@@ -235,6 +248,8 @@
             service_time: ClockSpan::new(self.mean_ms as u64),
             route_service_time: None,
             ingress_delay: ClockSpan::ZERO,
+            rate_limit: self.pacer.limit(),
+            rate_delay: millis(self.pacer.delay(now)),
         }
     }
 
@@ -250,7 +265,7 @@
         }
         let default_ms = call.soft_deadline.since(now).millis() as f64 * DEFAULT_TIME_FRACTION;
         let service_ms = self.service_time(now, &call.route, default_ms);
-        if self.has_free_slot() && self.has_precedence(call.priority) {
+        if self.can_start(now) && self.has_precedence(call.priority) {
             if now + millis(service_ms * MIN_START_FRACTION) > call.deadline {
                 return AdmissionDecision::Refuse { retry_after: RETRY_AFTER_MIN };
             }
@@ -296,11 +311,12 @@
     /// in time.
     pub fn poll(&mut self, now: ClockTime, actions: &mut Vec<SlotAction>) {
         self.refuse_late(now, actions);
-        while self.has_free_slot()
+        while self.can_start(now)
             && let Some(index) = self.next_waiting(now)
         {
             let waiting = self.waiting.swap_remove(index);
             let class = self.class(now, &waiting.call, waiting.default_ms);
+            self.pacer.record_start(now);
             self.running.insert(
                 waiting.ticket,
                 RunningCall {
@@ -366,6 +382,7 @@
     fn start(&mut self, now: ClockTime, call: &QueuedCall, default_ms: f64) -> SlotTicket {
         let ticket = self.next_ticket();
         let class = self.class(now, call, default_ms);
+        self.pacer.record_start(now);
         self.running.insert(
             ticket,
             RunningCall { route: call.route.clone(), default_ms, class, started: now },
@@ -378,8 +395,9 @@
         SlotTicket(self.last_ticket)
     }
 
-    fn has_free_slot(&self) -> bool {
-        self.accepting && self.running.len() < self.slots as usize
+    /// Whether a slot is free and the target's rate limit allows a call.
+    fn can_start(&self, now: ClockTime) -> bool {
+        self.accepting && self.running.len() < self.slots as usize && self.pacer.delay(now) == 0.0
     }
 
     /// Whether the priority is higher than that of all queued calls.
@@ -415,23 +433,31 @@
     /// it and the next slot is free in `free_in_ms`. The estimate includes calls of preferred
     /// classes that are expected to arrive and overtake it.
     fn wait_after(&self, now: ClockTime, class: CallClass, ahead_ms: f64, free_in_ms: f64) -> f64 {
-        let slots = f64::from(self.slots);
+        let slots = self.usable_slots();
         let left =
             (slots - self.usage.used_by_preferred(now, class)).max(slots * MIN_SLOT_FRACTION);
         (ahead_ms / slots + free_in_ms) * (slots / left)
     }
 
-    /// Expected time in ms until a slot is free.
+    /// Number of slots that the target can keep busy: at a limited rate, only as many as the calls of
+    /// an average service time occupy.
+    fn usable_slots(&self) -> f64 {
+        let slots = f64::from(self.slots);
+        self.pacer.limit().map_or(slots, |limit| slots.min(self.mean_ms / limit.interval_ms()))
+    }
+
+    /// Expected time in ms until a slot is free and the rate limit allows a call.
     fn next_free_slot(&self, now: ClockTime) -> f64 {
+        let rate_delay_ms = self.pacer.delay(now);
         if self.running.len() < self.slots as usize {
-            return 0.0;
+            return rate_delay_ms;
         }
         let left = |call: &RunningCall| {
             let service_ms = self.service_time(now, &call.route, call.default_ms);
             let elapsed = now.since(call.started).millis() as f64;
             (service_ms - elapsed).max(service_ms * OVERDUE_FRACTION)
         };
-        self.running.values().map(left).fold(f64::INFINITY, f64::min)
+        self.running.values().map(left).fold(f64::INFINITY, f64::min).max(rate_delay_ms)
     }
 
     fn retry_after(&self, wait_ms: f64) -> ClockSpan {
--- a/routing/tests/plan.rs
+++ b/routing/tests/plan.rs
@@ -5,8 +5,9 @@
 
 use fescuestack_core::{ClockSpan, ClockTime};
 use fescuestack_routing::{
-    AttemptEnd, CallParams, CallPlan, PlanStep, PriorityCounts, RequestKind, RetryAllowance,
-    RetryBudget, SlotLoad, TargetFeedback, TargetListing, TargetPicker, TargetState,
+    AttemptEnd, CallParams, CallPlan, PlanStep, PriorityCounts, RateLimit, RequestKind,
+    RetryAllowance, RetryBudget, SlotLoad, TargetFeedback, TargetListing, TargetPicker,
+    TargetState,
 };
 
 const NOW: ClockTime = ClockTime::new(10_000);
@@ -21,6 +22,8 @@
         service_time,
         route_service_time: Some(service_time),
         ingress_delay: ClockSpan::ZERO,
+        rate_limit: None,
+        rate_delay: ClockSpan::ZERO,
     }
 }
 
@@ -362,3 +365,22 @@
         assert_eq!(picked.is_remote, is_remote, "{failed_of_ten} of ten local calls fail");
     }
 }
+
+/// Guards against calls that wait for the rate limit of one target while another one is free.
+#[test]
+fn limited_target_is_chosen_only_when_its_rate_allows() {
+    let mut picker = picker(&[entry("limited", 1, "here"), entry("free", 2, "here")]);
+    let limited = |rate_delay| SlotLoad {
+        rate_limit: RateLimit::new(2.0),
+        rate_delay: ClockSpan::new(rate_delay),
+        ..load(0, 0, 100)
+    };
+    picker.record_load(NOW, "free", &"r".into(), load(5, 0, 100));
+    picker.record_load(NOW, "limited", &"r".into(), limited(400));
+    let mut pick = |now| picker.pick(now, &call(now, "r", 0), &[]).expect("two targets are ready");
+    assert_eq!(&*pick(NOW).id, "free");
+    let later = NOW + ClockSpan::new(500);
+    let picked = pick(later);
+    assert_eq!(&*picked.id, "limited", "the limit allows a call again");
+    assert_eq!(picked.rate_limit, RateLimit::new(2.0));
+}
--- a/routing/tests/slots.rs
+++ b/routing/tests/slots.rs
@@ -5,7 +5,7 @@
 
 use fescuestack_core::{ClockSpan, ClockTime};
 use fescuestack_routing::{
-    AdmissionDecision, CallEnd, QueuedCall, SlotAction, SlotQueue, SlotTicket,
+    AdmissionDecision, CallEnd, QueuedCall, RateLimit, SlotAction, SlotQueue, SlotTicket,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
@@ -302,3 +302,82 @@
 fn search(now: u64) -> QueuedCall {
     QueuedCall { route: Arc::from("search"), ..call(now, "", 2, 1_200, 5_000) }
 }
+
+/// Starts of calls in ms at a target that limits its rate from the first second on. Calls of 100 ms
+/// arrive at `rate` calls per second.
+fn starts_at_limited_target(limit: f64, rate: f64) -> Vec<u64> {
+    let mut queue = SlotQueue::new(SLOTS);
+    let mut random = Pcg32::seed_from_u64(11);
+    let mut running: Vec<(u64, SlotTicket)> = Vec::new();
+    let mut starts = Vec::new();
+    for now in 0..15_000 {
+        let time = ClockTime::new(now);
+        if now == 1_000 {
+            queue.set_rate_limit(RateLimit::new(limit));
+        }
+        let ended: Vec<_> = running.iter().filter(|(end, _)| *end <= now).copied().collect();
+        running.retain(|(end, _)| *end > now);
+        for (_, ticket) in ended {
+            queue.finish(time, ticket, CallEnd::Answered);
+        }
+        let mut started = Vec::new();
+        if random.random::<f64>() < rate / 1_000.0 {
+            match queue.arrive(time, call(now, "r", 1, 400, 1_000)) {
+                AdmissionDecision::Run(ticket) => started.push(ticket),
+                AdmissionDecision::Refuse { retry_after } => assert!(!retry_after.is_zero()),
+                AdmissionDecision::Wait(_) | AdmissionDecision::Busy => (),
+            }
+        }
+        let mut actions = Vec::new();
+        queue.poll(time, &mut actions);
+        started.extend(actions.into_iter().filter_map(|action| match action {
+            SlotAction::Run(ticket) => Some(ticket),
+            SlotAction::Refuse { .. } => None,
+        }));
+        starts.extend(started.iter().map(|_| now));
+        running.extend(started.into_iter().map(|ticket| (now + 100, ticket)));
+    }
+    starts
+}
+
+/// Guards against a queue that admits calls by free slots only, so that a target that limits its
+/// rate gets more, and against one that uses far less than the limit allows.
+#[test]
+fn rate_limit_holds_at_any_load() {
+    for (limit, rate) in [(0.0, 50.0), (0.4, 5.0), (3.0, 50.0), (14.6, 20.0), (25.0, 200.0)] {
+        let starts: Vec<_> =
+            starts_at_limited_target(limit, rate).into_iter().filter(|at| *at >= 4_000).collect();
+        for start in &starts {
+            let in_window =
+                starts.iter().filter(|at| (*start..start + 4_000).contains(at)).count() as f64;
+            let allowed = 1.5 * limit * 4.0 + 5.0;
+            assert!(
+                in_window <= allowed,
+                "{in_window} calls in 4 s at {limit}/s, {allowed} allowed"
+            );
+        }
+        let expected = limit.min(rate) * 11.0 * 0.8;
+        let count = starts.len() as f64;
+        assert!(
+            count >= expected,
+            "{count} calls in 11 s at a limit of {limit}/s, {rate}/s arrive"
+        );
+    }
+}
+
+/// Guards against a limited target whose callers are held until their deadline: a call that the
+/// limit does not allow in time is refused when it arrives.
+#[test]
+fn calls_beyond_the_rate_limit_are_refused_at_once() {
+    let mut queue = SlotQueue::new(SLOTS);
+    queue.set_rate_limit(RateLimit::new(1.0));
+    let now = ClockTime::new(5_000);
+    assert!(matches!(queue.arrive(now, call(5_000, "r", 1, 400, 800)), AdmissionDecision::Run(_)));
+    let decision = queue.arrive(now, call(5_000, "r", 1, 400, 800));
+    let AdmissionDecision::Refuse { retry_after } = decision else {
+        panic!("the call was not refused: {decision:?}");
+    };
+    assert!(retry_after >= ClockSpan::new(500), "{retry_after:?}");
+    queue.set_rate_limit(None);
+    assert!(matches!(queue.arrive(now, call(5_000, "r", 1, 400, 800)), AdmissionDecision::Run(_)));
+}
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -10,7 +10,7 @@
 use fescuestack_platform::headers::{CALLER_SERVICE, DEADLINE_MS, EXPECTED_INSTANCE, REQUEST_ID};
 use fescuestack_routing::{
     AttemptEnd, CallParams, CallPlan, LatencyBreakdown, LossCause, PickedTarget, PlanStep,
-    RouteRule, TargetFeedback,
+    RateLimit, RouteRule, TargetFeedback,
 };
 use futures_lite::future;
 use http::header::{CONNECTION, HOST, RETRY_AFTER};
@@ -281,6 +281,7 @@
             aim_left: progress.plan.call().soft_deadline.since(now).millis(),
             wait_limit: wait_limit.millis(),
             body_bytes: self.request.body.len() as u64,
+            rate_limit: target.rate_limit.map(RateLimit::millihertz),
         };
         let (reply, response) = if state.is_own_vm(target.vm) {
             let reply = run_local(state, &note, self.request.clone()).await;
--- a/sidecar/src/note.rs
+++ b/sidecar/src/note.rs
@@ -6,7 +6,7 @@
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD_NO_PAD;
 use fescuestack_core::{ClockSpan, RequestFingerprint};
-use fescuestack_routing::{PriorityCounts, SlotLoad};
+use fescuestack_routing::{PriorityCounts, RateLimit, SlotLoad};
 use http::{HeaderMap, HeaderName, HeaderValue};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -44,6 +44,9 @@
     pub(crate) wait_limit: u64,
     /// Length of the body in bytes.
     pub(crate) body_bytes: u64,
+    /// Rate limit of the target as the sender knows it, in calls per 1,000 s. The target's node may
+    /// have been restarted since the target last stated it.
+    pub(crate) rate_limit: Option<u64>,
 }
 
 /// Outcome of a call at the target's node.
@@ -82,6 +85,10 @@
     pub(crate) route_time: Option<u64>,
     /// Time until the large bodies that are being received have arrived.
     pub(crate) intake: u64,
+    /// Rate limit of the target in calls per 1,000 s, if it states one.
+    pub(crate) rate_limit: Option<u64>,
+    /// Time until the rate limit allows the next call.
+    pub(crate) rate_delay: u64,
     /// Time for which the call waited in the queue.
     pub(crate) waited: u64,
     /// Whether the target crashed while it executed the call.
@@ -98,6 +105,8 @@
             service_time: ClockSpan::new(self.service),
             route_service_time: self.route_time.map(ClockSpan::new),
             ingress_delay: ClockSpan::new(self.intake),
+            rate_limit: self.rate_limit.map(RateLimit::from_millihertz),
+            rate_delay: ClockSpan::new(self.rate_delay),
         }
     }
 }
--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -46,6 +46,9 @@
 /// passes.
 const RESPONSE_GRACE: Duration = Duration::from_millis(30);
 
+/// Status of a response by another target than the one that the request was meant for.
+const WRONG_INSTANCE: u16 = 421;
+
 /// Number of idle connections that are kept.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
@@ -68,11 +71,12 @@
 struct LocalTargetState {
     address: SocketAddr,
     queue: SlotQueue,
-    listed_id: Option<Arc<str>>,
+    /// Id and start time of the target that the platform lists.
+    listed: Option<(Arc<str>, u64)>,
     /// Id that the target itself reports, if it differs from the listed one.
     actual_id: Option<Arc<str>>,
-    /// What the target stated about itself in its last response.
-    notice: TargetNotice,
+    /// What the target stated about itself in its last response, if there was any.
+    notice: Option<TargetNotice>,
     /// Calls sent since the notice changed, and the time of the change.
     sent_since_notice: u64,
     notice_changed_at: ClockTime,
@@ -92,9 +96,9 @@
         let state = LocalTargetState {
             address,
             queue: SlotQueue::new(1),
-            listed_id: None,
+            listed: None,
             actual_id: None,
-            notice: TargetNotice::default(),
+            notice: None,
             sent_since_notice: 0,
             notice_changed_at: clock.now(),
             idle: Vec::new(),
@@ -115,16 +119,19 @@
         }
         match listing {
             Some(listing) => {
-                if state.listed_id.as_ref() != Some(&listing.id) {
-                    state.listed_id = Some(listing.id.clone());
+                let incarnation = (listing.id.clone(), listing.started_ms);
+                if state.listed.as_ref() != Some(&incarnation) {
+                    if state.listed.replace(incarnation).is_some() {
+                        state.notice = None;
+                        state.queue.reset(listing.slots);
+                    }
                     state.actual_id = None;
                     state.idle.clear();
-                    state.queue.reset(listing.slots);
                 }
                 state.queue.set_slots(listing.slots);
                 state.queue.set_open(listing.state == TargetState::Ready);
             }
-            None if state.listed_id.is_some() => state.queue.set_open(false),
+            None if state.listed.is_some() => state.queue.set_open(false),
             None => (),
         }
         state.poll(now);
@@ -132,7 +139,7 @@
 
     pub(crate) fn load(&self) -> SlotLoad {
         let ingress_delay = lock(&self.ingress).drain_time();
-        SlotLoad { ingress_delay, ..lock(&self.state).queue.load() }
+        SlotLoad { ingress_delay, ..lock(&self.state).queue.load(self.clock.now()) }
     }
 
     /// Decides whether the body of a call from another node is accepted. Fails with the reason and
@@ -195,7 +202,7 @@
         };
         let mut crashed = false;
         let (end, response) = match outcome {
-            Ok(response) if response.status == 421 => {
+            Ok(response) if response.status == WRONG_INSTANCE => {
                 self.record_actual_id(note, &response);
                 (ReplyEnd::Rejected, None)
             }
@@ -256,15 +263,16 @@
         };
         let now = self.clock.now();
         let mut state = lock(&self.state);
-        if state.notice == notice {
+        let previous = state.notice.replace(notice).unwrap_or_default();
+        state.queue.set_rate_limit(notice.rate_limit);
+        if notice == previous {
             return;
         }
         log::info!(target = &*note.target, limit = notice.rate_limit.map(RateLimit::per_second),
-            previous = state.notice.rate_limit.map(RateLimit::per_second),
+            previous = previous.rate_limit.map(RateLimit::per_second),
             leaving = notice.is_leaving, sent = state.sent_since_notice,
             held_ms = now.since(state.notice_changed_at).millis();
             "target changed its rate limit or is leaving");
-        state.notice = notice;
         state.sent_since_notice = 0;
         state.notice_changed_at = now;
     }
@@ -285,9 +293,14 @@
         };
         let (ticket, waiter) = {
             let mut state = lock(&self.state);
-            if state.listed_id.is_none() {
+            if state.listed.is_none() {
                 state.queue.set_slots(note.slots);
             }
+            if state.notice.is_none()
+                && let Some(limit) = note.rate_limit
+            {
+                state.queue.set_rate_limit(Some(RateLimit::from_millihertz(limit)));
+            }
             match state.queue.arrive(now, call) {
                 AdmissionDecision::Run(ticket) => (ticket, None),
                 AdmissionDecision::Wait(ticket) => (ticket, Some(state.add_waiter(ticket))),
@@ -319,7 +332,9 @@
         let mut connection = self.connection(note.idempotent).await?;
         lock(&self.state).sent_since_notice += 1;
         let response = connection.exchange(request, tag.as_ref()).await?;
-        self.record_notice(note, &response);
+        if response.status != WRONG_INSTANCE {
+            self.record_notice(note, &response);
+        }
         let mut state = lock(&self.state);
         if state.idle.len() < MAX_IDLE_CONNECTIONS {
             state.idle.push(connection);
@@ -369,6 +384,8 @@
             service: load.service_time.millis(),
             route_time: route_time.map(ClockSpan::millis),
             intake: load.ingress_delay.millis(),
+            rate_limit: load.rate_limit.map(RateLimit::millihertz),
+            rate_delay: load.rate_delay.millis(),
             waited: 0,
             crashed: false,
             retry_after: retry_after.millis(),
