Stop calls to a target that states its departure

Seen: requests reach a target after it has stated its departure in a response, for as long as the store does not report it (DRAIN).

Cause: only the target's entry in the store ended its use. The header was not read, and an entry that disappears and returns during an outage of the store made the target usable again.

Fix: the node beside the target closes its queue when a response states the departure, and every reply from then on says so. The node where the request began remembers the departure by id and start time, so that neither a restart of the target's node nor a returning entry makes the target usable. A later start under the same id is another target.

--- a/routing/src/picker.rs
+++ b/routing/src/picker.rs
@@ -73,6 +73,10 @@
 /// within a few seconds.
 const REPLACED_BACKOFF: ClockSpan = ClockSpan::new(3_000);
 
+/// How long a departure that a target stated itself is remembered. A leaving target ends within
+/// minutes, and its entry may disappear and return in the meantime.
+const DEPARTURE_TTL: ClockSpan = ClockSpan::new(600_000);
+
 /// Random addition to the rating in ms, which prevents nodes from all selecting the same target at
 /// once.
 const JITTER_MS: f64 = 8.0;
@@ -112,6 +116,8 @@
     pub rate_limit: Option<RateLimit>,
     /// Whether the target is in another data centre.
     pub is_remote: bool,
+    /// Start time of the target as listed, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
     /// Where other targets for the call are available.
     pub alternatives: Alternatives,
 }
@@ -179,6 +185,9 @@
     /// Average service time of each route in ms.
     route_times: FxHashMap<Arc<str>, f64>,
     unreachable: FxHashSet<IpAddr>,
+    /// Targets that have stated that they are leaving: id and start time, with the time of the
+    /// statement.
+    departures: FxHashMap<(Arc<str>, u64), ClockTime>,
     random: Pcg32,
 }
 
@@ -191,6 +200,7 @@
             services: FxHashMap::default(),
             route_times: FxHashMap::default(),
             unreachable: FxHashSet::default(),
+            departures: FxHashMap::default(),
             random: Pcg32::seed_from_u64(seed),
         }
     }
@@ -309,6 +319,7 @@
             vm: entry.address.ip(),
             slots: entry.slots,
             rate_limit: record.load_report.rate_limit,
+            started_ms: entry.started_ms,
             is_remote,
             alternatives,
             id,
@@ -329,8 +340,9 @@
         let (first, second) = target_ids.split_at(offset % target_ids.len().max(1));
         let reachable = second.iter().chain(first).filter_map(|id| {
             let record = self.stats.get(id)?;
-            let reachable =
-                record.is_usable(now) && !self.unreachable.contains(&record.entry.address.ip());
+            let reachable = record.is_usable(now)
+                && !self.unreachable.contains(&record.entry.address.ip())
+                && !self.has_departed(&record.entry);
             reachable.then_some((id, record))
         });
         let mut result = SampleResult::default();
@@ -352,6 +364,19 @@
         result
     }
 
+    fn has_departed(&self, entry: &TargetListing) -> bool {
+        !self.departures.is_empty()
+            && self.departures.contains_key(&(entry.id.clone(), entry.started_ms))
+    }
+
+    /// Records that a target has stated that it is leaving. It is not selected again, even if its
+    /// entry disappears and returns; a later start under the same id is another target. Returns
+    /// whether this was not known.
+    pub fn record_departure(&mut self, now: ClockTime, target: &PickedTarget) -> bool {
+        self.departures.retain(|_, at| now.since(*at) < DEPARTURE_TTL);
+        self.departures.insert((target.id.clone(), target.started_ms), now).is_none()
+    }
+
     /// Records that a call was sent.
     pub fn record_sent(&mut self, id: &str, priority: u8) {
         if let Some(record) = self.stats.get_mut(id) {
--- a/routing/tests/plan.rs
+++ b/routing/tests/plan.rs
@@ -384,3 +384,21 @@
     assert_eq!(&*picked.id, "limited", "the limit allows a call again");
     assert_eq!(picked.rate_limit, RateLimit::new(2.0));
 }
+
+/// Guards against a target that is used again although it has stated its departure, because its
+/// entry disappears and returns while the store fails.
+#[test]
+fn departed_target_is_not_used_again() {
+    let listed = entry("leaving", 1, "here");
+    let mut picker = picker(&[listed.clone()]);
+    let target = picker.pick(NOW, &call(NOW, "r", 0), &[]).expect("the target is ready");
+    assert!(picker.record_departure(NOW, &target));
+    assert!(!picker.record_departure(NOW, &target));
+    assert_eq!(picker.pick(NOW, &call(NOW, "r", 0), &[]), None);
+    picker.remove("leaving");
+    let later = NOW + ClockSpan::new(60_000);
+    picker.insert(later, &listed);
+    assert_eq!(picker.pick(later, &call(later, "r", 0), &[]), None, "its entry has returned");
+    picker.insert(later, &TargetListing { started_ms: 2, ..listed });
+    assert!(picker.pick(later, &call(later, "r", 0), &[]).is_some(), "it has started again");
+}
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -344,7 +344,11 @@
 impl AttemptGuard<'_> {
     fn report(&self, route: &Arc<str>, reply: &ReplyNote) {
         let now = self.state.clock.now();
-        lock(&self.state.routing).picker.record_load(now, &self.target.id, route, reply.load());
+        let picker = &mut lock(&self.state.routing).picker;
+        picker.record_load(now, &self.target.id, route, reply.load());
+        if reply.target_leaving && picker.record_departure(now, self.target) {
+            log::info!(target = &*self.target.id; "target is leaving, as it has stated itself");
+        }
     }
 }
 
--- a/sidecar/src/note.rs
+++ b/sidecar/src/note.rs
@@ -58,7 +58,7 @@
     Busy,
     /// Not executed: it cannot be answered before its deadline.
     Refused,
-    /// Not executed: the node is stopping.
+    /// Not executed: the node is stopping or the target is leaving.
     Leaving,
     /// Not executed: another target has the address by now.
     Gone,
@@ -93,6 +93,8 @@
     pub(crate) waited: u64,
     /// Whether the target crashed while it executed the call.
     pub(crate) crashed: bool,
+    /// Whether the target has stated that it is leaving.
+    pub(crate) target_leaving: bool,
     /// After a refusal, the time after which a retry is likely to be accepted.
     pub(crate) retry_after: u64,
 }
--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -128,8 +128,9 @@
                     state.actual_id = None;
                     state.idle.clear();
                 }
+                let is_leaving = state.notice.is_some_and(|notice| notice.is_leaving);
                 state.queue.set_slots(listing.slots);
-                state.queue.set_open(listing.state == TargetState::Ready);
+                state.queue.set_open(listing.state == TargetState::Ready && !is_leaving);
             }
             None if state.listed.is_some() => state.queue.set_open(false),
             None => (),
@@ -182,6 +183,7 @@
         }
         let ticket = match self.acquire_slot(now, note).await {
             Ok(ticket) => ticket,
+            Err((_, _)) if self.is_leaving() => return self.leaving_reply(note),
             Err((end, retry_after)) => return self.reply(&note.route, end, retry_after),
         };
         let waited = self.clock.now().since(now);
@@ -254,7 +256,7 @@
 
     /// Stores what the target states about itself. An invalid statement leaves the last one in place.
     fn record_notice(&self, note: &CallNote, response: &BufferedResponse) {
-        let notice = match decode_notice(&response.headers) {
+        let mut notice = match decode_notice(&response.headers) {
             Ok(notice) => notice,
             Err(err) => {
                 log::warn!(target = &*note.target; "ignoring invalid statement of the target: {err}");
@@ -263,8 +265,15 @@
         };
         let now = self.clock.now();
         let mut state = lock(&self.state);
-        let previous = state.notice.replace(notice).unwrap_or_default();
+        let previous = state.notice.unwrap_or_default();
+        // A target that leaves does not return, and responses may arrive out of order.
+        notice.is_leaving |= previous.is_leaving;
+        state.notice = Some(notice);
         state.queue.set_rate_limit(notice.rate_limit);
+        if notice.is_leaving {
+            state.queue.set_open(false);
+            state.poll(now);
+        }
         if notice == previous {
             return;
         }
@@ -367,7 +376,13 @@
         }
     }
 
-    /// Returns the reply to a call that is refused because the node is stopping.
+    /// Whether the target has stated that it is leaving.
+    fn is_leaving(&self) -> bool {
+        lock(&self.state).notice.is_some_and(|notice| notice.is_leaving)
+    }
+
+    /// Returns the reply to a call that is refused because the node is stopping or its target is
+    /// leaving.
     pub(crate) fn leaving_reply(&self, note: &CallNote) -> TargetReply {
         self.reply(&note.route, ReplyEnd::Leaving, ClockSpan::ZERO)
     }
@@ -388,6 +403,7 @@
             rate_delay: load.rate_delay.millis(),
             waited: 0,
             crashed: false,
+            target_leaving: self.is_leaving(),
             retry_after: retry_after.millis(),
         };
         TargetReply { note, response: None }
