Log listings of the store with their era and revision

Seen: after the store was restored from a copy, no node applied the next configuration (CONFIG, DENIED).

The platform's store states the era of its history in all responses. The client decodes it, and a node that lists all keys logs era, revision, the revision that it knew, and the number of changes. No decision uses the era yet.

--- a/sidecar/src/follower.rs
+++ b/sidecar/src/follower.rs
@@ -280,7 +280,10 @@
         let listing = self.client.list(ALL_KEYS).await?;
         self.record_contact();
         let items = listing.items.into_iter().map(|(key, item)| (key, Some(item))).collect();
+        let known = lock(&self.state.view).revision();
         let changes = lock(&self.state.view).replace(listing.revision, items);
+        log::info!(era = listing.era, revision = listing.revision, known = known,
+            changes = changes.len(); "all keys read");
         self.apply(changes);
         Ok(())
     }
