Compare revisions of the store only within an era

Seen: after the store came back from a copy some seconds old, the next configuration was not active on any node. Each node listed all keys about every 45 ms for four seconds.

Cause: revisions were taken for a total order over the store's whole life. A restored store gives out revisions again. Nodes ignored its lower ones, and after it had passed the known revision again, a watch from there skipped what had been written at the reused ones. The same order decided between nodes of a data centre and between two entries of a target.

Fix: a position is an era and a revision, compared in this order, in views, between nodes and in entries. A watch answered by another era leads to one listing. It replaces the view; keys that are missing from the copy count as removed only 2 s later, since their writers write them again. Within an era revisions decide between two entries of a target. Between eras the target's own report number does, so that a copy does not bring back a target that has reported to be draining; an entry of a target that had disappeared is used only if it outlives the time in which a dead target's entry lapses. SyncNote and SyncAnswer change, so a new build is rolled out by data centre.

--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -34,5 +34,5 @@
 pub use slots::{
     AdmissionDecision, CallEnd, QueuedCall, SlotAction, SlotLoad, SlotQueue, SlotTicket,
 };
-pub use view::{StoreView, StoredItem, ViewChange};
+pub use view::{StorePosition, StoreView, StoredItem, ViewChange};
 pub use waits::CallerWaitEstimator;
--- a/routing/tests/plan.rs
+++ b/routing/tests/plan.rs
@@ -6,8 +6,8 @@
 use fescuestack_core::{ClockSpan, ClockTime};
 use fescuestack_routing::{
     AttemptEnd, CallParams, CallPlan, PlanStep, PriorityCounts, RateLimit, RequestKind,
-    RetryAllowance, RetryBudget, SlotLoad, TargetFeedback, TargetListing, TargetPicker,
-    TargetState,
+    RetryAllowance, RetryBudget, SlotLoad, StorePosition, TargetFeedback, TargetListing,
+    TargetPicker, TargetState,
 };
 
 const NOW: ClockTime = ClockTime::new(10_000);
@@ -37,7 +37,8 @@
         state: TargetState::Ready,
         cold_time_left: ClockSpan::ZERO,
         started_ms: 1,
-        revision: 1,
+        sequence: 1,
+        position: StorePosition { era: 0, revision: 1 },
     }
 }
 
--- a/routing/tests/state.rs
+++ b/routing/tests/state.rs
@@ -7,8 +7,9 @@
 use fescuestack_core::{ClockSpan, ClockTime, RequestFingerprint};
 use fescuestack_routing::{
     ClientLimits, CrashTracker, LinkHealth, LinkMonitor, LinkTimeouts, QUARANTINE_DURATION,
-    RequestKind, RouteRule, RouteTable, ServiceRule, SourceSelector, StoreView, StoredItem,
-    TargetListing, TargetRegistry, TargetState, ViewChange, ViewSource, VmSizes, WeightedService,
+    RequestKind, RouteRule, RouteTable, ServiceRule, SourceSelector, StorePosition, StoreView,
+    StoredItem, TargetListing, TargetRegistry, TargetState, ViewChange, ViewSource, VmSizes,
+    WeightedService,
 };
 use quickcheck::quickcheck;
 
@@ -82,21 +83,26 @@
         state: TargetState::Ready,
         cold_time_left: ClockSpan::ZERO,
         started_ms,
-        revision,
+        sequence: 1,
+        position: position(0, revision),
     }
 }
 
+fn position(era: u64, revision: u64) -> StorePosition {
+    StorePosition { era, revision }
+}
+
 /// Guards against an address that still resolves to its previous target.
 #[test]
 fn newest_entry_has_the_address() {
     let mut registry = TargetRegistry::new();
-    registry.insert(entry("old", 100, 9));
-    registry.insert(entry("new", 200, 5));
+    registry.insert(entry("old", 100, 9), NOW);
+    registry.insert(entry("new", 200, 5), NOW);
     let found = registry
         .find_by_address(SocketAddr::from(([10, 0, 0, 1], 80)))
         .expect("the registry has two entries");
     assert_eq!(&*found.id, "new");
-    assert!(!registry.insert(entry("new", 200, 4)), "an older revision replaced a newer one");
+    assert!(!registry.insert(entry("new", 200, 4), NOW), "an older revision replaced a newer one");
 }
 
 /// Guards against losing all targets when the store recovers from an outage without their entries,
@@ -104,13 +110,13 @@
 #[test]
 fn expiring_entries_may_return() {
     let mut registry = TargetRegistry::new();
-    registry.insert(entry("a", 1, 1));
-    registry.insert(entry("b", 1, 1));
+    registry.insert(entry("a", 1, 1), NOW);
+    registry.insert(entry("b", 1, 1), NOW);
     let until = NOW + ClockSpan::new(2_000);
     registry.expire_at("a", until);
     registry.expire_at("b", until);
     assert!(registry.remove_expired(NOW + ClockSpan::new(1_999)).is_empty());
-    registry.insert(entry("a", 1, 7));
+    registry.insert(entry("a", 1, 7), NOW);
     let gone = registry.remove_expired(until);
     assert_eq!(gone.iter().map(|entry| &*entry.id).collect::<Vec<_>>(), ["b"]);
     assert!(registry.get("a").is_some());
@@ -127,16 +133,91 @@
     assert!(view.write("k", item(5)).is_some());
     assert_eq!(view.write("k", item(4)), None);
     assert_eq!(view.remove("k", 4), None);
-    view.advance(9);
-    view.advance(7);
-    assert_eq!(view.revision(), 9);
-    let changes = view.replace(6, vec![("j".into(), Some(item(6)))]);
+    view.advance(position(0, 9));
+    view.advance(position(0, 7));
+    assert_eq!(view.position(), position(0, 9));
+    let changes = view.replace(position(0, 6), vec![("j".into(), Some(item(6)))]);
     assert!(changes.contains(&ViewChange::Removed("k".into())));
     view.write("late", item(8));
-    let changes = view.replace(7, Vec::new());
+    let changes = view.replace(position(0, 7), Vec::new());
     assert!(!changes.contains(&ViewChange::Removed("late".into())), "{changes:?}");
 }
 
+/// Guards against a view that compares revisions of two eras of the store, and against one that
+/// reverts to an earlier era.
+#[test]
+fn new_era_replaces_the_view() {
+    let mut view = StoreView::new();
+    view.write("kept", item(5));
+    view.write("changed", item(90));
+    view.write("lost", item(95));
+    view.advance(position(0, 99));
+    let kept = StoredItem { revision: 3, ..item(5) };
+    let listing = vec![("kept".into(), Some(kept)), ("changed".into(), Some(item(8)))];
+    let changes = view.replace(position(1, 10), listing);
+    assert_eq!(view.position(), position(1, 10));
+    let expected = [ViewChange::Written("changed".into()), ViewChange::Removed("lost".into())];
+    assert_eq!(changes, expected);
+    assert!(view.write("kept", item(11)).is_some(), "a reused revision is ignored");
+    assert_eq!(view.replace(position(0, 200), vec![("old".into(), Some(item(200)))]), []);
+    assert_eq!(view.position(), position(1, 10));
+}
+
+/// Entry as a restored store lists it.
+fn restored(entry: TargetListing, era: u64) -> TargetListing {
+    TargetListing { position: position(era, 1), ..entry }
+}
+
+/// Guards against a target that has reported to be draining and is used again, because the restored
+/// store holds its earlier entry, and against one that is not used after it reported anew.
+#[test]
+fn earlier_report_of_a_restored_store_is_ignored() {
+    let mut registry = TargetRegistry::new();
+    let ready = entry("a", 100, 5);
+    let draining = TargetListing { state: TargetState::Draining, sequence: 2, ..ready.clone() };
+    registry.insert(draining, NOW);
+    assert!(!registry.insert(restored(ready.clone(), 1), NOW), "the copy has been accepted");
+    assert_eq!(registry.get("a").map(|entry| entry.state), Some(TargetState::Draining));
+    registry.remove(NOW, "a");
+    assert!(!registry.insert(restored(ready.clone(), 2), NOW), "a second copy has been accepted");
+    assert!(registry.release_held(NOW + ClockSpan::new(60_000)).is_empty());
+    let restarted = TargetListing { started_ms: 200, ..restored(ready, 2) };
+    assert!(registry.insert(restarted, NOW), "a target that has started again is not used");
+}
+
+/// Guards against a target that has left without a word and is used again, because the restored
+/// store lists it, and against one that stays unused although it lives.
+#[test]
+fn departed_target_in_a_restored_store_is_held() {
+    let hold_until = NOW + ClockSpan::new(6_000);
+    for is_alive in [false, true] {
+        let mut registry = TargetRegistry::new();
+        registry.insert(entry("a", 100, 5), NOW);
+        registry.remove(NOW, "a");
+        assert!(!registry.insert(restored(entry("a", 100, 5), 1), hold_until));
+        assert!(registry.release_held(hold_until - ClockSpan::new(1)).is_empty());
+        if !is_alive {
+            registry.remove(NOW, "a");
+        }
+        assert_eq!(registry.release_held(hold_until).len(), usize::from(is_alive));
+        assert_eq!(registry.get("a").is_some(), is_alive);
+    }
+    let mut registry = TargetRegistry::new();
+    registry.insert(entry("a", 100, 5), NOW);
+    registry.remove(NOW, "a");
+    let later = TargetListing { sequence: 2, ..restored(entry("a", 100, 5), 1) };
+    assert!(registry.insert(later, hold_until), "a later report of the target is ignored");
+}
+
+/// Guards against a target that is kept out for good because its start time is unknown.
+#[test]
+fn entry_without_a_start_time_is_accepted_in_a_new_era() {
+    let mut registry = TargetRegistry::new();
+    let first = TargetListing { sequence: 7, ..entry("a", 0, 5) };
+    registry.insert(first, NOW);
+    assert!(registry.insert(restored(entry("a", 0, 5), 1), NOW));
+}
+
 quickcheck! {
     /// The latest write of each key is kept, whatever the order of arrival.
     fn newest_write_stays(writes: Vec<(u8, u16)>) -> bool {
--- a/sidecar/src/follower.rs
+++ b/sidecar/src/follower.rs
@@ -12,7 +12,10 @@
     CONFIG_KEY, StoreClient, StoreError, StoreEvent, TARGET_PREFIX, decode_config, decode_target,
     target_id,
 };
-use fescuestack_routing::{RetryAllowance, SourceSelector, TargetRegistry, ViewChange, ViewSource};
+use fescuestack_routing::{
+    RetryAllowance, SourceSelector, StorePosition, StoredItem, TargetRegistry, ViewChange,
+    ViewSource,
+};
 use futures_lite::future;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
@@ -73,6 +76,9 @@
 /// Shortest outage of the store after which removals of targets are deferred.
 const MIN_OUTAGE: ClockSpan = ClockSpan::new(1_000);
 
+/// Heartbeats of a target after which the platform has removed its entry: three, and one of margin.
+const MISSED_HEARTBEATS: u64 = 4;
+
 /// Prefix of all keys: the operators' configuration and the targets.
 const ALL_KEYS: &str = "";
 
@@ -140,13 +146,13 @@
                     self.has_full_view = true;
                     delay = MIN_RETRY_DELAY;
                 }
-                Err(StoreError::Compacted) if is_check => {
+                Err(err @ (StoreError::Compacted | StoreError::Restored)) if is_check => {
                     // The next source has the content; listing all keys on each follower at the
                     // same time would saturate the links of small VMs.
-                    log::info!("708 the store has discarded its history");
+                    log::info!("{err}");
                 }
-                Err(StoreError::Compacted) => {
-                    log::info!("708 the store has discarded its history, reading all keys");
+                Err(err @ (StoreError::Compacted | StoreError::Restored)) => {
+                    log::info!("{err}, reading all keys");
                     self.record_contact();
                     self.has_full_view = false;
                 }
@@ -268,7 +274,7 @@
 
     fn sync_note(&self, wait: ClockSpan) -> SyncNote {
         SyncNote {
-            after: lock(&self.state.view).revision(),
+            after: lock(&self.state.view).position(),
             wait: wait.millis(),
             vm: self.state.settings.load().target.ip(),
             small: self.state.is_small(),
@@ -280,17 +286,31 @@
         let listing = self.client.list(ALL_KEYS).await?;
         self.record_contact();
         let items = listing.items.into_iter().map(|(key, item)| (key, Some(item))).collect();
-        let known = lock(&self.state.view).revision();
-        let changes = lock(&self.state.view).replace(listing.revision, items);
-        log::info!(era = listing.era, revision = listing.revision, known = known,
-            changes = changes.len(); "all keys read");
+        let changes = self.replace_view(listing.position, items);
         self.apply(changes);
         Ok(())
     }
 
-    /// Reads the changes since the own revision once, in place of a source that was excluded.
+    /// Applies a listing of all keys to the view. Targets that are missing from the copy with which a
+    /// new era begins are kept for a moment, since they write their entries again.
+    fn replace_view(
+        &mut self,
+        position: StorePosition,
+        items: Vec<(Arc<str>, Option<StoredItem>)>,
+    ) -> Vec<ViewChange> {
+        let known = lock(&self.state.view).position();
+        if known != StorePosition::default() && position.era > known.era {
+            self.state.defer_removals_until(self.state.clock.now() + REMOVAL_DELAY);
+        }
+        let changes = lock(&self.state.view).replace(position, items);
+        log::info!(era = position.era, revision = position.revision, known_era = known.era,
+            known_revision = known.revision, changes = changes.len(); "all keys received");
+        changes
+    }
+
+    /// Reads the changes since the own position once, in place of a source that was excluded.
     async fn check_store(&mut self) -> Result<(), StoreError> {
-        let after = lock(&self.state.view).revision();
+        let after = lock(&self.state.view).position();
         let (events, at) = self.client.watch(ALL_KEYS, after, ClockSpan::ZERO).await?;
         self.record_contact();
         self.apply_events(events, at);
@@ -298,12 +318,12 @@
     }
 
     async fn watch(&mut self) -> Result<(), StoreError> {
-        let after = lock(&self.state.view).revision();
+        let after = lock(&self.state.view).position();
         let timeout = if self.is_alone() { LONE_WATCH_TIMEOUT } else { self.watch_timeout };
         let watch = self.client.watch(ALL_KEYS, after, timeout);
         let hedge = async {
             task::sleep(Duration::from_millis((timeout + WATCH_HEDGE_DELAY).millis())).await;
-            log::debug!(revision = after; "watch has timed out, querying the store again");
+            log::debug!(revision = after.revision; "watch has timed out, querying the store again");
             self.client.watch(ALL_KEYS, after, ClockSpan::ZERO).await
         };
         let (events, at) = future::or(watch, hedge).await?;
@@ -319,8 +339,8 @@
         Ok(())
     }
 
-    /// Applies the changes up to the revision `at`. Returns whether there were any.
-    fn apply_events(&mut self, events: Vec<StoreEvent>, at: u64) -> bool {
+    /// Applies the changes up to the position `at`. Returns whether there were any.
+    fn apply_events(&mut self, events: Vec<StoreEvent>, at: StorePosition) -> bool {
         let changes = {
             let mut view = lock(&self.state.view);
             let mut changes = Vec::new();
@@ -401,15 +421,12 @@
         lock(&self.state.vm_sizes).merge(answer.sizes);
         let Some(items) = answer.items else { return };
         let at = answer.at;
-        let changes = {
-            let mut view = lock(&self.state.view);
-            if at <= view.revision() {
-                return;
-            }
-            view.replace(at, items.into_iter().map(SyncItem::into_item).collect())
-        };
+        if at <= lock(&self.state.view).position() {
+            return;
+        }
+        let items = items.into_iter().map(SyncItem::into_item).collect();
+        let changes = self.replace_view(at, items);
         self.has_full_view = true;
-        log::debug!(revision = at, changes = changes.len(); "store content received from a node");
         self.apply(changes);
     }
 
@@ -457,6 +474,11 @@
         self.update_target();
     }
 
+    /// Version of the active configuration, or 0.
+    fn active_version(&self) -> u64 {
+        self.state.routes.load().as_ref().map_or(0, |routes| routes.version)
+    }
+
     fn apply_config(&self) {
         let Some(item) = lock(&self.state.view).get(CONFIG_KEY).cloned() else { return };
         let routes = match decode_config(&item.value) {
@@ -466,7 +488,7 @@
                 return;
             }
         };
-        let active = self.state.routes.load().as_ref().map_or(0, |routes| routes.version);
+        let active = self.active_version();
         if routes.version <= active {
             log::warn!(version = routes.version, active = active; "ignoring older configuration");
             return;
@@ -479,7 +501,9 @@
     fn apply_target(&mut self, key: &str) {
         let Some(id) = target_id(key) else { return };
         let Some(item) = lock(&self.state.view).get(key).cloned() else { return };
-        let entry = match decode_target(id, item.revision, &item.value) {
+        let era = lock(&self.state.view).position().era;
+        let position = StorePosition { era, revision: item.revision };
+        let entry = match decode_target(id, position, &item.value) {
             Ok(entry) => entry,
             Err(err) => {
                 log::warn!(target = id, revision = item.revision; "ignoring invalid target: {err}");
@@ -492,13 +516,20 @@
             // The address may have belonged to a VM of another size.
             lock(&self.state.vm_sizes).remove(vm);
         }
-        if self.registry.insert(entry.clone()) {
+        let hold_until = now + self.entry_lifetime();
+        if self.registry.insert(entry.clone(), hold_until) {
             log::info!(target = id, service = &*entry.service, state = format!("{:?}", entry.state).as_str(),
-                revision = item.revision; "target listed");
+                revision = item.revision, sequence = entry.sequence; "target listed");
             lock(&self.state.routing).picker.insert(now, &entry);
         }
     }
 
+    /// Time after which the entry of a target that does not renew it has disappeared.
+    fn entry_lifetime(&self) -> ClockSpan {
+        let heartbeat = self.state.settings.load().heartbeat.millis();
+        ClockSpan::new(heartbeat * MISSED_HEARTBEATS)
+    }
+
     fn remove_target(&mut self, key: &str) {
         let Some(id) = target_id(key) else { return };
         let until = self.state.removals_deferred_until();
@@ -506,7 +537,7 @@
             self.registry.expire_at(id, until);
             return;
         }
-        if self.registry.remove(id).is_some() {
+        if self.registry.remove(self.state.clock.now(), id).is_some() {
             self.remove_from_picker(id);
         }
     }
@@ -517,7 +548,12 @@
         for entry in &gone {
             self.remove_from_picker(&entry.id);
         }
-        if !gone.is_empty() {
+        let released = self.registry.release_held(now);
+        for entry in &released {
+            log::info!(target = &*entry.id; "target is listed and renewed, using it again");
+            lock(&self.state.routing).picker.insert(now, entry);
+        }
+        if !gone.is_empty() || !released.is_empty() {
             self.update_target();
         }
     }
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -14,8 +14,8 @@
 use fescuestack_operators::{MetricsError, NodeMetrics, RecentCalls};
 use fescuestack_platform::SidecarSettings;
 use fescuestack_routing::{
-    CallerWaitEstimator, CrashTracker, RetryAllowance, RetryBudget, RouteTable, StoreView,
-    TargetPicker, VmSizes, is_small_vm,
+    CallerWaitEstimator, CrashTracker, RetryAllowance, RetryBudget, RouteTable, StorePosition,
+    StoreView, TargetPicker, VmSizes, is_small_vm,
 };
 use http_body_util::Full;
 use rustc_hash::{FxHashMap, FxHasher};
@@ -76,10 +76,10 @@
 
 /// Encoded content of the store, as it was sent to another node.
 pub(crate) struct EncodedContent {
-    /// Revision that the receiving node had.
-    pub(crate) after: u64,
-    /// Revision of the content.
-    pub(crate) at: u64,
+    /// Position that the receiving node had.
+    pub(crate) after: StorePosition,
+    /// Position of the content.
+    pub(crate) at: StorePosition,
     pub(crate) body: Full<Bytes>,
 }
 
--- a/sidecar/src/note.rs
+++ b/sidecar/src/note.rs
@@ -6,7 +6,7 @@
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD_NO_PAD;
 use fescuestack_core::{ClockSpan, RequestFingerprint};
-use fescuestack_routing::{PriorityCounts, RateLimit, SlotLoad};
+use fescuestack_routing::{PriorityCounts, RateLimit, SlotLoad, StorePosition};
 use http::{HeaderMap, HeaderName, HeaderValue};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -171,8 +171,8 @@
 /// Request for the store's content. The response is delayed until there is a newer revision.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct SyncNote {
-    /// Latest revision of the store that the requesting node has.
-    pub(crate) after: u64,
+    /// Latest position of the store that the requesting node has.
+    pub(crate) after: StorePosition,
     /// Longest delay of the response, in ms.
     pub(crate) wait: u64,
     /// VM of the requesting node.
--- a/sidecar/src/sync.rs
+++ b/sidecar/src/sync.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use fescuestack_core::ClockSpan;
 use fescuestack_http::{lock, within};
-use fescuestack_routing::StoredItem;
+use fescuestack_routing::{StorePosition, StoredItem};
 use http::{Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use serde::{Deserialize, Serialize};
@@ -26,8 +26,8 @@
 /// The store's content as another node knows it.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct SyncAnswer {
-    /// Revision of the store up to which the content is complete.
-    pub(crate) at: u64,
+    /// Position of the store up to which the content is complete.
+    pub(crate) at: StorePosition,
     /// Time since the store confirmed this content, in ms. `None` if the node has lost contact.
     pub(crate) age: Option<u64>,
     /// Digest of the VM sizes that the node knows.
@@ -37,7 +37,7 @@
     /// Time in ms for which removals of targets are still deferred, because missing entries may
     /// return.
     pub(crate) lapse: u64,
-    /// All keys of the store, if the node knows a newer revision than the request.
+    /// All keys of the store, if the node knows a later position than the request.
     pub(crate) items: Option<Vec<SyncItem>>,
 }
 
@@ -46,7 +46,7 @@
 pub(crate) struct SyncItem {
     pub(crate) key: Arc<str>,
     pub(crate) revision: u64,
-    /// The value, if it was written after the requested revision.
+    /// The value, if it was written after the requested position.
     pub(crate) value: Option<Vec<u8>>,
 }
 
@@ -59,7 +59,7 @@
     }
 }
 
-/// Responds as soon as there is a newer revision than requested, or when this node loses contact
+/// Responds as soon as there is a later position than requested, or when this node loses contact
 /// with the store. `body` holds the VM sizes of the requesting node, or is empty.
 pub(crate) async fn serve_sync(state: &NodeState, note: SyncNote, body: &[u8]) -> FullResponse {
     lock(&state.vm_sizes).set(note.vm, note.small);
@@ -76,7 +76,7 @@
     let changed = async {
         loop {
             let listener = state.view_changed.listen();
-            if lock(&state.view).revision() > note.after || state.view_age().is_none() {
+            if lock(&state.view).position() > note.after || state.view_age().is_none() {
                 return;
             }
             listener.await;
@@ -114,25 +114,26 @@
     let after = note.after;
     let view = lock(&state.view);
     let sizes = lock(&state.vm_sizes);
+    let at = view.position();
     let item = |(key, item): (&Arc<str>, &StoredItem)| SyncItem {
         key: key.clone(),
         revision: item.revision,
-        value: (item.revision > after).then(|| item.value.to_vec()),
+        value: (at.era != after.era || item.revision > after.revision).then(|| item.value.to_vec()),
     };
     SyncAnswer {
-        at: view.revision(),
+        at,
         age: state.view_age().filter(|_| !state.is_stopping()).map(ClockSpan::millis),
         digest: sizes.digest(),
-        sizes: match view.revision() > after || sizes.digest() != note.sizes {
+        sizes: match at > after || sizes.digest() != note.sizes {
             true => sizes.iter().collect(),
             false => Vec::new(),
         },
         lapse: state.removals_deferred_until().since(state.clock.now()).millis(),
-        items: (view.revision() > after).then(|| view.iter().map(item).collect()),
+        items: (at > after).then(|| view.iter().map(item).collect()),
     }
 }
 
-/// Requests what the store holds after a revision from the node on `vm`, and sends it `sizes`.
+/// Requests what the store holds after a position from the node on `vm`, and sends it `sizes`.
 /// Returns `None` if the node cannot be reached, which its link reports, or if its response cannot
 /// be used.
 pub(crate) async fn request_sync(
