--- a/sidecar/src/follower.rs
+++ b/sidecar/src/follower.rs
@@ -287,6 +287,8 @@
         self.record_contact();
         let items = listing.items.into_iter().map(|(key, item)| (key, Some(item))).collect();
         let changes = self.replace_view(listing.position, items);
+        log::info!(era = listing.position.era, revision = listing.position.revision,
+            changes = changes.len(); "all keys read");
         self.apply(changes);
         Ok(())
     }
@@ -303,8 +305,11 @@
             self.state.defer_removals_until(self.state.clock.now() + REMOVAL_DELAY);
         }
         let changes = lock(&self.state.view).replace(position, items);
-        log::info!(era = position.era, revision = position.revision, known_era = known.era,
-            known_revision = known.revision, changes = changes.len(); "all keys received");
+        if position.era != known.era {
+            log::info!(era = position.era, revision = position.revision, known_era = known.era,
+                known_revision = known.revision, changes = changes.len();
+                "the store's content is of a new era");
+        }
         changes
     }
 
@@ -427,6 +432,8 @@
         let items = items.into_iter().map(SyncItem::into_item).collect();
         let changes = self.replace_view(at, items);
         self.has_full_view = true;
+        log::debug!(era = at.era, revision = at.revision, changes = changes.len();
+            "store content received from a node");
         self.apply(changes);
     }
 
