Pass the active configuration to nodes that read an older one

Seen: a node that starts after the store was restored from a copy reads the older configuration that the copy holds. It answers 404 to a route that all other nodes serve, until the operators write their configuration again.

Cause: nodes pass on only what the store holds. The active configuration of the others is newer than that, and their view no longer has it.

Evidence: node_that_starts_after_the_restore_gets_the_active_configuration failed before (version 1 instead of 2) and passes now.

Fix: a request for the store's content states the version of the requester's configuration; the response carries the active one if it is newer and the store holds another. It is decoded and compared by version like any other, so no node can be taken back to an older one.

--- a/sidecar/src/follower.rs
+++ b/sidecar/src/follower.rs
@@ -9,8 +9,7 @@
 use fescuestack_core::{ClockSpan, ClockTime};
 use fescuestack_http::{lock, within};
 use fescuestack_platform::{
-    CONFIG_KEY, StoreClient, StoreError, StoreEvent, TARGET_PREFIX, decode_config, decode_target,
-    target_id,
+    CONFIG_KEY, StoreClient, StoreError, StoreEvent, TARGET_PREFIX, decode_target, target_id,
 };
 use fescuestack_routing::{
     RetryAllowance, SourceSelector, StorePosition, StoredItem, TargetRegistry, ViewChange,
@@ -248,7 +247,7 @@
         }
     }
 
-    /// Exchanges VM sizes with a VM of unknown size. A node that reads the store requests nothing
+    /// Exchanges VM sizes with a VM of unknown size, and receives its configuration if it is newer. A node that reads the store requests nothing
     /// from other nodes, which would otherwise never learn its size.
     fn exchange_sizes(&mut self) {
         let settings = self.state.settings.load();
@@ -268,6 +267,9 @@
                 within(PEER_SYNC_TIMEOUT, request_sync(&state, vm, true, note, sizes)).await;
             if let Some(Some(answer)) = reply {
                 lock(&state.vm_sizes).merge(answer.sizes);
+                if let Some(value) = answer.config {
+                    state.activate_config(&value.into(), answer.at.revision);
+                }
             }
         });
     }
@@ -275,6 +277,7 @@
     fn sync_note(&self, wait: ClockSpan) -> SyncNote {
         SyncNote {
             after: lock(&self.state.view).position(),
+            version: self.state.active_version(),
             wait: wait.millis(),
             vm: self.state.settings.load().target.ip(),
             small: self.state.is_small(),
@@ -424,6 +427,9 @@
     fn apply_sync_answer(&mut self, answer: SyncAnswer) {
         self.state.defer_removals_until(self.state.clock.now() + ClockSpan::new(answer.lapse));
         lock(&self.state.vm_sizes).merge(answer.sizes);
+        if let Some(value) = answer.config {
+            self.state.activate_config(&value.into(), answer.at.revision);
+        }
         let Some(items) = answer.items else { return };
         let at = answer.at;
         if at <= lock(&self.state.view).position() {
@@ -481,28 +487,11 @@
         self.update_target();
     }
 
-    /// Version of the active configuration, or 0.
-    fn active_version(&self) -> u64 {
-        self.state.routes.load().as_ref().map_or(0, |routes| routes.version)
-    }
-
     fn apply_config(&self) {
-        let Some(item) = lock(&self.state.view).get(CONFIG_KEY).cloned() else { return };
-        let routes = match decode_config(&item.value) {
-            Ok(routes) => routes,
-            Err(err) => {
-                log::warn!(revision = item.revision; "cannot use configuration: {err}");
-                return;
-            }
-        };
-        let active = self.active_version();
-        if routes.version <= active {
-            log::warn!(version = routes.version, active = active; "ignoring older configuration");
-            return;
+        let item = lock(&self.state.view).get(CONFIG_KEY).cloned();
+        if let Some(item) = item {
+            self.state.activate_config(&item.value, item.revision);
         }
-        log::info!(version = routes.version, routes = routes.route_count(),
-            revision = item.revision; "configuration active");
-        self.state.routes.store(Some(Arc::new(routes)));
     }
 
     fn apply_target(&mut self, key: &str) {
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -12,7 +12,7 @@
 use fescuestack_core::{ClockSpan, ClockTime};
 use fescuestack_http::{ByteBudget, CallClock, lock};
 use fescuestack_operators::{MetricsError, NodeMetrics, RecentCalls};
-use fescuestack_platform::SidecarSettings;
+use fescuestack_platform::{SidecarSettings, decode_config};
 use fescuestack_routing::{
     CallerWaitEstimator, CrashTracker, RetryAllowance, RetryBudget, RouteTable, StorePosition,
     StoreView, TargetPicker, VmSizes, is_small_vm,
@@ -38,6 +38,8 @@
     pub(crate) clock: CallClock,
     /// The active configuration.
     pub(crate) routes: ArcSwapOption<RouteTable>,
+    /// The active configuration as the platform encodes it. A restored store may hold an older one.
+    config_value: Mutex<Arc<[u8]>>,
     pub(crate) routing: Mutex<RoutingState>,
     pub(crate) local_target: Arc<LocalTarget>,
     pub(crate) links: Arc<LinkTable>,
@@ -123,6 +125,7 @@
             settings: ArcSwap::from_pointee(settings),
             clock,
             routes: ArcSwapOption::empty(),
+            config_value: Mutex::new(Arc::from([])),
             routing: Mutex::new(routing),
             local_target,
             links,
@@ -201,6 +204,39 @@
         self.removals_deferred_until.fetch_max(until.millis(), Ordering::AcqRel);
     }
 
+    /// Returns the version of the active configuration, or 0.
+    pub(crate) fn active_version(&self) -> u64 {
+        self.routes.load().as_ref().map_or(0, |routes| routes.version)
+    }
+
+    /// Returns the value of the active configuration.
+    pub(crate) fn config_value(&self) -> Arc<[u8]> {
+        lock(&self.config_value).clone()
+    }
+
+    /// Activates a configuration, which the store holds or another node has sent, if it is valid and
+    /// newer than the active one. `revision` is that of the store when it was read.
+    pub(crate) fn activate_config(&self, value: &Arc<[u8]>, revision: u64) {
+        let routes = match decode_config(value) {
+            Ok(routes) => routes,
+            Err(err) => {
+                log::warn!(revision = revision; "cannot use configuration: {err}");
+                return;
+            }
+        };
+        // Held until the configuration is active: two tasks may receive different versions.
+        let mut active_value = lock(&self.config_value);
+        let active = self.active_version();
+        if routes.version <= active {
+            log::warn!(version = routes.version, active = active; "ignoring older configuration");
+            return;
+        }
+        log::info!(version = routes.version, routes = routes.route_count(),
+            revision = revision; "configuration active");
+        *active_value = value.clone();
+        self.routes.store(Some(Arc::new(routes)));
+    }
+
     /// Whether the VM is small, so that other nodes prefer to follow larger ones.
     pub(crate) fn is_small(&self) -> bool {
         let settings = self.settings.load();
--- a/sidecar/src/note.rs
+++ b/sidecar/src/note.rs
@@ -173,6 +173,8 @@
 pub(crate) struct SyncNote {
     /// Latest position of the store that the requesting node has.
     pub(crate) after: StorePosition,
+    /// Version of the active configuration of the requesting node, or 0.
+    pub(crate) version: u64,
     /// Longest delay of the response, in ms.
     pub(crate) wait: u64,
     /// VM of the requesting node.
--- a/sidecar/src/sync.rs
+++ b/sidecar/src/sync.rs
@@ -7,7 +7,8 @@
 use bytes::Bytes;
 use fescuestack_core::ClockSpan;
 use fescuestack_http::{lock, within};
-use fescuestack_routing::{StorePosition, StoredItem};
+use fescuestack_platform::CONFIG_KEY;
+use fescuestack_routing::{StorePosition, StoreView, StoredItem};
 use http::{Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use serde::{Deserialize, Serialize};
@@ -37,6 +38,9 @@
     /// Time in ms for which removals of targets are still deferred, because missing entries may
     /// return.
     pub(crate) lapse: u64,
+    /// Value of the node's active configuration, if it is newer than that of the requesting node and
+    /// the store holds an older one.
+    pub(crate) config: Option<Vec<u8>>,
     /// All keys of the store, if the node knows a later position than the request.
     pub(crate) items: Option<Vec<SyncItem>>,
 }
@@ -84,7 +88,7 @@
     };
     within(timeout, changed).await;
     let answer = build_answer(state, note);
-    if answer.items.is_none() {
+    if answer.items.is_none() || answer.config.is_some() {
         return encode_response(&answer);
     }
     // Most followers request the same revisions, and compression takes most of the time.
@@ -129,10 +133,22 @@
             false => Vec::new(),
         },
         lapse: state.removals_deferred_until().since(state.clock.now()).millis(),
+        config: newer_config(state, &view, note.version),
         items: (at > after).then(|| view.iter().map(item).collect()),
     }
 }
 
+/// Returns the value of the active configuration if it is newer than `version` and the store holds
+/// another one.
+fn newer_config(state: &NodeState, view: &StoreView, version: u64) -> Option<Vec<u8>> {
+    if state.active_version() <= version {
+        return None;
+    }
+    let active = state.config_value();
+    let is_stored = view.get(CONFIG_KEY).is_some_and(|item| item.value == active);
+    (!is_stored).then(|| active.to_vec())
+}
+
 /// Requests what the store holds after a position from the node on `vm`, and sends it `sizes`.
 /// Returns `None` if the node cannot be reached, which its link reports, or if its response cannot
 /// be used.
--- a/sidecar/tests/mesh/mod.rs
+++ b/sidecar/tests/mesh/mod.rs
@@ -42,6 +42,11 @@
 pub struct Mesh {
     pub store: StandinStore,
     pub nodes: Vec<MeshNode>,
+    /// Third octet of the VMs' addresses.
+    number: u8,
+    application_port: u16,
+    /// Ports of each node.
+    ports: [u16; 3],
 }
 
 impl Mesh {
@@ -58,56 +63,14 @@
 
     /// Starts a node for each service, on a VM whose link has the given Mbit/s.
     pub async fn start_on(vms: &[(&str, f64)]) -> Mesh {
-        let mesh = NEXT_MESH.fetch_add(1, Ordering::Relaxed);
         let store = StandinStore::start().await.expect("a free port");
         let [application_port, ports @ ..] = free_ports::<4>().expect("free ports");
         store.put(CONFIG_KEY, config(1, &[("/a/", "alpha"), ("/b/", "beta")]));
-        let mut nodes = Vec::new();
-        for (index, (service, link_mbps)) in vms.iter().enumerate() {
-            let host = index as u8 + 1;
-            let vm = IpAddr::from([127, (std::process::id() % 200) as u8 + 1, mesh, host]);
-            let id = format!("t{host}");
-            let application = StandinApplication::start(&id, SocketAddr::new(vm, application_port))
-                .await
-                .expect("a loopback address");
-            let record = TargetRecord::new(application.address(), service);
-            store.put(&target_key(&id), record.value());
-            let node_store = store.with_new_address().await.expect("a free port");
-            let settings = SettingsEntry {
-                vm,
-                ports,
-                service,
-                target: application.address(),
-                store: node_store.address(),
-                link_mbps: *link_mbps,
-                grace_s: 6,
-            };
-            let path = std::env::temp_dir()
-                .join(format!("fescuestack-{}-{mesh}-{host}.json", std::process::id()));
-            std::fs::write(&path, settings.value().to_string()).expect("a writable directory");
-            let (stop, stopping) = async_channel::bounded(1);
-            let node = SidecarNode::start(path.clone()).await.expect("free addresses");
-            let task = task::spawn(async move {
-                let stop = move || {
-                    let stopping = stopping.clone();
-                    async move {
-                        let _ = stopping.recv().await;
-                    }
-                };
-                node.run(stop, std::future::pending).await;
-            });
-            let node_task = Some(task);
-            nodes.push(MeshNode {
-                vm,
-                store: node_store,
-                application,
-                ports,
-                settings: path,
-                stop,
-                node_task,
-            });
+        let number = NEXT_MESH.fetch_add(1, Ordering::Relaxed);
+        let mut mesh = Mesh { store, nodes: Vec::new(), number, application_port, ports };
+        for (service, link_mbps) in vms {
+            mesh.add_node(service, *link_mbps).await;
         }
-        let mesh = Mesh { store, nodes };
         for index in 0..mesh.nodes.len() {
             eventually("the node is ready", async || mesh.is_ready(index).await).await;
             // A node that received a request before it listened counts as unreachable for a moment.
@@ -120,6 +83,57 @@
         mesh
     }
 
+    /// Starts a further node, on a VM of its own whose link has `link_mbps` Mbit/s, and lists its
+    /// target. Returns at once.
+    pub async fn add_node(&mut self, service: &str, link_mbps: f64) {
+        let host = self.nodes.len() as u8 + 1;
+        let vm = IpAddr::from([127, (std::process::id() % 200) as u8 + 1, self.number, host]);
+        let id = format!("t{host}");
+        let application =
+            StandinApplication::start(&id, SocketAddr::new(vm, self.application_port))
+                .await
+                .expect("a loopback address");
+        let record = TargetRecord::new(application.address(), service);
+        self.store.put(&target_key(&id), record.value());
+        let store = self.store.with_new_address().await.expect("a free port");
+        let settings = SettingsEntry {
+            vm,
+            ports: self.ports,
+            service,
+            target: application.address(),
+            store: store.address(),
+            link_mbps,
+            grace_s: 6,
+        };
+        let path = std::env::temp_dir().join(format!(
+            "fescuestack-{}-{}-{host}.json",
+            std::process::id(),
+            self.number
+        ));
+        std::fs::write(&path, settings.value().to_string()).expect("a writable directory");
+        let (stop, stopping) = async_channel::bounded(1);
+        let node = SidecarNode::start(path.clone()).await.expect("free addresses");
+        let task = task::spawn(async move {
+            let stop = move || {
+                let stopping = stopping.clone();
+                async move {
+                    let _ = stopping.recv().await;
+                }
+            };
+            node.run(stop, std::future::pending).await;
+        });
+        let (ports, node_task) = (self.ports, Some(task));
+        self.nodes.push(MeshNode {
+            vm,
+            store,
+            application,
+            ports,
+            settings: path,
+            stop,
+            node_task,
+        });
+    }
+
     /// Sends a request to a node and reads the response.
     pub async fn send(
         &self,
--- a/sidecar/tests/restore.rs
+++ b/sidecar/tests/restore.rs
@@ -157,3 +157,21 @@
         serves(Duration::from_millis(2_500)).await;
     });
 }
+
+/// Guards against a node that starts after the restore, reads an older configuration from the store
+/// and does not serve a route that all other nodes serve.
+#[test]
+fn node_that_starts_after_the_restore_gets_the_active_configuration() {
+    task::block_on(async {
+        let mut mesh = Mesh::start(&["alpha", "beta"]).await;
+        let copy = mesh.store.copy();
+        mesh.store.put(CONFIG_KEY, config(2, &[("/b/", "beta"), ("/new/", "beta")]));
+        mesh.eventually_served(0, "/new/").await;
+        restore(&mesh.store, copy).await;
+        task::sleep(SETTLE_TIME).await;
+        mesh.add_node("beta", 1_000.0).await;
+        eventually("the node has a configuration", async || mesh.is_ready(2).await).await;
+        task::sleep(CONFIG_APPLY_LIMIT).await;
+        assert_version(&mesh, 2).await;
+    });
+}
