Test repeated refusals and heads that break off

Seen: reported by other operators: a target's refusal, written once more on a kept connection, told a client that its running request had not run; a head that broke off reached a client as an empty success.

Neither can happen here. A response whose request id differs is skipped, one without an id ends the exchange as lost, and a head counts only with its empty line. repeated_refusal_is_skipped plays a refusal that is repeated once, twice, alone and without its id; head_that_breaks_off_is_no_response and head_that_breaks_off_is_an_error cut responses after each byte, for targets of the platform and of the project's own form.

--- a/http/tests/client.rs
+++ b/http/tests/client.rs
@@ -95,6 +95,21 @@
     })
 }
 
+/// Guards against a response whose head breaks off and that is taken for a complete one.
+#[test]
+fn head_that_breaks_off_is_an_error() {
+    const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\nx: y\r\ncontent-length: 2\r\n\r\nok";
+    let head_length = RESPONSE.len() - 2;
+    task::block_on(async {
+        for length in 1..head_length {
+            let parts: &'static [&'static [u8]] = vec![&RESPONSE[..length]].leak();
+            let mut connection = open(start(parts, true).await).await;
+            let outcome = connection.send(request(Method::Get)).await;
+            assert!(outcome.is_err(), "complete after {length} bytes: {outcome:?}");
+        }
+    })
+}
+
 /// Guards against ambiguous responses. Plain `async-h1` uses the last of two lengths and reads no
 /// body if there is no length.
 #[test]
--- a/http/tests/exchange.rs
+++ b/http/tests/exchange.rs
@@ -120,6 +120,66 @@
     });
 }
 
+/// Guards against taking the repeated refusal of an earlier request for the response to the next one,
+/// which the server is executing.
+#[test]
+fn repeated_refusal_is_skipped() {
+    const REFUSAL: &[u8] =
+        b"HTTP/1.1 503 Busy\r\nid: 1\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+    const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nid: 2\r\ncontent-length: 3\r\n\r\ntwo";
+    const UNTAGGED: &[u8] = b"HTTP/1.1 503 Busy\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+    // The bytes after the second request, and whether they hold its response.
+    let scripts: [(&[&'static [u8]], bool); 4] = [
+        (&[REFUSAL, ANSWER], true),
+        (&[REFUSAL, REFUSAL, ANSWER], true),
+        (&[REFUSAL], false),
+        (&[UNTAGGED, ANSWER], false),
+    ];
+    for (pieces, is_answered) in scripts {
+        task::block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+            let address = listener.local_addr().expect("a bound port");
+            let pieces = pieces.to_vec();
+            task::spawn(async move {
+                let (mut stream, _) = listener.accept().await.expect("a client");
+                let mut buffer = [0; 4096];
+                for response in [vec![REFUSAL], pieces] {
+                    stream.read(&mut buffer).await.expect("a request");
+                    for piece in response {
+                        // Later pieces than the client may abandon the connection at are lost.
+                        let _ = stream.write_all(piece).await;
+                        task::sleep(Duration::from_millis(20)).await;
+                    }
+                }
+            });
+            let mut connection = ExchangeConnection::open(address, LIMIT).await.expect("a server");
+            assert_eq!(send(&mut connection, "1").await.expect("a refusal").status, 503);
+            match send(&mut connection, "2").await {
+                Ok(response) => assert!(is_answered && response.status == 200, "{response:?}"),
+                Err(err) => assert!(!is_answered, "{err}"),
+            }
+        });
+    }
+}
+
+/// Guards against a response whose head breaks off and that reaches the caller as a complete one.
+#[test]
+fn head_that_breaks_off_is_no_response() {
+    let responses: [&'static [u8]; 3] = [
+        b"HTTP/1.1 200 OK\r\nid: 1\r\nsignature: s\r\ncontent-length: 12\r\n\r\nwhole answer",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 12\r\nid: 1\r\nsignature: s\r\n\r\nwhole answer",
+        b"HTTP/1.1 200 OK\r\nid: 1\r\nsignature: s\r\ntransfer-encoding: chunked\r\n\r\n\
+            c\r\nwhole answer\r\n0\r\n\r\n",
+    ];
+    for response in responses {
+        for length in 0..response.len() {
+            let outcome = one_exchange(&response[..length]);
+            assert!(outcome.is_err(), "complete after {length} bytes: {outcome:?}");
+        }
+        assert_eq!(&one_exchange(response).expect("a response").body[..], b"whole answer");
+    }
+}
+
 /// Guards against reusing a connection after unexpected bytes, or one that the server closes after
 /// its response.
 #[test]
