Test odd entries of targets through real nodes

Seen: reported by other operators, not here: an odd entry among those of the targets ended the machines that read the list, or their following of it.

entries_of_other_writers_are_ignored now also writes entries that are nested 100,000 levels deep, with numbers that are too large, with ports out of range and with an id that is no header value.

--- a/sidecar/tests/store.rs
+++ b/sidecar/tests/store.rs
@@ -2,10 +2,11 @@
 
 mod mesh;
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use async_std::task;
-use fescuestack_platform_standin::{CONFIG_KEY, StoreMode, target_key};
+use fescuestack_platform_standin::{CONFIG_KEY, StoreMode, TargetRecord, target_key};
 
 use mesh::{Mesh, TestCall, config, eventually};
 
@@ -182,7 +183,8 @@
     });
 }
 
-/// Guards against invalid entries in the store that prevent the use of valid ones.
+/// Guards against invalid entries in the store that prevent the use of valid ones, or end the nodes'
+/// following of the store.
 #[test]
 fn entries_of_other_writers_are_ignored() {
     task::block_on(async {
@@ -194,6 +196,24 @@
         ].iter().enumerate() {
             mesh.store.put(&target_key(&format!("forged-{index}")), *value);
         }
+        let valid = TargetRecord::new(SocketAddr::from(([127, 0, 0, 1], 1)), "beta").value();
+        let nested = format!("{}{}", "{\"a\":[".repeat(50_000), "]}".repeat(50_000));
+        for (index, (text, replacement)) in [
+            ("\"127.0.0.1:1\"", "\"127.0.0.1:70000\""),
+            ("\"127.0.0.1:1\"", "\"127.0.0.1:0\""),
+            ("\"beta\"", nested.as_str()),
+            ("\"capacity\":4", "\"capacity\":1e400"),
+            ("\"sequence\":1", "\"sequence\":99999999999999999999"),
+            ("\"warmup_left_s\":0", nested.as_str()),
+        ]
+        .into_iter()
+        .enumerate()
+        {
+            assert!(valid.contains(text), "{text} is not in {valid}");
+            let odd = valid.replacen(text, replacement, 1);
+            mesh.store.put(&target_key(&format!("odd-{index}")), odd);
+        }
+        mesh.store.put(&target_key("odd\u{7f}id"), valid);
         mesh.store.put(&target_key(""), "x");
         mesh.store.put("other/key", vec![0xff, 0xfe]);
         task::sleep(Duration::from_millis(400)).await;
@@ -201,6 +221,11 @@
             let response = mesh.send(0, &TestCall::get(&format!("f{index}"), "/b/")).await;
             assert_eq!(response.expect("a response").status, 200);
         }
+        mesh.store.put(CONFIG_KEY, config(2, &[("/b/", "beta"), ("/later/", "beta")]));
+        for node in 0..2 {
+            mesh.eventually_served(node, "/later/").await;
+            assert_eq!(mesh.status(node).await["targets"], 2, "an odd entry is used");
+        }
     });
 }
 
