Send calls that a rate limit refuses to another data centre

Cause: a call that was refused in its own data centre is sent to another one only if it can meet its soft deadline there, since a full data centre used to mean a full service. Callers that come back after a refusal have missed it. A node also forgot that a limited target had just refused a class of calls, and tried it first again.

Fix: a limited target's refusal counts as its waiting time, for calls of this priority and less urgent ones, until the time that it stated. Where a local target is limited, calls cross regardless of their soft deadline.

--- a/routing/src/picker.rs
+++ b/routing/src/picker.rs
@@ -143,6 +143,9 @@
     /// Service time relative to the average of the called routes; 1 is average.
     slowdown: f64,
     slowdown_at: ClockTime,
+    /// Time until which the target, at its rate limit, refuses calls, with the most urgent priority
+    /// that it refused.
+    refusal: Option<(u8, ClockTime)>,
     /// Calls sent since the last load report.
     sent_since_report: PriorityCounts,
     failure_rate: f64,
@@ -174,6 +177,8 @@
     candidates: usize,
     /// Number of reachable targets, including those already tried.
     reachable: usize,
+    /// Whether one of them limits its rate.
+    is_limited: bool,
 }
 
 /// Selects targets by what a node knows about all services' targets.
@@ -216,6 +221,7 @@
                 record.avoid_until = ClockTime::ZERO;
                 record.load_report = SlotLoad::default();
                 record.load_reported_at = None;
+                record.refusal = None;
                 record.slowdown = 1.0;
             }
             let former = std::mem::replace(&mut record.entry, entry.clone());
@@ -231,6 +237,7 @@
                 in_flight: 0,
                 load_report: SlotLoad::default(),
                 load_reported_at: None,
+                refusal: None,
                 slowdown: 1.0,
                 slowdown_at: now,
                 sent_since_report: PriorityCounts::new(),
@@ -348,6 +355,7 @@
         let mut result = SampleResult::default();
         for (id, record) in reachable.take(SAMPLE_SIZE) {
             result.reachable += 1;
+            result.is_limited |= record.load_report.rate_limit.is_some();
             if tried.contains(id) {
                 continue;
             }
@@ -407,6 +415,15 @@
         record.failure_rate_at = now;
     }
 
+    /// Records that a target with a rate limit has refused a call of `priority`, and when it is
+    /// expected to accept one. A refusal without a limit tells less: calls end at any moment.
+    pub fn record_refusal(&mut self, now: ClockTime, id: &str, priority: u8, wait: ClockSpan) {
+        let Some(record) = self.stats.get_mut(id) else { return };
+        if record.load_report.rate_limit.is_some() {
+            record.refusal = Some((priority, now + wait));
+        }
+    }
+
     /// Records the load that a target's node reported after a call of `route`.
     pub fn record_load(&mut self, now: ClockTime, id: &str, route: &Arc<str>, load: SlotLoad) {
         let Some(record) = self.stats.get_mut(id) else { return };
@@ -458,14 +475,18 @@
     /// without a limit or a recent report.
     fn rate_wait_ms(&self, now: ClockTime, priority: u8) -> f64 {
         let Some(limit) = self.load_report.rate_limit else { return 0.0 };
+        let refused_ms = match self.refusal {
+            Some((refused, until)) if priority >= refused => until.since(now).millis() as f64,
+            _ => 0.0,
+        };
         let Some(at) = self.load_reported_at.filter(|at| now.since(*at) < REPORT_TTL) else {
-            return 0.0;
+            return refused_ms;
         };
         let queued =
             self.load_report.queued.at_least(priority) + self.sent_since_report.at_least(priority);
         let delay =
             self.load_report.rate_delay.millis() as f64 + f64::from(queued) * limit.interval_ms();
-        (delay - now.since(at).millis() as f64).max(0.0)
+        (delay - now.since(at).millis() as f64).max(refused_ms)
     }
 
     fn update_slowdown(&mut self, now: ClockTime, ratio: f64) {
@@ -517,8 +538,14 @@
     remote: SampleResult,
 ) -> Option<(Arc<str>, bool)> {
     match (local.best, remote.best) {
+        // The calls that a rate limit keeps from local targets are too few for those of other data
+        // centres to be busy as well, so that also late calls are sent there.
         (Some((local_time, _)), Some((time, id)))
-            if time + REMOTE_DELAY_MS <= local_time_limit(now, call).min(local_time) =>
+            if time + REMOTE_DELAY_MS
+                <= match local.is_limited {
+                    true => local_time,
+                    false => local_time_limit(now, call).min(local_time),
+                } =>
         {
             Some((id, true))
         }
@@ -527,7 +554,7 @@
         // it is sent to another data centre only if it can meet its soft deadline there.
         (None, Some((time, id))) => {
             let in_time = time + REMOTE_DELAY_MS <= call.soft_deadline.since(now).millis() as f64;
-            (local.reachable == 0 || in_time).then_some((id, true))
+            (local.reachable == 0 || local.is_limited || in_time).then_some((id, true))
         }
         (None, None) => None,
     }
--- a/routing/tests/plan.rs
+++ b/routing/tests/plan.rs
@@ -403,3 +403,31 @@
     picker.insert(later, &TargetListing { started_ms: 2, ..listed });
     assert!(picker.pick(later, &call(later, "r", 0), &[]).is_some(), "it has started again");
 }
+
+/// Guards against callers that are refused by the limited targets of their own data centre while a
+/// target of another one is free, also if they have missed their soft deadline already.
+#[test]
+fn calls_beyond_the_limit_are_sent_to_another_data_centre() {
+    for soft_timeout in [0, 400] {
+        let mut picker = picker(&[entry("limited", 1, "here"), entry("free", 2, "there")]);
+        let limited = SlotLoad { rate_limit: RateLimit::new(2.0), ..load(0, 0, 100) };
+        picker.record_load(NOW, "free", &"r".into(), load(0, 0, 100));
+        picker.record_load(NOW, "limited", &"r".into(), limited);
+        let call = |priority| CallParams {
+            priority,
+            soft_deadline: NOW + ClockSpan::new(soft_timeout),
+            ..call(NOW, "r", 0)
+        };
+        let refused: Vec<Arc<str>> = vec!["limited".into()];
+        let next = picker.pick(NOW, &call(2), &refused).map(|target| target.id);
+        assert_eq!(next.as_deref(), Some("free"), "the refused call");
+        picker.record_refusal(NOW, "limited", 2, ClockSpan::new(900));
+        let next = picker.pick(NOW, &call(2), &[]).map(|target| target.id);
+        assert_eq!(next.as_deref(), Some("free"), "a call after the refusal");
+        let next = picker.pick(NOW, &call(1), &[]).map(|target| target.id);
+        assert_eq!(next.as_deref(), Some("limited"), "a more urgent call");
+        let later = NOW + ClockSpan::new(1_000);
+        let next = picker.pick(later, &CallParams { ..call(2) }, &[]).map(|target| target.id);
+        assert_eq!(next.as_deref(), Some("limited"), "a call after that time");
+    }
+}
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -295,7 +295,7 @@
                 }
             }
         };
-        guard.report(&self.route.name, &reply);
+        guard.report(&self.route, &reply);
         progress.trace.times.queued = reply.waited;
         let (end, feedback) = attempt_end(&reply, response.as_ref());
         guard.feedback = feedback;
@@ -342,10 +342,14 @@
 }
 
 impl AttemptGuard<'_> {
-    fn report(&self, route: &Arc<str>, reply: &ReplyNote) {
+    fn report(&self, route: &RouteRule, reply: &ReplyNote) {
         let now = self.state.clock.now();
         let picker = &mut lock(&self.state.routing).picker;
-        picker.record_load(now, &self.target.id, route, reply.load());
+        picker.record_load(now, &self.target.id, &route.name, reply.load());
+        if reply.end == ReplyEnd::Refused {
+            let wait = ClockSpan::new(reply.retry_after);
+            picker.record_refusal(now, &self.target.id, route.priority, wait);
+        }
         if reply.target_leaving && picker.record_departure(now, self.target) {
             log::info!(target = &*self.target.id; "target is leaving, as it has stated itself");
         }
