Keep a departure that comes with a malformed rate limit

Found on reading the change: a response whose rate limit is malformed was ignored as a whole, so that a departure stated in the same response was lost, and each such response logged a warning, which the limit on log volume does not bound.

Also from this reading: departures are kept by id, so that no selection copies a key, and the exception for limited targets stands in one place of the choice between data centres.

--- a/routing/src/pacer.rs
+++ b/routing/src/pacer.rs
@@ -21,7 +21,7 @@
     /// that is not negative.
     pub fn new(per_second: f64) -> Option<RateLimit> {
         (per_second.is_finite() && per_second >= 0.0)
-            .then(|| RateLimit((per_second * 1_000.0) as u64))
+            .then_some(RateLimit((per_second * 1_000.0) as u64))
     }
 
     /// Creates a limit from calls per 1,000 seconds.
--- a/routing/src/picker.rs
+++ b/routing/src/picker.rs
@@ -190,9 +190,9 @@
     /// Average service time of each route in ms.
     route_times: FxHashMap<Arc<str>, f64>,
     unreachable: FxHashSet<IpAddr>,
-    /// Targets that have stated that they are leaving: id and start time, with the time of the
+    /// Start times of the targets that have stated that they are leaving, with the time of the last
     /// statement.
-    departures: FxHashMap<(Arc<str>, u64), ClockTime>,
+    departures: FxHashMap<Arc<str>, (u64, ClockTime)>,
     random: Pcg32,
 }
 
@@ -373,16 +373,18 @@
     }
 
     fn has_departed(&self, entry: &TargetListing) -> bool {
-        !self.departures.is_empty()
-            && self.departures.contains_key(&(entry.id.clone(), entry.started_ms))
+        self.departures
+            .get(&entry.id)
+            .is_some_and(|(started_ms, _)| *started_ms == entry.started_ms)
     }
 
     /// Records that a target has stated that it is leaving. It is not selected again, even if its
     /// entry disappears and returns; a later start under the same id is another target. Returns
     /// whether this was not known.
     pub fn record_departure(&mut self, now: ClockTime, target: &PickedTarget) -> bool {
-        self.departures.retain(|_, at| now.since(*at) < DEPARTURE_TTL);
-        self.departures.insert((target.id.clone(), target.started_ms), now).is_none()
+        self.departures.retain(|_, (_, at)| now.since(*at) < DEPARTURE_TTL);
+        let known = self.departures.insert(target.id.clone(), (target.started_ms, now));
+        known.is_none_or(|(started_ms, _)| started_ms != target.started_ms)
     }
 
     /// Records that a call was sent.
@@ -537,15 +539,15 @@
     local: SampleResult,
     remote: SampleResult,
 ) -> Option<(Arc<str>, bool)> {
+    // Targets that refuse calls because of their own rate limit say little about the load of other
+    // data centres, so that late calls are sent there, too.
+    let time_limit = match local.is_limited {
+        true => f64::INFINITY,
+        false => local_time_limit(now, call),
+    };
     match (local.best, remote.best) {
-        // The calls that a rate limit keeps from local targets are too few for those of other data
-        // centres to be busy as well, so that also late calls are sent there.
         (Some((local_time, _)), Some((time, id)))
-            if time + REMOTE_DELAY_MS
-                <= match local.is_limited {
-                    true => local_time,
-                    false => local_time_limit(now, call).min(local_time),
-                } =>
+            if time + REMOTE_DELAY_MS <= time_limit.min(local_time) =>
         {
             Some((id, true))
         }
--- a/sidecar/src/follower.rs
+++ b/sidecar/src/follower.rs
@@ -247,8 +247,9 @@
         }
     }
 
-    /// Exchanges VM sizes with a VM of unknown size, and receives its configuration if it is newer. A node that reads the store requests nothing
-    /// from other nodes, which would otherwise never learn its size.
+    /// Exchanges VM sizes with a VM of unknown size, and receives its configuration if it is newer.
+    /// A node that reads the store requests nothing from other nodes, which would otherwise never
+    /// learn its size.
     fn exchange_sizes(&mut self) {
         let settings = self.state.settings.load();
         let unknown_vms: Vec<_> = {
--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -10,10 +10,10 @@
     BufferedRequest, BufferedResponse, ByteBudget, CallClock, ExchangeConnection, ExchangeError,
     ResponseTag, lock, within,
 };
-use fescuestack_platform::decode_notice;
 use fescuestack_platform::headers::{
     DEADLINE_MS, EXPECTED_INSTANCE, INSTANCE_ID, NOT_EXECUTED, REQUEST_ID, RESPONSE_SIGNATURE,
 };
+use fescuestack_platform::{decode_rate_limit, states_departure};
 use fescuestack_routing::{
     AdmissionDecision, CallEnd, IngressDecision, IngressLink, QueuedCall, RateLimit, SlotAction,
     SlotLoad, SlotQueue, SlotTicket, TargetListing, TargetNotice, TargetState,
@@ -183,7 +183,7 @@
         }
         let ticket = match self.acquire_slot(now, note).await {
             Ok(ticket) => ticket,
-            Err((_, _)) if self.is_leaving() => return self.leaving_reply(note),
+            Err(_) if self.is_leaving() => return self.leaving_reply(note),
             Err((end, retry_after)) => return self.reply(&note.route, end, retry_after),
         };
         let waited = self.clock.now().since(now);
@@ -254,20 +254,18 @@
         }
     }
 
-    /// Stores what the target states about itself. An invalid statement leaves the last one in place.
+    /// Stores what the target states about itself. An invalid rate limit leaves the last one in place.
     fn record_notice(&self, note: &CallNote, response: &BufferedResponse) {
-        let mut notice = match decode_notice(&response.headers) {
-            Ok(notice) => notice,
-            Err(err) => {
-                log::warn!(target = &*note.target; "ignoring invalid statement of the target: {err}");
-                return;
-            }
-        };
         let now = self.clock.now();
         let mut state = lock(&self.state);
         let previous = state.notice.unwrap_or_default();
+        let rate_limit = decode_rate_limit(&response.headers).unwrap_or_else(|err| {
+            log::info!(target = &*note.target; "ignoring invalid rate limit of the target: {err}");
+            previous.rate_limit
+        });
         // A target that leaves does not return, and responses may arrive out of order.
-        notice.is_leaving |= previous.is_leaving;
+        let is_leaving = previous.is_leaving || states_departure(&response.headers);
+        let notice = TargetNotice { rate_limit, is_leaving };
         state.notice = Some(notice);
         state.queue.set_rate_limit(notice.rate_limit);
         if notice.is_leaving {
