--- a/routing/tests/plan.rs
+++ b/routing/tests/plan.rs
@@ -391,7 +391,7 @@
 #[test]
 fn departed_target_is_not_used_again() {
     let listed = entry("leaving", 1, "here");
-    let mut picker = picker(&[listed.clone()]);
+    let mut picker = picker(std::slice::from_ref(&listed));
     let target = picker.pick(NOW, &call(NOW, "r", 0), &[]).expect("the target is ready");
     assert!(picker.record_departure(NOW, &target));
     assert!(!picker.record_departure(NOW, &target));
