--- /dev/null
+++ b/fescuestack/tests/node_process/mod.rs
@@ -0,0 +1,56 @@
+//! A node that runs as a process of its own, with its target in the test's process.
+
+use std::net::IpAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+
+use fescuestack_platform_standin::StandinApplication;
+
+pub struct NodeProcess {
+    pub vm: IpAddr,
+    pub application: StandinApplication,
+    pub settings: PathBuf,
+    process: Option<Child>,
+}
+
+impl NodeProcess {
+    /// Creates a node whose settings file is `settings`, without starting its process.
+    pub fn new(vm: IpAddr, application: StandinApplication, settings: PathBuf) -> NodeProcess {
+        NodeProcess { vm, application, settings, process: None }
+    }
+
+    pub fn start(&mut self) {
+        let child = Command::new(env!("CARGO_BIN_EXE_fescuestack"))
+            .args(["sidecar", "--log", "error", "--settings"])
+            .arg(&self.settings)
+            .env("ASYNC_STD_THREAD_COUNT", "1")
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("the binary runs");
+        self.process = Some(child);
+    }
+
+    /// Sends a signal to the process of this node only.
+    pub fn signal(&mut self, name: &str) {
+        let Some(process) = &self.process else { return };
+        let id = process.id().to_string();
+        Command::new("kill").args([name, &id]).status().expect("the signal is sent");
+    }
+
+    /// Whether the process was never started or has exited.
+    pub fn has_ended(&mut self) -> bool {
+        self.process
+            .as_mut()
+            .is_none_or(|process| process.try_wait().expect("status of a child process").is_some())
+    }
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        if let Some(mut process) = self.process.take() {
+            let _ = process.kill();
+            let _ = process.wait();
+        }
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
--- a/fescuestack/tests/soak.rs
+++ b/fescuestack/tests/soak.rs
@@ -4,10 +4,10 @@
 //!
 //! `SOAK_SEEDS=first..last` selects other seeds, `SOAK_SECONDS` sets the duration per seed.
 
+mod node_process;
+
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -23,6 +23,8 @@
 use rand::{Rng, RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
+use node_process::NodeProcess;
+
 /// Host of all routes.
 const HOST: &str = "soak.example";
 
@@ -38,52 +40,17 @@
 const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
 
 struct SoakNode {
-    vm: IpAddr,
-    application: StandinApplication,
-    settings: PathBuf,
-    process: Option<Child>,
+    node: NodeProcess,
     paused: bool,
 }
 
 impl SoakNode {
-    fn start(&mut self) {
-        let child = Command::new(env!("CARGO_BIN_EXE_fescuestack"))
-            .args(["sidecar", "--log", "error", "--settings"])
-            .arg(&self.settings)
-            .env("ASYNC_STD_THREAD_COUNT", "1")
-            .stdout(Stdio::null())
-            .spawn()
-            .expect("the binary runs");
-        self.process = Some(child);
-        self.paused = false;
-    }
-
-    /// Sends a signal to the process of this node only.
-    fn signal(&mut self, name: &str) {
-        let Some(process) = &self.process else { return };
-        let id = process.id().to_string();
-        Command::new("kill").args([name, &id]).status().expect("the signal is sent");
-    }
-
     /// Restarts the process if it has exited.
     fn restart_if_ended(&mut self) {
-        let ended = self
-            .process
-            .as_mut()
-            .is_none_or(|process| process.try_wait().expect("status of a child process").is_some());
-        if ended {
-            self.start();
-        }
-    }
-}
-
-impl Drop for SoakNode {
-    fn drop(&mut self) {
-        if let Some(mut process) = self.process.take() {
-            let _ = process.kill();
-            let _ = process.wait();
+        if self.node.has_ended() {
+            self.node.start();
+            self.paused = false;
         }
-        let _ = std::fs::remove_file(&self.settings);
     }
 }
 
@@ -140,18 +107,18 @@
             application.set_processing_time(Duration::from_millis(20));
             let name = format!("fescuestack-soak-{}-{seed}-{index}.json", std::process::id());
             let settings = std::env::temp_dir().join(name);
-            let mut node = SoakNode { vm, application, settings, process: None, paused: false };
+            let mut node = NodeProcess::new(vm, application, settings);
             let text = fleet.node_settings(&node);
             std::fs::write(&node.settings, text).expect("a writable directory");
             let record = TargetRecord::new(node.application.address(), "alpha");
             fleet.store.put(&target_key(&format!("t{index}")), record.value());
             node.start();
-            fleet.nodes.push(node);
+            fleet.nodes.push(SoakNode { node, paused: false });
         }
         fleet
     }
 
-    fn node_settings(&self, node: &SoakNode) -> String {
+    fn node_settings(&self, node: &NodeProcess) -> String {
         let settings = SettingsEntry {
             vm: node.vm,
             ports: self.ports,
@@ -178,21 +145,21 @@
         let fault = self.random.next_u64() % 12;
         let node = &mut self.nodes[index];
         match fault {
-            0 => node.signal("-KILL"),
-            1 => node.signal("-TERM"),
+            0 => node.node.signal("-KILL"),
+            1 => node.node.signal("-TERM"),
             2 | 3 => {
                 node.paused = !node.paused;
                 let name = if node.paused { "-STOP" } else { "-CONT" };
-                node.signal(name);
+                node.node.signal(name);
             }
             4 => self.store.set_mode(StoreMode::Unavailable),
             5 => self.store.set_mode(StoreMode::Unresponsive),
             6 => self.store.set_mode(StoreMode::Healthy),
             7 => self.store.compact(),
             8 => self.change_config(),
-            9 => node.application.set_mode(ApplicationMode::Drop),
-            10 => node.application.set_mode(ApplicationMode::Refuse),
-            _ => node.application.set_mode(ApplicationMode::Serve),
+            9 => node.node.application.set_mode(ApplicationMode::Drop),
+            10 => node.node.application.set_mode(ApplicationMode::Refuse),
+            _ => node.node.application.set_mode(ApplicationMode::Serve),
         }
         for node in &mut self.nodes {
             node.restart_if_ended();
@@ -203,9 +170,9 @@
     fn clear_faults(&mut self) {
         self.store.set_mode(StoreMode::Healthy);
         for node in &mut self.nodes {
-            node.signal("-CONT");
+            node.node.signal("-CONT");
             node.paused = false;
-            node.application.set_mode(ApplicationMode::Serve);
+            node.node.application.set_mode(ApplicationMode::Serve);
             node.restart_if_ended();
         }
     }
@@ -261,7 +228,7 @@
 async fn run_seed(seed: u64, duration: Duration) {
     let mut fleet = SoakFleet::start(seed).await;
     let nodes: Vec<_> =
-        fleet.nodes.iter().map(|node| SocketAddr::new(node.vm, fleet.ports[0])).collect();
+        fleet.nodes.iter().map(|node| SocketAddr::new(node.node.vm, fleet.ports[0])).collect();
     let (count, stop) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicBool::new(false)));
     let record = Arc::new(Mutex::new(CallerRecord::default()));
     let spawn = |caller| {
@@ -303,7 +270,7 @@
 fn check_guarantees(seed: u64, fleet: &SoakFleet, record: &CallerRecord) {
     let mut runs: BTreeMap<String, u32> = BTreeMap::new();
     for node in &fleet.nodes {
-        for run in node.application.runs() {
+        for run in node.node.application.runs() {
             *runs.entry(run.id).or_default() += 1;
         }
     }
