--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -1,7 +1,9 @@
 //! The cases, each with its disruption and its check.
 
 mod endless_body;
+mod moved_store;
 mod poison;
+mod rolling_stop;
 mod silent_store;
 mod stalled_reader;
 mod stop;
@@ -24,6 +26,7 @@
 /// The bounds of the small deployments.
 pub const CONTACT: Duration = Duration::from_secs(3);
 pub const CONFIG_APPLY: Duration = Duration::from_secs(2);
+pub const OUTER: Duration = Duration::from_secs(5);
 pub const GRACE: Duration = Duration::from_secs(6);
 
 /// Plays the case `name`.
@@ -31,8 +34,10 @@
     match name {
         "endless-body" => endless_body::run(binary, trouble),
         "stop" => stop::run(binary, trouble),
+        "rolling-stop" => rolling_stop::run(binary, trouble),
         "silent-store" => silent_store::run(binary, trouble),
         "stalled-reader" => stalled_reader::run(binary, trouble),
+        "moved-store" => moved_store::run(binary, trouble),
         "poison" => poison::run(binary, trouble),
         _ => Err(format!("unknown case {name}")),
     }
--- a/review/harness/node.rs
+++ b/review/harness/node.rs
@@ -10,6 +10,7 @@
 use crate::client::{Call, Reading, call_once};
 use crate::record;
 
+pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 
@@ -156,6 +157,22 @@
         Ok(())
     }
 
+    /// Replaces a text in the settings file of the machine.
+    pub fn change_settings(&self, from: &str, to: &str) -> std::io::Result<()> {
+        let text = std::fs::read_to_string(&self.settings)?.replace(from, to);
+        let new = self.settings.with_extension("new");
+        std::fs::write(&new, text)?;
+        std::fs::rename(new, &self.settings)?;
+        record::line(&format!("settings of {}: {from} is now {to}", self.name));
+        Ok(())
+    }
+
+    /// Returns the lines of the node's log that contain `text`.
+    pub fn log_lines(&self, text: &str) -> Vec<String> {
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        log.lines().filter(|line| line.contains(text)).map(str::to_owned).collect()
+    }
+
     /// Sends a signal to the node.
     pub fn signal(&self, signal: i32) {
         if let Some(child) = &self.child {
--- a/review/harness/store.rs
+++ b/review/harness/store.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -22,6 +22,8 @@
 pub struct Store {
     pub address: SocketAddr,
     inner: Arc<Inner>,
+    /// Whether this address is not served any more.
+    closed: Arc<AtomicBool>,
 }
 
 struct Inner {
@@ -33,18 +35,38 @@
 
 impl Store {
     pub fn start(ip: &str) -> std::io::Result<Store> {
-        let listener = TcpListener::bind(format!("{ip}:0"))?;
-        let address = listener.local_addr()?;
         let inner = Arc::new(Inner {
             // The revision counter starts above 0.
             state: Mutex::new(StoreState { revision: 100, ..StoreState::default() }),
             changed: Condvar::new(),
             generation: AtomicU64::new(0),
         });
-        let store = Store { address, inner };
+        Store::listen(ip, inner)
+    }
+
+    /// Serves the same store at a further address.
+    pub fn open_address(&self, ip: &str) -> std::io::Result<Store> {
+        Store::listen(ip, self.inner.clone())
+    }
+
+    /// Ends the service at this address: connections are refused from now on, and open ones end.
+    pub fn close_address(&self) {
+        self.closed.store(true, Ordering::SeqCst);
+        // Wakes the listener, which then ends.
+        let _ = TcpStream::connect(self.address);
+        self.inner.changed.notify_all();
+    }
+
+    fn listen(ip: &str, inner: Arc<Inner>) -> std::io::Result<Store> {
+        let listener = TcpListener::bind(format!("{ip}:0"))?;
+        let address = listener.local_addr()?;
+        let store = Store { address, inner, closed: Arc::default() };
         let handle = store.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if handle.closed.load(Ordering::SeqCst) {
+                    return;
+                }
                 let handle = handle.clone();
                 std::thread::spawn(move || handle.serve(stream));
             }
@@ -73,6 +95,9 @@
         let mut buffer = Vec::new();
         while let Ok(Some(request)) = read_request(&mut stream, &mut buffer) {
             let (status, body) = self.respond(&request);
+            if self.closed.load(Ordering::SeqCst) {
+                return;
+            }
             while self.inner.generation.load(Ordering::SeqCst) != generation {
                 std::thread::sleep(Duration::from_secs(1));
             }
