--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -3,6 +3,7 @@
 mod endless_body;
 mod moved_store;
 mod poison;
+mod restored_store;
 mod rolling_stop;
 mod silent_store;
 mod stalled_reader;
@@ -34,6 +35,7 @@
     match name {
         "endless-body" => endless_body::run(binary, trouble),
         "stop" => stop::run(binary, trouble),
+        "restored-store" => restored_store::run(binary, trouble),
         "rolling-stop" => rolling_stop::run(binary, trouble),
         "silent-store" => silent_store::run(binary, trouble),
         "stalled-reader" => stalled_reader::run(binary, trouble),
--- a/review/harness/store.rs
+++ b/review/harness/store.rs
@@ -9,14 +9,19 @@
 
 use crate::http::{Request, read_request};
 
-#[derive(Default)]
+#[derive(Default, Clone)]
 struct StoreState {
     revision: u64,
     items: BTreeMap<String, (u64, String)>,
     /// Revision, key and value; a removed key has none.
     events: Vec<(u64, String, Option<String>)>,
+    /// Number of the history that the revisions belong to.
+    era: u64,
 }
 
+/// Content of a store at some moment.
+pub struct StoreCopy(StoreState);
+
 /// Handle to a store. Clones refer to the same store.
 #[derive(Clone)]
 pub struct Store {
@@ -31,6 +36,7 @@
     changed: Condvar,
     /// Connections that were accepted in an earlier generation are silent.
     generation: AtomicU64,
+    is_away: AtomicBool,
 }
 
 impl Store {
@@ -40,6 +46,7 @@
             state: Mutex::new(StoreState { revision: 100, ..StoreState::default() }),
             changed: Condvar::new(),
             generation: AtomicU64::new(0),
+            is_away: AtomicBool::new(false),
         });
         Store::listen(ip, inner)
     }
@@ -84,6 +91,34 @@
         self.inner.changed.notify_all();
     }
 
+    pub fn remove(&self, key: &str) {
+        let mut state = self.inner.state.lock().unwrap();
+        state.revision += 1;
+        let revision = state.revision;
+        state.items.remove(key);
+        state.events.push((revision, key.to_owned(), None));
+        self.inner.changed.notify_all();
+    }
+
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.inner.state.lock().unwrap().clone())
+    }
+
+    /// Ends all connections and refuses new requests until [`Store::restore`].
+    pub fn go_away(&self) {
+        self.inner.is_away.store(true, Ordering::SeqCst);
+        self.inner.changed.notify_all();
+    }
+
+    /// Comes back with the content of a copy. Revisions after it are given out again.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut state = self.inner.state.lock().unwrap();
+        let era = state.era + 1;
+        *state = StoreState { era, ..copy.0 };
+        self.inner.is_away.store(false, Ordering::SeqCst);
+        self.inner.changed.notify_all();
+    }
+
     /// Makes all open connections silent for good. New ones work.
     pub fn silence_open_connections(&self) {
         self.inner.generation.fetch_add(1, Ordering::SeqCst);
@@ -95,14 +130,16 @@
         let mut buffer = Vec::new();
         while let Ok(Some(request)) = read_request(&mut stream, &mut buffer) {
             let (status, body) = self.respond(&request);
-            if self.closed.load(Ordering::SeqCst) {
+            if self.closed.load(Ordering::SeqCst) || self.inner.is_away.load(Ordering::SeqCst) {
                 return;
             }
             while self.inner.generation.load(Ordering::SeqCst) != generation {
                 std::thread::sleep(Duration::from_secs(1));
             }
             let head = format!(
-                "HTTP/1.1 {status} X\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
+                "HTTP/1.1 {status} X\r\ncontent-type: application/json\r\nstore-era: {}\r\n\
+                 content-length: {}\r\n\r\n",
+                self.inner.state.lock().unwrap().era,
                 body.len()
             );
             if stream.write_all(format!("{head}{body}").as_bytes()).is_err() {
@@ -149,6 +186,9 @@
         let end = Instant::now() + Duration::from_millis(wait);
         let mut state = self.inner.state.lock().unwrap();
         loop {
+            if after > state.revision {
+                return (410, String::new());
+            }
             let events: Vec<_> = state
                 .events
                 .iter()
@@ -161,7 +201,8 @@
                 })
                 .collect();
             let left = end.saturating_duration_since(Instant::now());
-            if !events.is_empty() || left.is_zero() {
+            let is_away = self.inner.is_away.load(Ordering::SeqCst);
+            if !events.is_empty() || left.is_zero() || is_away {
                 let events = events.join(",");
                 return (200, format!("{{\"events\":[{events}],\"at\":{}}}", state.revision));
             }
