Decode chunked responses once per read, and limit their framing

Cause: after each chunk, `read_chunks` removed its framing and its data from the front of the read buffer, which moves the rest of up to 16 KB twice: about 2,700 bytes moved for each byte received. Nothing but the memory budget limited such a response, because only data counted against the maximum length of a body. In a test without a budget, it took 100 MB.

Change: `ChunkParser::decode` consumes a whole read, so that the buffer is drained once. The framing of a body is limited to 4 MB, enough for a body of the maximum length in chunks of 32 bytes. Chunks with extensions and chunks of two sizes end by the same limit.

--- a/http/src/chunk.rs
+++ b/http/src/chunk.rs
@@ -79,6 +79,24 @@
         Ok(bytes.len())
     }
 
+    /// Decodes `bytes`, appends the chunk data to `body` and returns the number of bytes consumed: all
+    /// of them, unless the body ends before.
+    pub fn decode(&mut self, bytes: &[u8], body: &mut Vec<u8>) -> Result<usize, HttpFault> {
+        let mut consumed = 0;
+        loop {
+            consumed += self.parse_framing(&bytes[consumed..])?;
+            let rest = &bytes[consumed..];
+            let remaining = usize::try_from(self.remaining_data()).unwrap_or(usize::MAX);
+            let count = remaining.min(rest.len());
+            if count == 0 {
+                return Ok(consumed);
+            }
+            body.extend_from_slice(&rest[..count]);
+            self.consume_data(count as u64);
+            consumed += count;
+        }
+    }
+
     fn next_state(&mut self, byte: u8) -> Result<ChunkState, HttpFault> {
         self.framing_bytes += 1;
         if self.framing_bytes > MAX_FRAMING_BYTES {
--- a/http/src/exchange.rs
+++ b/http/src/exchange.rs
@@ -28,6 +28,10 @@
 /// Maximum length of a response body. Several of them must fit into the memory of a small VM.
 const MAX_RESPONSE_BODY_BYTES: usize = 16 * 1024 * 1024;
 
+/// Maximum length of the framing of a chunked response body. A body of the maximum length in chunks
+/// of 32 bytes still fits.
+const MAX_CHUNK_FRAMING_BYTES: usize = 4 * 1024 * 1024;
+
 /// Maximum number of responses read in one exchange, including interim ones and responses to
 /// earlier requests.
 const MAX_RESPONSES_PER_EXCHANGE: usize = 4;
@@ -311,27 +315,26 @@
     }
 
     async fn read_chunks(&mut self) -> Result<Bytes, ExchangeError> {
-        let mut scanner = ChunkParser::new();
+        let invalid = |reason| Err(ExchangeError::InvalidResponse { reason });
+        let mut parser = ChunkParser::new();
         let mut body = Vec::new();
+        let mut consumed = 0;
         loop {
-            let framed = scanner.parse_framing(self.buffer).map_err(|_| {
-                ExchangeError::InvalidResponse { reason: "the chunked body is malformed" }
-            })?;
-            self.buffer.drain(..framed);
-            if scanner.is_done() {
-                return Ok(self.finish_body(body));
+            let Ok(count) = parser.decode(self.buffer, &mut body) else {
+                return invalid("the chunked body is malformed");
+            };
+            self.buffer.drain(..count);
+            consumed += count;
+            if body.len() > MAX_RESPONSE_BODY_BYTES {
+                return invalid("the body is too long");
             }
-            let left = usize::try_from(scanner.remaining_data()).unwrap_or(usize::MAX);
-            let count = left.min(self.buffer.len());
-            if count == 0 {
-                self.fill().await?;
-                continue;
+            if consumed - body.len() > MAX_CHUNK_FRAMING_BYTES {
+                return invalid("the framing of the chunked body is too long");
             }
-            body.extend(self.buffer.drain(..count));
-            scanner.consume_data(count as u64);
-            if body.len() > MAX_RESPONSE_BODY_BYTES {
-                return Err(ExchangeError::InvalidResponse { reason: "the body is too long" });
+            if parser.is_done() {
+                return Ok(self.finish_body(body));
             }
+            self.fill().await?;
         }
     }
 
--- /dev/null
+++ b/http/tests/endless.rs
@@ -0,0 +1,94 @@
+//! Peers that send bytes without end: what their input costs, and what it keeps from running.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use async_std::task;
+use bytes::Bytes;
+use fescuestack_http::{
+    BufferedRequest, BufferedResponse, ChunkParser, ExchangeConnection, ExchangeError, within,
+};
+use http::{HeaderMap, HeaderValue, Method};
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+const CHUNKED_HEAD: &[u8] = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+
+/// Chunks whose framing is longer than their data.
+const SMALL_CHUNKS: [&[u8]; 3] =
+    [b"1\r\nx\r\n", b"1;extension=value\r\nx\r\n", b"1\r\nx\r\n2\r\nxx\r\n"];
+
+/// Starts a server that writes `head`, then `piece` again and again, up to `count` times, and then
+/// `end`. It does not wait for a request.
+fn serve(head: &[u8], piece: &[u8], count: usize, end: &[u8]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("a bound port");
+    let pieces_per_write = (16 * 1024 / piece.len()).max(1);
+    let (head, block, end) = (head.to_vec(), piece.repeat(pieces_per_write), end.to_vec());
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a client");
+        let mut sent = stream.write_all(&head);
+        for _ in 0..count / pieces_per_write {
+            if sent.is_err() {
+                return;
+            }
+            sent = stream.write_all(&block);
+        }
+        let _ = sent.and_then(|()| stream.write_all(&end));
+        // Closing with unread bytes would reset the connection.
+        let _ = stream.read_to_end(&mut Vec::new());
+    });
+    address
+}
+
+fn request() -> BufferedRequest {
+    let mut headers = HeaderMap::new();
+    headers.insert("host", HeaderValue::from_static("h"));
+    let (method, target, body) = (Method::GET, "/".to_owned(), Bytes::new());
+    BufferedRequest { method, target, headers, body }
+}
+
+async fn exchange(
+    address: SocketAddr,
+    received: &Arc<AtomicU64>,
+) -> Result<BufferedResponse, ExchangeError> {
+    let connection = ExchangeConnection::open(address, LIMIT).await?;
+    let mut connection = connection.with_byte_counter(received);
+    // Lets the server fill the buffers of the connection.
+    task::sleep(Duration::from_millis(200)).await;
+    connection.exchange(&request(), None).await
+}
+
+/// Guards against a response whose framing is read without a limit: one with little data in each
+/// chunk took a core until the memory budget had ended it.
+#[test]
+fn endless_small_chunks_end_early() {
+    const MAX_RECEIVED_BYTES: u64 = 8 * 1024 * 1024;
+    for piece in SMALL_CHUNKS {
+        task::block_on(async {
+            let received = Arc::default();
+            let address = serve(CHUNKED_HEAD, piece, usize::MAX, b"");
+            let outcome = within(LIMIT, exchange(address, &received)).await;
+            let outcome = outcome.expect("the exchange ends on its own");
+            assert!(matches!(outcome, Err(ExchangeError::InvalidResponse { .. })), "{outcome:?}");
+            let received = received.load(Ordering::Relaxed);
+            assert!(received < MAX_RECEIVED_BYTES, "{received} bytes received");
+        });
+    }
+}
+
+/// Guards against a decoder that stops at each chunk, so that its caller moves the rest of the buffer
+/// once for each. For chunks of one byte, that moved up to 32 KB for each byte of data.
+#[test]
+fn decoder_consumes_all_small_chunks_at_once() {
+    for piece in SMALL_CHUNKS {
+        let bytes = piece.repeat(1_000);
+        let (mut parser, mut body) = (ChunkParser::new(), Vec::new());
+        let consumed = parser.decode(&bytes, &mut body).expect("chunks");
+        assert_eq!(consumed, bytes.len());
+        assert!(body.len() >= 1_000 && body.iter().all(|byte| *byte == b'x'), "{}", body.len());
+    }
+}
