Read responses of targets and of the store in turns

What callers saw: while a target sent bytes without end, its node answered nobody, and the exchange outlived its own timeout.

Cause: reads complete at once while the socket has data, so that the task of an exchange never returned to the executor. A node has one thread for traffic, and the timeout is polled by the same task.

Change: `ReadTurn` lets a connection read 32 KB, then schedules its task again behind the others. A short read counts for 512 bytes, so that a peer that sends single bytes gets no longer turn.

Evidence: `responses_are_read_in_turns` polls an exchange with a full socket. Now no poll reads more than 64 KB, for small chunks of three kinds, unframed bodies and framed ones. The client of the store uses the same exchange.

--- a/http/src/exchange.rs
+++ b/http/src/exchange.rs
@@ -4,13 +4,14 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use async_std::net::TcpStream;
 use bytes::Bytes;
-use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWriteExt, future};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use snafu::Snafu;
 use socket2::{SockRef, TcpKeepalive};
@@ -18,6 +19,7 @@
 use crate::ChunkParser;
 use crate::budget::{ByteBudget, ByteReservation};
 use crate::coarse_timer::within;
+use crate::read_turn::ReadTurn;
 
 /// Maximum length of a response head.
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
@@ -218,8 +220,8 @@
         };
         let reservation = self.budget.as_ref().map(ByteBudget::reservation);
         let (stream, buffer) = (&self.stream, &mut self.buffer);
-        let mut reader =
-            ResponseReader { stream, buffer, read: 0, received: &self.received, reservation };
+        let (received, turn) = (&self.received, ReadTurn::default());
+        let mut reader = ResponseReader { stream, buffer, read: 0, received, reservation, turn };
         let (response, at_eof) =
             future::or(reader.read_response(&request.method, tag), sending).await?;
         self.last_used = Instant::now();
@@ -236,6 +238,7 @@
     read: usize,
     received: &'a AtomicU64,
     reservation: Option<ByteReservation>,
+    turn: ReadTurn,
 }
 
 impl ResponseReader<'_> {
@@ -350,7 +353,11 @@
     async fn try_fill(&mut self) -> Result<bool, ExchangeError> {
         let start = self.buffer.len();
         self.buffer.resize(start + READ_CHUNK_BYTES, 0);
-        let read = self.stream.read(&mut self.buffer[start..]).await;
+        let (mut stream, turn, free) = (self.stream, &mut self.turn, &mut self.buffer[start..]);
+        let read = future::poll_fn(|cx| {
+            turn.poll_read(cx, |cx| Pin::new(&mut stream).poll_read(cx, free))
+        });
+        let read = read.await;
         let count = *read.as_ref().unwrap_or(&0);
         self.buffer.truncate(start + count);
         self.read += count;
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -15,6 +15,7 @@
 mod head;
 mod hop_by_hop;
 mod progress;
+mod read_turn;
 mod reader;
 mod runtime;
 mod server;
--- a/http/tests/endless.rs
+++ b/http/tests/endless.rs
@@ -1,9 +1,12 @@
 //! Peers that send bytes without end: what their input costs, and what it keeps from running.
 
+use std::future::{Future, poll_fn};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::Poll;
 use std::time::Duration;
 
 use async_std::task;
@@ -21,6 +24,9 @@
 const SMALL_CHUNKS: [&[u8]; 3] =
     [b"1\r\nx\r\n", b"1;extension=value\r\nx\r\n", b"1\r\nx\r\n2\r\nxx\r\n"];
 
+/// Largest number of bytes that a connection may read before other tasks run.
+const MAX_TURN_BYTES: u64 = 64 * 1024;
+
 /// Starts a server that writes `head`, then `piece` again and again, up to `count` times, and then
 /// `end`. It does not wait for a request.
 fn serve(head: &[u8], piece: &[u8], count: usize, end: &[u8]) -> SocketAddr {
@@ -62,6 +68,22 @@
     connection.exchange(&request(), None).await
 }
 
+/// Runs `work` and returns its output, with the largest number of bytes received in one poll.
+async fn with_largest_turn<F: Future>(received: &AtomicU64, work: F) -> (F::Output, u64) {
+    let mut work = pin!(work);
+    let mut largest = 0;
+    poll_fn(|cx| {
+        let before = received.load(Ordering::Relaxed);
+        let polled = work.as_mut().poll(cx);
+        largest = largest.max(received.load(Ordering::Relaxed) - before);
+        match polled {
+            Poll::Ready(output) => Poll::Ready((output, largest)),
+            Poll::Pending => Poll::Pending,
+        }
+    })
+    .await
+}
+
 /// Guards against a response whose framing is read without a limit: one with little data in each
 /// chunk took a core until the memory budget had ended it.
 #[test]
@@ -92,3 +114,23 @@
         assert!(body.len() >= 1_000 && body.iter().all(|byte| *byte == b'x'), "{}", body.len());
     }
 }
+
+/// Guards against a response that keeps the thread from all other tasks, and its exchange from its
+/// timeout, while its socket has data.
+#[test]
+fn responses_are_read_in_turns() {
+    const ZEROS: &[u8] = &[b'0'; 16 * 1024];
+    let unframed: &[u8] = b"HTTP/1.1 200 OK\r\n\r\n";
+    let framed: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 16000000\r\n\r\n";
+    let chunked = SMALL_CHUNKS.map(|piece| (CHUNKED_HEAD, piece));
+    for (head, piece) in chunked.into_iter().chain([(unframed, ZEROS), (framed, ZEROS)]) {
+        task::block_on(async {
+            let received = Arc::default();
+            let address = serve(head, piece, usize::MAX, b"");
+            let exchange = within(LIMIT, exchange(address, &received));
+            let (outcome, largest) = with_largest_turn(&received, exchange).await;
+            assert!(outcome.is_some(), "the exchange ends on its own");
+            assert!(largest <= MAX_TURN_BYTES, "{largest} bytes in one turn");
+        });
+    }
+}
