Parse a long response head only a few times

Cause: the parser starts over after each read.

Change: `ParseSchedule` has heads of up to 4 KB parsed after each read, so that bytes that are no head are still detected at once, and longer ones when they are complete or have doubled in length.

`complete_heads_are_parsed_at_once` plays 500 heads in random pieces.

--- a/http/src/exchange.rs
+++ b/http/src/exchange.rs
@@ -16,10 +16,10 @@
 use snafu::Snafu;
 use socket2::{SockRef, TcpKeepalive};
 
-use crate::ChunkParser;
 use crate::budget::{ByteBudget, ByteReservation};
 use crate::coarse_timer::within;
 use crate::read_turn::ReadTurn;
+use crate::{ChunkParser, ParseSchedule};
 
 /// Maximum length of a response head.
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
@@ -273,8 +273,11 @@
     }
 
     async fn read_head(&mut self) -> Result<(u16, HeaderMap), ExchangeError> {
+        let mut schedule = ParseSchedule::new();
         loop {
-            if let Some((length, status, headers)) = parse_response_head(self.buffer)? {
+            if schedule.is_due(self.buffer)
+                && let Some((length, status, headers)) = parse_response_head(self.buffer)?
+            {
                 self.buffer.drain(..length);
                 return Ok((status, headers));
             }
--- a/http/src/head.rs
+++ b/http/src/head.rs
@@ -5,6 +5,52 @@
 /// Maximum number of headers in a head. `async-h1` parses up to 128.
 pub const MAX_HEADERS: usize = 100;
 
+/// Length up to which an incomplete head is parsed after each read, so that bytes that are no head
+/// are detected at once.
+const EAGER_PARSE_BYTES: usize = 4 * 1024;
+
+/// Decides when a head that arrives in pieces is parsed again, by a parser that starts over each
+/// time. A long head is parsed when it is complete or has doubled in length, so that the cost of a
+/// byte does not grow with the length.
+#[derive(Debug, Default)]
+pub struct ParseSchedule {
+    parsed_bytes: usize,
+    scanned_bytes: usize,
+}
+
+impl ParseSchedule {
+    /// Creates a schedule for one head.
+    pub fn new() -> ParseSchedule {
+        ParseSchedule::default()
+    }
+
+    /// Returns whether `bytes`, which begin with all earlier ones, are to be parsed now.
+    pub fn is_due(&mut self, bytes: &[u8]) -> bool {
+        let unscanned = &bytes[self.scanned_bytes.saturating_sub(2).min(bytes.len())..];
+        self.scanned_bytes = bytes.len();
+        let is_due = bytes.len() <= EAGER_PARSE_BYTES
+            || bytes.len() >= 2 * self.parsed_bytes
+            || has_empty_line(unscanned);
+        if is_due {
+            self.parsed_bytes = bytes.len();
+        }
+        is_due
+    }
+}
+
+/// Returns whether `bytes` hold the end of a line and then an empty line. Some parsers accept lines
+/// that end without a carriage return.
+fn has_empty_line(bytes: &[u8]) -> bool {
+    let mut rest = bytes;
+    while let Some(end) = rest.iter().position(|byte| *byte == b'\n') {
+        rest = &rest[end + 1..];
+        if rest.starts_with(b"\n") || rest.starts_with(b"\r\n") {
+            return true;
+        }
+    }
+    false
+}
+
 /// How the length of a body is determined.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BodyFraming {
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -34,8 +34,8 @@
 };
 pub use fault::HttpFault;
 pub use head::{
-    BodyFraming, MAX_HEADERS, ParsedHead, find_head_end, is_valid_host, parse_decimal, parse_head,
-    parse_header, parse_request_line, parse_status_line,
+    BodyFraming, MAX_HEADERS, ParseSchedule, ParsedHead, find_head_end, is_valid_host,
+    parse_decimal, parse_head, parse_header, parse_request_line, parse_status_line,
 };
 pub use runtime::{CloseWatch, HyperExecutor, HyperStream, HyperTimer, PeerActivity};
 pub use server::{ServerSettings, serve_connection, serve_listener};
--- a/http/tests/head.rs
+++ b/http/tests/head.rs
@@ -1,7 +1,9 @@
 //! Random inputs for the parsers, from fixed seeds.
 
 use async_std::task;
-use fescuestack_http::{ChunkParser, HttpFault, find_head_end, parse_decimal, parse_head};
+use fescuestack_http::{
+    ChunkParser, HttpFault, ParseSchedule, find_head_end, parse_decimal, parse_head,
+};
 use futures_lite::io::Cursor;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
@@ -102,3 +104,39 @@
         assert_eq!(parse_decimal(text.as_bytes()), None, "{text:?}");
     }
 }
+
+/// Guards against parsing a long head again after each piece of it, which costs the square of its
+/// length.
+#[test]
+fn long_heads_are_parsed_a_few_times() {
+    const MAX_PARSED_PER_BYTE: usize = 256;
+    let mut head = b"HTTP/1.1 200 OK\r\n".to_vec();
+    while head.len() < 64 * 1024 {
+        head.extend(b"name: value\r\n");
+    }
+    let mut schedule = ParseSchedule::new();
+    let due = (0..=head.len()).filter(|length| schedule.is_due(&head[..*length]));
+    let parsed: usize = due.sum();
+    assert!(parsed <= head.len() * MAX_PARSED_PER_BYTE, "{parsed} bytes parsed");
+}
+
+/// Guards against a complete head that is not parsed because it ends in an unexpected place.
+#[test]
+fn complete_heads_are_parsed_at_once() {
+    let mut rng = Pcg32::seed_from_u64(3);
+    for case in 0..500 {
+        let line_end = if rng.random() { "\r\n" } else { "\n" };
+        let mut head = format!("HTTP/1.1 200 OK{line_end}");
+        for _ in 0..rng.random_range(0..2_000) {
+            head += &format!("name: value{line_end}");
+        }
+        head += line_end;
+        let mut schedule = ParseSchedule::new();
+        let mut received = 0;
+        while received < head.len() {
+            received = (received + rng.random_range(1..5_000)).min(head.len());
+            let is_due = schedule.is_due(&head.as_bytes()[..received]);
+            assert!(is_due || received < head.len(), "case {case} of {} bytes", head.len());
+        }
+    }
+}
