Read connections of other nodes and of clients in turns

A peer on the port for other nodes, or whatever listens at the address of another node, can send HTTP/2 frames of unknown types without end, which receivers must ignore. The node then answered nobody: requests to a healthy target got no response within 1 s.

`hyper` reads frames until the socket has no more data, and `async-std` has no limit on what a task does in one poll.

Change: `HyperStream` reads in turns of 32 KB, in both directions of a link, for clients and for the readiness port.

--- a/fescuestack/tests/node_process/mod.rs
+++ b/fescuestack/tests/node_process/mod.rs
@@ -1,5 +1,7 @@
 //! A node that runs as a process of its own, with its target in the test's process.
 
+#![allow(dead_code, reason = "each test file uses a part")]
+
 use std::net::IpAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
--- a/http/src/runtime.rs
+++ b/http/src/runtime.rs
@@ -14,6 +14,7 @@
 use hyper::rt::{Executor, ReadBufCursor, Sleep, Timer};
 
 use crate::body::lock;
+use crate::read_turn::ReadTurn;
 
 /// Maximum number of bytes per read from a socket.
 const READ_CHUNK_BYTES: usize = 16 * 1024;
@@ -108,6 +109,7 @@
     activity: PeerActivity,
     /// Whether the last write blocked.
     write_blocked: bool,
+    turn: ReadTurn,
 }
 
 /// Detects that the client closes its connection while a request is served.
@@ -125,6 +127,7 @@
             read_ahead: Arc::default(),
             activity: PeerActivity::default(),
             write_blocked: false,
+            turn: ReadTurn::default(),
         }
     }
 
@@ -195,7 +198,8 @@
         drop(read_ahead);
         let mut buffer = [0; READ_CHUNK_BYTES];
         let limit = target.remaining().min(READ_CHUNK_BYTES);
-        let count = ready!(Pin::new(&mut this.stream).poll_read(cx, &mut buffer[..limit]))?;
+        let (stream, out) = (&mut this.stream, &mut buffer[..limit]);
+        let count = ready!(this.turn.poll_read(cx, |cx| Pin::new(stream).poll_read(cx, out)))?;
         target.put_slice(&buffer[..count]);
         if count > 0 {
             this.activity.record();
--- a/http/tests/endless.rs
+++ b/http/tests/endless.rs
@@ -3,18 +3,21 @@
 use std::future::{Future, poll_fn};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::Poll;
 use std::time::Duration;
 
+use async_std::net::TcpStream;
 use async_std::task;
 use bytes::Bytes;
 use fescuestack_http::{
-    BufferedRequest, BufferedResponse, ChunkParser, ExchangeConnection, ExchangeError, within,
+    BufferedRequest, BufferedResponse, ChunkParser, ExchangeConnection, ExchangeError, HyperStream,
+    within,
 };
 use http::{HeaderMap, HeaderValue, Method};
+use hyper::rt::{Read as _, ReadBuf};
 
 const LIMIT: Duration = Duration::from_secs(20);
 
@@ -134,3 +137,29 @@
         });
     }
 }
+
+/// Guards against a connection of `hyper` that keeps the thread while its socket has data. HTTP/2
+/// frames of unknown types are ignored, so that a peer can send them without end.
+#[test]
+fn hyper_streams_are_read_in_turns() {
+    task::block_on(async {
+        let address = serve(b"", &[b'0'; 16 * 1024], usize::MAX, b"");
+        let stream = TcpStream::connect(address).await.expect("a server");
+        let mut stream = HyperStream::new(stream);
+        task::sleep(Duration::from_millis(200)).await;
+        let mut buffer = vec![0; 16 * 1024];
+        let read_bytes = poll_fn(|cx| {
+            let mut read_bytes = 0;
+            loop {
+                let mut target = ReadBuf::new(&mut buffer);
+                match Pin::new(&mut stream).poll_read(cx, target.unfilled()) {
+                    Poll::Ready(read) => read.expect("an open connection"),
+                    Poll::Pending => return Poll::Ready(read_bytes),
+                }
+                read_bytes += target.filled().len() as u64;
+            }
+        });
+        let read_bytes = read_bytes.await;
+        assert!(0 < read_bytes && read_bytes <= MAX_TURN_BYTES, "{read_bytes} bytes in one turn");
+    });
+}
