Test that a node stops while the store responds without end

The store is read on the thread that also waits for signals. The test passed before without this check, as requests are served by the other thread.

--- a/fescuestack/tests/endless_input.rs
+++ b/fescuestack/tests/endless_input.rs
@@ -5,7 +5,7 @@
 use std::io::{Read, Write};
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -57,16 +57,19 @@
         let address = listener.local_addr().expect("a bound port");
         thread::spawn(move || {
             for stream in listener.incoming() {
-                thread::spawn(move || send_endless(stream?, head, piece));
+                thread::spawn(move || -> std::io::Result<()> {
+                    let mut stream = stream?;
+                    let _ = stream.read(&mut [0; 4096])?;
+                    send_endless(stream, head, piece)
+                });
             }
         });
         EndlessServer { address }
     }
 }
 
-/// Reads once, then writes until the peer closes the connection.
+/// Writes until the peer closes the connection.
 fn send_endless(mut stream: TcpStream, head: &[u8], piece: &[u8]) -> std::io::Result<()> {
-    let _ = stream.read(&mut [0; 4096])?;
     stream.write_all(head)?;
     let block = piece.repeat(16 * 1024 / piece.len());
     loop {
@@ -102,6 +105,7 @@
 struct StoreProxy {
     address: SocketAddr,
     endless: Arc<AtomicBool>,
+    endless_responses: Arc<AtomicUsize>,
 }
 
 impl StoreProxy {
@@ -109,15 +113,13 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("a bound port");
         let endless = Arc::new(AtomicBool::new(false));
-        let is_endless = endless.clone();
+        let endless_responses = Arc::new(AtomicUsize::new(0));
+        let (is_endless, count_responses) = (endless.clone(), endless_responses.clone());
         thread::spawn(move || {
             for stream in listener.incoming() {
-                let is_endless = is_endless.clone();
+                let (is_endless, count_responses) = (is_endless.clone(), count_responses.clone());
                 thread::spawn(move || -> std::io::Result<()> {
                     let mut client = stream?;
-                    if is_endless.load(Ordering::SeqCst) {
-                        return send_endless(client, CHUNKED_RESPONSE, SMALL_CHUNK);
-                    }
                     let mut server = TcpStream::connect(store)?;
                     let (mut to_client, mut from_server) =
                         (client.try_clone()?, server.try_clone()?);
@@ -126,6 +128,7 @@
                     loop {
                         let count = client.read(&mut buffer)?;
                         if is_endless.load(Ordering::SeqCst) {
+                            count_responses.fetch_add(1, Ordering::SeqCst);
                             server.shutdown(std::net::Shutdown::Both)?;
                             return send_endless(client, CHUNKED_RESPONSE, SMALL_CHUNK);
                         }
@@ -134,7 +137,7 @@
                 });
             }
         });
-        StoreProxy { address, endless }
+        StoreProxy { address, endless, endless_responses }
     }
 }
 
@@ -287,13 +290,23 @@
     });
 }
 
-/// Guards against a store whose responses never end.
+/// Guards against a store whose responses never end and keep a node from serving requests, and from
+/// noticing that it is asked to stop.
 #[test]
 fn endless_store_does_not_block_a_node() {
     task::block_on(async {
-        let fleet = EndlessFleet::start(243, None).await;
+        let mut fleet = EndlessFleet::start(243, None).await;
         fleet.proxy.endless.store(true, Ordering::SeqCst);
         fleet.check_other_requests().await;
+        assert!(fleet.proxy.endless_responses.load(Ordering::SeqCst) > 0);
+        for node in &mut fleet.nodes {
+            node.signal("-TERM");
+        }
+        task::sleep(MAX_LATENCY).await;
+        for node in &fleet.nodes {
+            let ready = SocketAddr::new(node.vm, fleet.ports[2]);
+            assert_eq!(send(ready, READY_PATH).await, Some(503), "{} is still ready", node.vm);
+        }
     });
 }
 
