Read streamed bodies in turns, and discarded input too

The streaming connections of the node's own form, and the discarding of input after a refused request, read as long as the socket has data.

Change: `MessageReader` and `discard` read in turns. The check whether an idle connection is reusable does not: it takes "no data" as proof that no late response has arrived.

Evidence: `streamed_bodies_are_read_in_turns` failed before (over 65,536 bytes in one turn) and passes. A test of `discard` passed without the change as well, because a short read now and then finds the socket empty, and was not kept.

--- a/http/src/reader.rs
+++ b/http/src/reader.rs
@@ -12,6 +12,7 @@
 
 use crate::head::find_head_end;
 use crate::progress::ProgressTimer;
+use crate::read_turn::ReadTurn;
 use crate::{BodyFraming, ChunkParser, HttpFault, MAX_HEAD_BYTES};
 
 /// Size of the read buffer of a connection. A complete head must fit.
@@ -40,6 +41,7 @@
     /// Part of `100 Continue` that must be written before the body is read.
     continue_left: &'static [u8],
     timer: ProgressTimer,
+    turn: ReadTurn,
     close_waker: Option<Waker>,
     /// Set while `poll_close` waits for the socket.
     read_signal: Option<Arc<ReadSignal>>,
@@ -71,6 +73,7 @@
             body: BodyState::Done,
             continue_left: &[],
             timer: ProgressTimer::new(None),
+            turn: ReadTurn::default(),
             close_waker: None,
             read_signal: None,
         }
@@ -276,7 +279,10 @@
     }
 
     fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
-        match self.poll_fill_untimed(cx) {
+        let mut turn = std::mem::take(&mut self.turn);
+        let result = turn.poll_read(cx, |cx| self.poll_fill_untimed(cx));
+        self.turn = turn;
+        match result {
             Poll::Ready(result) => {
                 self.timer.record_progress();
                 Poll::Ready(result)
@@ -286,7 +292,8 @@
     }
 
     fn poll_stream(&mut self, cx: &mut Context<'_>, out: &mut [u8]) -> Poll<io::Result<usize>> {
-        match Pin::new(&mut self.stream).poll_read(cx, out) {
+        let stream = Pin::new(&mut self.stream);
+        match self.turn.poll_read(cx, |cx| stream.poll_read(cx, out)) {
             Poll::Ready(result) => {
                 self.timer.record_progress();
                 Poll::Ready(result)
--- a/http/src/server.rs
+++ b/http/src/server.rs
@@ -18,6 +18,7 @@
 use crate::body::{BodySource, SharedBody, lock, now_or_never};
 use crate::coarse_timer::{CoarseSleep, within};
 use crate::hop_by_hop::remove_hop_by_hop_fields;
+use crate::read_turn::ReadTurn;
 use crate::reader::MessageReader;
 use crate::writer::MessageWriter;
 use crate::{BodyFraming, HttpFault, parse_head, parse_request_line};
@@ -236,7 +237,11 @@
 
 async fn discard<R: AsyncRead + Unpin>(rest: &mut R) -> io::Result<()> {
     let mut buffer = vec![0; 4096];
-    while rest.read(&mut buffer).await? > 0 {}
+    let mut turn = ReadTurn::default();
+    let mut read = |cx: &mut Context<'_>| {
+        turn.poll_read(cx, |cx| Pin::new(&mut *rest).poll_read(cx, &mut buffer))
+    };
+    while poll_fn(&mut read).await? > 0 {}
     Ok(())
 }
 
--- a/http/tests/endless.rs
+++ b/http/tests/endless.rs
@@ -13,9 +13,10 @@
 use async_std::task;
 use bytes::Bytes;
 use fescuestack_http::{
-    BufferedRequest, BufferedResponse, ChunkParser, ExchangeConnection, ExchangeError, HyperStream,
-    within,
+    BufferedRequest, BufferedResponse, ChunkParser, ClientConnection, ExchangeConnection,
+    ExchangeError, HyperStream, within,
 };
+use futures_lite::AsyncRead;
 use http::{HeaderMap, HeaderValue, Method};
 use hyper::rt::{Read as _, ReadBuf};
 
@@ -163,3 +164,31 @@
         assert!(0 < read_bytes && read_bytes <= MAX_TURN_BYTES, "{read_bytes} bytes in one turn");
     });
 }
+
+/// Guards against a streamed body that keeps the thread while its socket has data.
+#[test]
+fn streamed_bodies_are_read_in_turns() {
+    for piece in SMALL_CHUNKS {
+        task::block_on(async {
+            let address = serve(CHUNKED_HEAD, piece, usize::MAX, b"");
+            let mut connection = ClientConnection::open(address, LIMIT).await.expect("a server");
+            let url = http_types::Url::parse("http://h/").expect("a URL");
+            let request = http_types::Request::new(http_types::Method::Get, url);
+            let mut body = connection.send(request).await.expect("a head").take_body();
+            task::sleep(Duration::from_millis(200)).await;
+            let mut buffer = vec![0; 16 * 1024];
+            let data_bytes = poll_fn(|cx| {
+                let mut data_bytes = 0;
+                while data_bytes <= MAX_TURN_BYTES {
+                    match Pin::new(&mut body).poll_read(cx, &mut buffer) {
+                        Poll::Ready(read) => data_bytes += read.expect("an open connection") as u64,
+                        Poll::Pending => break,
+                    }
+                }
+                Poll::Ready(data_bytes)
+            });
+            let data_bytes = data_bytes.await;
+            assert!(0 < data_bytes && data_bytes <= MAX_TURN_BYTES, "{data_bytes} in one turn");
+        });
+    }
+}
