Refuse calls that may outlast a stopping node

What callers saw: calls with 4 to 5 s of work that a node took 2.4 to 2.9 s after SIGTERM, safe and unsafe, lost their connection without a response when the process exited at 5.74 s.

Cause: for 3 s, a stopping node took calls whatever time they might need, told nobody that it was stopping, and started calls from its queue until the end.

Change: `StopSchedule` knows when calls are broken off. A call starts at a stopping node only if its deadline, the earlier one of client and route, and the time for the response end before that. Otherwise it has not run: clients get 503 with Retry-After, and return after they have noticed that the node is not ready; queued calls are refused when the stop begins; other nodes get the reply `Stopping` and use another target. Each reply of a stopping node says for how long it still runs calls, so that other nodes send it only short ones. The service time of a call is not predicted: one that takes longer than usual would be broken off.

--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -16,6 +16,7 @@
 mod routes;
 mod silence;
 mod slots;
+mod stop;
 mod view;
 mod waits;
 
@@ -34,5 +35,6 @@
 pub use slots::{
     AdmissionDecision, CallEnd, QueuedCall, SlotAction, SlotLoad, SlotQueue, SlotTicket,
 };
+pub use stop::{READINESS_NOTICE_TIME, StopSchedule};
 pub use view::{StorePosition, StoreView, StoredItem, ViewChange};
 pub use waits::CallerWaitEstimator;
--- a/routing/src/picker.rs
+++ b/routing/src/picker.rs
@@ -152,6 +152,8 @@
     failure_rate_at: ClockTime,
     /// Time until which the target is not selected.
     avoid_until: ClockTime,
+    /// Time at which the target's node, which is stopping, breaks off its calls.
+    stops_at: Option<ClockTime>,
 }
 
 /// Targets of one service.
@@ -244,6 +246,7 @@
                 failure_rate: 0.0,
                 failure_rate_at: now,
                 avoid_until: ClockTime::ZERO,
+                stops_at: None,
             };
             self.stats.insert(entry.id.clone(), record);
         }
@@ -348,6 +351,7 @@
         let reachable = second.iter().chain(first).filter_map(|id| {
             let record = self.stats.get(id)?;
             let reachable = record.is_usable(now)
+                && !record.may_cut_off(now, call.deadline)
                 && !self.unreachable.contains(&record.entry.address.ip())
                 && !self.has_departed(&record.entry);
             reachable.then_some((id, record))
@@ -417,6 +421,13 @@
         record.failure_rate_at = now;
     }
 
+    /// Records for how long a target's node still runs calls if it is stopping.
+    pub fn record_stop(&mut self, now: ClockTime, id: &str, time_left: Option<ClockSpan>) {
+        if let Some(record) = self.stats.get_mut(id) {
+            record.stops_at = time_left.map(|left| now + left);
+        }
+    }
+
     /// Records that a target with a rate limit has refused a call of `priority`, and when it is
     /// expected to accept one. A refusal without a limit tells less: calls end at any moment.
     pub fn record_refusal(&mut self, now: ClockTime, id: &str, priority: u8, wait: ClockSpan) {
@@ -448,6 +459,11 @@
         self.entry.state == TargetState::Ready && self.avoid_until <= now
     }
 
+    /// Whether the target's node is stopping and may break off a call that ends at `deadline`.
+    fn may_cut_off(&self, now: ClockTime, deadline: ClockTime) -> bool {
+        self.stops_at.is_some_and(|at| now < at && at < deadline)
+    }
+
     /// Expected time in ms to the answer to a call of `priority` on a route with an average of
     /// `route_time`, including the failure penalty. Queued calls of lower priority do not count,
     /// because the call overtakes them.
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -26,9 +26,6 @@
 /// When a client should retry while the node has no configuration.
 const NOT_READY_RETRY_AFTER: ClockSpan = ClockSpan::new(300);
 
-/// When a client should retry while the node is stopping. Its successor starts within a second.
-const STOPPING_RETRY_AFTER: ClockSpan = ClockSpan::new(800);
-
 /// When a client should retry a request that has crashed several targets.
 const CRASHING_RETRY_AFTER: ClockSpan = ClockSpan::new(5_000);
 
@@ -126,8 +123,7 @@
     trace: &mut EntryTrace,
 ) -> Result<BufferedResponse, EntryFault> {
     if state.is_refusing() {
-        trace.cause = Some(LossCause::Stopping);
-        return Err(EntryFault::NotRun { retry_after: STOPPING_RETRY_AFTER });
+        return Err(stopping_fault(state, trace));
     }
     let Some(routes) = state.routes.load_full() else {
         trace.cause = Some(LossCause::NoConfiguration);
@@ -151,6 +147,9 @@
         .unwrap_or_default();
     let left = client_time_left.map_or(route.timeout, |left| left.min(route.timeout));
     let deadline = arrived + left;
+    if !state.stop.allows(deadline) {
+        return Err(stopping_fault(state, trace));
+    }
     trace.times.soft_timeout = route.soft_timeout.less(waited).millis();
     let timeout = Duration::from_millis(left.millis());
     let max_body_bytes = usize::try_from(routes.limits.max_body_bytes).unwrap_or(usize::MAX);
@@ -195,6 +194,12 @@
     }
 }
 
+/// Returns the fault of a request that has not run because the node is stopping.
+fn stopping_fault(state: &NodeState, trace: &mut EntryTrace) -> EntryFault {
+    trace.cause = Some(LossCause::Stopping);
+    EntryFault::NotRun { retry_after: state.stop.retry_after() }
+}
+
 /// A request that is sent to targets.
 struct EntryCall {
     route: Arc<RouteRule>,
@@ -223,6 +228,13 @@
             return Err(EntryFault::NotRun { retry_after: CRASHING_RETRY_AFTER });
         }
         loop {
+            if !state.stop.allows(self.deadline) {
+                return match response {
+                    Some(response) => Ok(response),
+                    None if progress.plan.may_have_run() => Err(EntryFault::Lost),
+                    None => Err(stopping_fault(state, progress.trace)),
+                };
+            }
             let step = {
                 let mut routing = lock(&state.routing);
                 let allowance = routing.allowance;
@@ -328,6 +340,7 @@
             (AttemptEnd::Refused { retry_after }, TargetFeedback::Refused)
         }
         (ReplyEnd::Leaving, _) => (AttemptEnd::Moved, TargetFeedback::Leaving),
+        (ReplyEnd::Stopping, _) => (AttemptEnd::Moved, TargetFeedback::Refused),
         (ReplyEnd::Gone, _) => (AttemptEnd::Moved, TargetFeedback::Replaced),
         (ReplyEnd::Rejected, _) => (AttemptEnd::Rejected, TargetFeedback::Failed),
         (ReplyEnd::NotSent, _) => (AttemptEnd::NotSent, TargetFeedback::Failed),
@@ -346,6 +359,7 @@
         let now = self.state.clock.now();
         let picker = &mut lock(&self.state.routing).picker;
         picker.record_load(now, &self.target.id, &route.name, reply.load());
+        picker.record_stop(now, &self.target.id, reply.stops_in.map(ClockSpan::new));
         if reply.end == ReplyEnd::Refused {
             let wait = ClockSpan::new(reply.retry_after);
             picker.record_refusal(now, &self.target.id, route.priority, wait);
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -14,6 +14,7 @@
 mod peer;
 mod report;
 mod run;
+mod stop;
 mod sync;
 mod target;
 
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -22,6 +22,7 @@
 
 use crate::links::{LinkObserver, LinkTable};
 use crate::report::EXPLAIN_RECORDS;
+use crate::stop::StopSignal;
 use crate::target::LocalTarget;
 
 /// Divisor of the VM's memory that gives the budget for bodies of calls. Bodies are copied once or
@@ -68,6 +69,8 @@
     pub(crate) recent_calls: RecentCalls,
     /// Offset of this node in traffic splits, so that nodes do not choose services in step.
     pub(crate) split_offset: u32,
+    /// Times of the stop, once it has begun.
+    pub(crate) stop: Arc<StopSignal>,
     stopping: AtomicBool,
     /// Whether the stop has progressed so far that new requests are refused.
     refuses_requests: AtomicBool,
@@ -119,8 +122,14 @@
         };
         let body_budget = ByteBudget::new((settings.memory_bytes / BODY_MEMORY_DIVISOR) as usize);
         let links = LinkTable::new(body_budget.clone(), settings.grace);
-        let local_target =
-            LocalTarget::new(settings.target, settings.link_mbps, clock, body_budget.clone());
+        let stop = Arc::new(StopSignal::new(clock));
+        let local_target = LocalTarget::new(
+            settings.target,
+            settings.link_mbps,
+            clock,
+            body_budget.clone(),
+            stop.clone(),
+        );
         let state = Arc::new(NodeState {
             settings: ArcSwap::from_pointee(settings),
             clock,
@@ -142,6 +151,7 @@
             crashes: Mutex::default(),
             recent_calls: RecentCalls::new(EXPLAIN_RECORDS),
             split_offset: node_seed as u32,
+            stop,
             stopping: AtomicBool::new(false),
             refuses_requests: AtomicBool::new(false),
             active_calls: AtomicUsize::new(0),
@@ -252,9 +262,11 @@
         self.stopping.load(Ordering::Acquire)
     }
 
-    /// Marks the node as stopping, so that clients and other nodes use other ones.
-    pub(crate) fn begin_stop(&self) {
+    /// Marks the node as stopping, so that clients and other nodes use other ones. Calls may run for
+    /// `grace` from now on.
+    pub(crate) fn begin_stop(&self, grace: ClockSpan) {
         self.stopping.store(true, Ordering::Release);
+        self.stop.begin(grace);
     }
 
     /// Whether new requests are refused because the process is about to exit.
--- a/sidecar/src/note.rs
+++ b/sidecar/src/note.rs
@@ -68,6 +68,8 @@
     NotSent,
     /// The target may have executed it.
     Lost,
+    /// Not executed: the node is stopping and might break it off.
+    Stopping,
 }
 
 /// Outcome of a call and load of the target, sent by the target's node. Times are in ms.
@@ -97,6 +99,8 @@
     pub(crate) target_leaving: bool,
     /// After a refusal, the time after which a retry is likely to be accepted.
     pub(crate) retry_after: u64,
+    /// If the node is stopping, the time for which it still runs calls.
+    pub(crate) stops_in: Option<u64>,
 }
 
 impl ReplyNote {
--- a/sidecar/src/peer.rs
+++ b/sidecar/src/peer.rs
@@ -94,6 +94,13 @@
         return empty_response(StatusCode::BAD_REQUEST);
     };
     let received_at = state.clock.now();
+    if !state.stop.allows(received_at + ClockSpan::new(note.left)) {
+        return reply_response(state.local_target.reply(
+            &note.route,
+            ReplyEnd::Stopping,
+            ClockSpan::ZERO,
+        ));
+    }
     let incoming_body = match state.local_target.admit_body(&note) {
         Ok(incoming_body) => incoming_body,
         Err((end, retry_after)) => {
--- a/sidecar/src/run.rs
+++ b/sidecar/src/run.rs
@@ -10,11 +10,12 @@
 use async_channel::Receiver;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
+use fescuestack_core::ClockSpan;
 use fescuestack_http::{HyperExecutor, HyperStream, HyperTimer, lock, set_socket_options};
 use fescuestack_operators::{MetricsError, NodeMetrics};
 use fescuestack_platform::headers::READY_PATH;
 use fescuestack_platform::{SidecarSettings, SidecarSettingsError};
-use fescuestack_routing::LINK_CHECK_INTERVAL;
+use fescuestack_routing::{LINK_CHECK_INTERVAL, READINESS_NOTICE_TIME};
 use futures_lite::future;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
@@ -45,10 +46,6 @@
 /// How often the settings file is read again, since it may change without a signal.
 const SETTINGS_POLL_PERIOD: Duration = Duration::from_millis(1_000);
 
-/// Time in which clients notice that a stopping node is not ready: two probes, one second apart. An
-/// idle node may exit after it.
-const READINESS_NOTICE_TIME: Duration = Duration::from_millis(2_200);
-
 /// How long a stopping node accepts requests of clients that have not noticed the stop.
 const STOP_SERVE_TIME: Duration = Duration::from_millis(3_000);
 
@@ -57,7 +54,7 @@
 
 /// Part of the grace period that is reserved for the end of the stop, before the platform kills the
 /// process.
-const STOP_GRACE_MARGIN: Duration = Duration::from_millis(300);
+const STOP_GRACE_MARGIN: ClockSpan = ClockSpan::new(300);
 
 /// Idle timeout of client connections while there is no configuration.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -143,6 +140,7 @@
                     stop().await;
                     log::info!("stop requested again");
                     *lock(&last_stop_request) = Instant::now();
+                    self.state.begin_stop(self.call_time());
                     task::sleep(TICK_PERIOD).await;
                 }
             };
@@ -151,24 +149,28 @@
         future::or(stopping, future::or(follower, settings)).await;
     }
 
+    /// Returns the time for which calls may run after the platform has asked the node to stop.
+    fn call_time(&self) -> ClockSpan {
+        self.state.settings.load().grace.less(STOP_GRACE_MARGIN)
+    }
+
     /// Lets clients switch to other nodes and calls in progress end, within the grace period that
     /// starts at `last_stop_request`.
     async fn stop(&self, last_stop_request: &Mutex<Instant>) {
         let stop_started = Instant::now();
-        let grace = Duration::from_millis(self.state.settings.load().grace.millis());
-        let time_limit = grace.saturating_sub(STOP_GRACE_MARGIN);
-        self.state.begin_stop();
+        let call_time = self.call_time();
+        let time_limit = Duration::from_millis(call_time.millis());
+        self.state.begin_stop(call_time);
         let uptime = self.started.elapsed().as_millis() as u64;
         log::info!(uptime_ms = uptime, calls = self.state.active_calls(); "graceful stop begins");
+        let notice_time = Duration::from_millis(READINESS_NOTICE_TIME.millis());
         let mut last_active = Instant::now();
         while stop_started.elapsed() < STOP_SERVE_TIME.min(time_limit) {
             task::sleep(TICK_PERIOD).await;
             if self.state.active_calls() > 0 {
                 last_active = Instant::now();
             }
-            if stop_started.elapsed() >= READINESS_NOTICE_TIME
-                && last_active.elapsed() >= STOP_QUIET_TIME
-            {
+            if stop_started.elapsed() >= notice_time && last_active.elapsed() >= STOP_QUIET_TIME {
                 break;
             }
         }
--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -18,10 +18,12 @@
     AdmissionDecision, CallEnd, IngressDecision, IngressLink, QueuedCall, RateLimit, SlotAction,
     SlotLoad, SlotQueue, SlotTicket, TargetListing, TargetNotice, TargetState,
 };
+use futures_lite::future;
 use http::HeaderValue;
 use rustc_hash::FxHashMap;
 
 use crate::note::{CallNote, ReplyEnd, ReplyNote};
+use crate::stop::StopSignal;
 
 /// Timeout for a connection to the target, which is on the same VM.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -64,6 +66,7 @@
 pub(crate) struct LocalTarget {
     clock: CallClock,
     body_budget: Arc<ByteBudget>,
+    stop: Arc<StopSignal>,
     ingress: Mutex<IngressLink>,
     state: Mutex<LocalTargetState>,
 }
@@ -92,6 +95,7 @@
         link_mbps: f64,
         clock: CallClock,
         body_budget: Arc<ByteBudget>,
+        stop: Arc<StopSignal>,
     ) -> Arc<LocalTarget> {
         let state = LocalTargetState {
             address,
@@ -105,7 +109,7 @@
             waiters: FxHashMap::default(),
         };
         let ingress = Mutex::new(IngressLink::new(link_mbps));
-        Arc::new(LocalTarget { clock, body_budget, ingress, state: Mutex::new(state) })
+        Arc::new(LocalTarget { clock, body_budget, stop, ingress, state: Mutex::new(state) })
     }
 
     /// Applies the platform's entry for the target's address. Without an entry, a target that was
@@ -181,6 +185,9 @@
         if self.is_replaced(&note.target) {
             return self.reply(&note.route, ReplyEnd::Gone, ClockSpan::ZERO);
         }
+        if !self.stop.allows(deadline) {
+            return self.reply(&note.route, ReplyEnd::Stopping, ClockSpan::ZERO);
+        }
         let ticket = match self.acquire_slot(now, note).await {
             Ok(ticket) => ticket,
             Err(_) if self.is_leaving() => return self.leaving_reply(note),
@@ -291,11 +298,12 @@
         now: ClockTime,
         note: &CallNote,
     ) -> Result<SlotGuard, (ReplyEnd, ClockSpan)> {
+        let deadline = now + ClockSpan::new(note.left);
         let call = QueuedCall {
             route: note.route.clone(),
             priority: note.rank,
             soft_deadline: now + ClockSpan::new(note.aim_left),
-            deadline: now + ClockSpan::new(note.left),
+            deadline,
             max_wait: ClockSpan::new(note.wait_limit),
         };
         let (ticket, waiter) = {
@@ -321,8 +329,15 @@
         if let Some(waiter) = waiter {
             // The sender stays in `waiters` until it has sent the result, so the channel does not
             // close earlier.
-            let result = waiter.recv().await.unwrap_or(Err(ClockSpan::ZERO));
-            result.map_err(|retry_after| (ReplyEnd::Refused, retry_after))?;
+            let admitted = async {
+                let result = waiter.recv().await.unwrap_or(Err(ClockSpan::ZERO));
+                result.map_err(|retry_after| (ReplyEnd::Refused, retry_after))
+            };
+            let stopped = async {
+                self.stop.forbids(deadline).await;
+                Err((ReplyEnd::Stopping, ClockSpan::ZERO))
+            };
+            future::or(admitted, stopped).await?;
         }
         Ok(guard)
     }
@@ -403,6 +418,7 @@
             crashed: false,
             target_leaving: self.is_leaving(),
             retry_after: retry_after.millis(),
+            stops_in: self.stop.time_left().map(ClockSpan::millis),
         };
         TargetReply { note, response: None }
     }
--- a/sidecar/tests/shutdown.rs
+++ b/sidecar/tests/shutdown.rs
@@ -92,3 +92,104 @@
         assert_eq!(answered.expect("the node waits for the call").expect("a response"), 200);
     });
 }
+
+/// Sends `call` to a node, and returns the status of the response and the time that it took.
+async fn timed_status(mesh: &Mesh, node: usize, call: &TestCall) -> (u16, Duration) {
+    let started = Instant::now();
+    let response = mesh.send(node, call).await.expect("a response");
+    if response.status == 503 {
+        assert!(response.headers.contains_key("retry-after"), "{:?}", response.headers);
+    }
+    (response.status, started.elapsed())
+}
+
+/// Guards against a stopping node that takes a call, passes it on and exits before its response: the
+/// connection was closed without one, for requests that must not be repeated, too.
+#[test]
+fn calls_that_may_outlast_the_node_are_refused_at_once() {
+    task::block_on(async {
+        let mut mesh = Mesh::start(&["alpha"]).await;
+        let slow = config_with(2, &[("/s/", "alpha")], Duration::from_secs(10));
+        mesh.store.put(CONFIG_KEY, slow);
+        mesh.eventually_served(0, "/s/").await;
+        mesh.nodes[0].application.set_processing_time(Duration::from_millis(4_500));
+        let runs = mesh.nodes[0].application.runs().len();
+        mesh.request_stop(0);
+        let node_task = mesh.take_task(0);
+        for delay in [100, 1_400, 1_000] {
+            task::sleep(Duration::from_millis(delay)).await;
+            let long_calls = [TestCall::get("g", "/s/"), TestCall::post("p", "/s/pay/", b"1")];
+            for mut call in long_calls {
+                call.timeout_ms = 10_000;
+                let (status, taken) = timed_status(&mesh, 0, &call).await;
+                assert_eq!(status, 503);
+                assert!(taken < Duration::from_millis(300), "refused after {taken:?}");
+            }
+        }
+        node_task.await;
+        assert_eq!(mesh.nodes[0].application.runs().len(), runs, "a refused call has run");
+    });
+}
+
+/// Guards against calls of other nodes that a stopping node takes and breaks off, and against a
+/// target that stands idle while its node stops.
+#[test]
+fn long_calls_avoid_a_stopping_node_and_short_ones_do_not() {
+    task::block_on(async {
+        let mesh = Mesh::start(&["alpha", "alpha", "beta"]).await;
+        let slow = config_with(2, &[("/s/", "alpha")], Duration::from_secs(10));
+        mesh.store.put(CONFIG_KEY, slow);
+        mesh.eventually_served(2, "/s/").await;
+        let runs_of = |mesh: &Mesh| mesh.nodes[0].application.runs().len();
+        mesh.request_stop(0);
+        task::sleep(Duration::from_millis(200)).await;
+        for (timeout_ms, is_long) in [(10_000, true), (1_000, false)] {
+            let before = runs_of(&mesh);
+            for number in 0..30 {
+                let mut call = TestCall::get(&format!("c{number}"), "/s/");
+                call.timeout_ms = timeout_ms;
+                assert_eq!(timed_status(&mesh, 2, &call).await.0, 200);
+            }
+            assert_eq!(runs_of(&mesh) == before, is_long, "calls of {timeout_ms} ms");
+        }
+    });
+}
+
+/// Guards against a call that waits in the queue when the stop begins and is started too late.
+#[test]
+fn queued_calls_that_may_outlast_the_node_are_refused_at_once() {
+    task::block_on(async {
+        let mesh = Mesh::start(&["alpha"]).await;
+        let slow = config_with(2, &[("/s/", "alpha")], Duration::from_secs(10));
+        mesh.store.put(CONFIG_KEY, slow);
+        mesh.eventually_served(0, "/s/").await;
+        mesh.nodes[0].application.set_processing_time(Duration::from_millis(1_500));
+        let application = mesh.nodes[0].application.clone();
+        let runs = application.runs().len();
+        // Two more than the target has slots.
+        let mut calls = Vec::new();
+        for number in 0..6 {
+            let mut call = TestCall::get(&format!("q{number}"), "/s/");
+            call.timeout_ms = 10_000;
+            let mut connection = mesh.connect(0).await.expect("a node");
+            calls.push(task::spawn(async move {
+                let outcome = connection.exchange(&call.request(), None).await;
+                (outcome.expect("a response").status, Instant::now())
+            }));
+        }
+        task::sleep(Duration::from_millis(300)).await;
+        assert_eq!(application.runs().len(), runs + 4, "two calls wait");
+        let stopped_at = Instant::now();
+        mesh.request_stop(0);
+        let mut statuses = Vec::new();
+        for call in calls {
+            let (status, at) = call.await;
+            statuses.push(status);
+            let waited = at - stopped_at;
+            assert!(status == 200 || waited < Duration::from_millis(300), "after {waited:?}");
+        }
+        statuses.sort_unstable();
+        assert_eq!(statuses, [200, 200, 200, 200, 503, 503]);
+        assert_eq!(application.runs().len(), runs + 4, "a refused call has run");
+    });
+}
