Write responses to their end before a stopping node exits

Cause: a stop waits for calls in progress, and a call ends when its response has been built, not when it has been written.

Change: after connections were told to close, the stop waits until they have ended, within the same limit. `hyper` ends a connection once its last response is written, and an idle one at once. It holds for connections of other nodes, too, whose responses can be as long.

--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -75,6 +75,8 @@
     /// Whether the stop has progressed so far that new requests are refused.
     refuses_requests: AtomicBool,
     active_calls: AtomicUsize,
+    /// Number of open connections of clients and of other nodes to this one.
+    open_connections: AtomicUsize,
     /// Closed to make connections end after their current request.
     closing_channel: (Sender<()>, Receiver<()>),
 }
@@ -155,6 +157,7 @@
             stopping: AtomicBool::new(false),
             refuses_requests: AtomicBool::new(false),
             active_calls: AtomicUsize::new(0),
+            open_connections: AtomicUsize::new(0),
             closing_channel: async_channel::bounded(1),
         });
         let observer: Arc<dyn LinkObserver> = state.clone();
@@ -300,6 +303,17 @@
         self.active_calls.load(Ordering::Acquire)
     }
 
+    /// Whether calls are in progress or connections open. Once connections are to be closed, those
+    /// that remain open still have a response to send.
+    pub(crate) fn is_busy(&self) -> bool {
+        self.active_calls() > 0 || self.open_connections.load(Ordering::Acquire) > 0
+    }
+
+    pub(crate) fn open_connection(self: &Arc<Self>) -> ConnectionGuard {
+        self.open_connections.fetch_add(1, Ordering::AcqRel);
+        ConnectionGuard(self.clone())
+    }
+
     pub(crate) fn begin_call(self: &Arc<Self>) -> CallGuard {
         self.active_calls.fetch_add(1, Ordering::AcqRel);
         CallGuard(self.clone())
@@ -321,6 +335,15 @@
     }
 }
 
+/// Counts a connection as open until it is dropped.
+pub(crate) struct ConnectionGuard(Arc<NodeState>);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.open_connections.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 /// Returns a seed that differs between nodes and between starts of a node.
 fn node_seed(node: &str, now: u64) -> u64 {
     let mut hasher = FxHasher::default();
--- a/sidecar/src/run.rs
+++ b/sidecar/src/run.rs
@@ -175,7 +175,7 @@
             }
         }
         self.state.close_connections();
-        while self.state.active_calls() > 0 && lock(last_stop_request).elapsed() < time_limit {
+        while self.state.is_busy() && lock(last_stop_request).elapsed() < time_limit {
             task::sleep(TICK_PERIOD).await;
         }
         // Gives responses that were just written time to leave the process.
@@ -241,6 +241,7 @@
 }
 
 async fn serve_client(state: Arc<NodeState>, stream: TcpStream) {
+    let _connection_guard = state.open_connection();
     let stream = HyperStream::new(stream);
     let (idle_timeout, head_bytes) = match &*state.routes.load() {
         Some(routes) => {
@@ -265,6 +266,7 @@
 }
 
 async fn serve_node(state: Arc<NodeState>, stream: TcpStream) {
+    let _connection_guard = state.open_connection();
     let closing = state.closing_signal();
     let stream_window = if state.is_small() { SMALL_STREAM_WINDOW } else { STREAM_WINDOW };
     let service = service_fn(move |request| {
