Answer calls in progress when a stopping node exits

What callers saw: a call that still ran when its node exited lost its connection without a response; one that ran at the target beside a stopping node was noticed by its own node only when the link broke.

Cause: the process ended with its calls in progress.

Change: half a second before the platform kills the process, calls in progress end. A request that may have run gets 502, one that has not gets 503, and other nodes get the reply that the call is lost. The stop then waits up to 200 ms until these responses are written. Calls have 5.5 s of a grace period of 6 s, 0.2 s less than before, which is within its last sixth.

Evidence: `calls_in_progress_at_the_end_of_the_grace_are_answered` failed before (no response when the process would exit) and passes, for clients of the stopping node and of another one.

--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -185,15 +185,45 @@
     let timeout = Duration::from_millis(left.millis()) + RESPONSE_GRACE;
     let client_gone = async {
         watch.closed().await;
-        Some(Err(EntryFault::ClientGone))
+        CallOutcome::ClientGone
     };
-    match future::or(within(timeout, call.execute(state, &mut progress)), client_gone).await {
-        Some(outcome) => outcome,
-        None if progress.attempt_running || progress.plan.may_have_run() => Err(EntryFault::Late),
-        None => Err(EntryFault::NotRun { retry_after: NOT_READY_RETRY_AFTER }),
+    let aborted = async {
+        state.stop.aborted().await;
+        CallOutcome::Aborted
+    };
+    let executed = async {
+        match within(timeout, call.execute(state, &mut progress)).await {
+            Some(result) => CallOutcome::Ended(result),
+            None => CallOutcome::TimedOut,
+        }
+    };
+    let outcome = future::or(executed, future::or(client_gone, aborted)).await;
+    let may_have_run = progress.attempt_running || progress.plan.may_have_run();
+    match outcome {
+        CallOutcome::Ended(result) => result,
+        CallOutcome::ClientGone => Err(EntryFault::ClientGone),
+        CallOutcome::TimedOut if may_have_run => Err(EntryFault::Late),
+        CallOutcome::TimedOut => Err(EntryFault::NotRun { retry_after: NOT_READY_RETRY_AFTER }),
+        CallOutcome::Aborted if may_have_run => {
+            trace.cause = Some(LossCause::Stopping);
+            Err(EntryFault::Lost)
+        }
+        CallOutcome::Aborted => Err(stopping_fault(state, trace)),
     }
 }
 
+/// How the execution of a request ended.
+enum CallOutcome {
+    /// Its plan has ended.
+    Ended(Result<BufferedResponse, EntryFault>),
+    /// Its deadline has passed.
+    TimedOut,
+    /// The client has disconnected.
+    ClientGone,
+    /// The node exits.
+    Aborted,
+}
+
 /// Returns the fault of a request that has not run because the node is stopping.
 fn stopping_fault(state: &NodeState, trace: &mut EntryTrace) -> EntryFault {
     trace.cause = Some(LossCause::Stopping);
--- a/sidecar/src/peer.rs
+++ b/sidecar/src/peer.rs
@@ -7,6 +7,7 @@
 use fescuestack_core::{ClockSpan, RequestFingerprint};
 use fescuestack_http::{BufferedRequest, BufferedResponse, CollectError, collect_body, lock};
 use fescuestack_routing::{AttemptEnd, PickedTarget};
+use futures_lite::future;
 use http::header::HOST;
 use http::{HeaderValue, Request, StatusCode, Uri};
 use http_body_util::Full;
@@ -133,7 +134,11 @@
     let reply = if state.is_refusing() {
         state.local_target.leaving_reply(&note)
     } else {
-        run_local(&state, &note, call).await
+        let aborted = async {
+            state.stop.aborted().await;
+            state.local_target.reply(&note.route, ReplyEnd::Lost, ClockSpan::ZERO)
+        };
+        future::or(run_local(&state, &note, call), aborted).await
     };
     reply_response(reply)
 }
--- a/sidecar/src/run.rs
+++ b/sidecar/src/run.rs
@@ -52,9 +52,13 @@
 /// How long a stopping node must have been without calls to exit early.
 const STOP_QUIET_TIME: Duration = Duration::from_millis(250);
 
-/// Part of the grace period that is reserved for the end of the stop, before the platform kills the
-/// process.
-const STOP_GRACE_MARGIN: ClockSpan = ClockSpan::new(300);
+/// Part of the grace period that is reserved for the end of the stop, after the calls that are still
+/// in progress were broken off.
+const STOP_GRACE_MARGIN: ClockSpan = ClockSpan::new(500);
+
+/// Time in which the responses to these calls are written. What is left of the margin covers delays
+/// on a busy VM, before the platform kills the process.
+const ABORT_TIME: Duration = Duration::from_millis(200);
 
 /// Idle timeout of client connections while there is no configuration.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -178,9 +182,14 @@
         while self.state.is_busy() && lock(last_stop_request).elapsed() < time_limit {
             task::sleep(TICK_PERIOD).await;
         }
+        let cut_off = self.state.active_calls();
+        self.state.stop.abort();
+        while self.state.is_busy() && lock(last_stop_request).elapsed() < time_limit + ABORT_TIME {
+            task::sleep(TICK_PERIOD).await;
+        }
         // Gives responses that were just written time to leave the process.
         task::sleep(TICK_PERIOD).await;
-        log::info!(cut_off = self.state.active_calls(); "node stopped");
+        log::info!(cut_off = cut_off; "node stopped");
     }
 }
 
--- a/sidecar/src/stop.rs
+++ b/sidecar/src/stop.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Mutex;
 
+use async_channel::{Receiver, Sender};
 use event_listener::Event;
 use fescuestack_core::{ClockSpan, ClockTime};
 use fescuestack_http::{CallClock, lock};
@@ -13,11 +14,18 @@
     schedule: Mutex<StopSchedule>,
     /// Notified when a stop begins, or begins again.
     changed: Event,
+    /// Closed when the calls in progress are broken off.
+    abort_channel: (Sender<()>, Receiver<()>),
 }
 
 impl StopSignal {
     pub(crate) fn new(clock: CallClock) -> StopSignal {
-        StopSignal { clock, schedule: Mutex::new(StopSchedule::new()), changed: Event::new() }
+        StopSignal {
+            clock,
+            schedule: Mutex::new(StopSchedule::new()),
+            changed: Event::new(),
+            abort_channel: async_channel::bounded(1),
+        }
     }
 
     /// Begins a stop in which calls may run for `grace`.
@@ -51,4 +59,15 @@
             listener.await;
         }
     }
+
+    /// Breaks off all calls in progress.
+    pub(crate) fn abort(&self) {
+        self.abort_channel.0.close();
+    }
+
+    /// Completes when calls in progress are broken off.
+    pub(crate) async fn aborted(&self) {
+        // Nothing is sent on the channel; `recv` returns when it is closed.
+        let _ = self.abort_channel.1.recv().await;
+    }
 }
