Tell a started node which requests crash their targets

Cause: crashes are reported when they happen and kept in memory only, and only the node that received the request checked for them.

Change: the node beside a target refuses a request that it knows to crash targets, also when another node has sent it. A crash that several nodes report counts once. `SyncNote` and `SyncAnswer` have a further field each.

Evidence: `started_node_learns_of_a_crashing_request` failed before (502: the request had reached a target) and passes.

--- a/routing/src/held.rs
+++ b/routing/src/held.rs
@@ -22,6 +22,17 @@
 /// Maximum number of suspected requests that are tracked.
 const MAX_SUSPECTS: usize = 1_024;
 
+/// A crash, as a node reports it to another one that has started.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KnownCrash {
+    /// The request that the target executed.
+    pub request: RequestFingerprint,
+    /// The target that crashed.
+    pub target: Arc<str>,
+    /// Time since the crash.
+    pub age: ClockSpan,
+}
+
 /// Counts the crashes in which each request was involved.
 ///
 /// Many requests have the same fingerprint, such as lookups without a body. A fingerprint that
@@ -47,11 +58,40 @@
         now: ClockTime,
         target: &Arc<str>,
         request: RequestFingerprint,
+    ) -> usize {
+        self.crashes.retain(|_, crashes| is_recent(now, crashes));
+        self.add_crash(now, target, request)
+    }
+
+    /// Adds crashes that another node knows. Those of nodes that report the same crash count once.
+    pub fn merge(&mut self, now: ClockTime, crashes: &[KnownCrash]) {
+        for crash in crashes {
+            self.add_crash(now - crash.age, &crash.target, crash.request);
+        }
+    }
+
+    /// Returns the crashes of all suspected requests.
+    pub fn known_crashes(&self, now: ClockTime) -> Vec<KnownCrash> {
+        let recent = self.crashes.iter().filter(|(_, crashes)| is_recent(now, crashes));
+        let known = recent.flat_map(|(request, crashes)| {
+            crashes.iter().map(|(target, at)| KnownCrash {
+                request: *request,
+                target: target.clone(),
+                age: now.since(*at),
+            })
+        });
+        known.collect()
+    }
+
+    fn add_crash(
+        &mut self,
+        at: ClockTime,
+        target: &Arc<str>,
+        request: RequestFingerprint,
     ) -> usize {
         if self.completed.contains(request) {
             return 0;
         }
-        self.crashes.retain(|_, crashes| is_recent(now, crashes));
         if self.crashes.len() >= MAX_SUSPECTS
             && let Some(oldest) = self.crashes.iter().min_by_key(|(_, crashes)| last_crash(crashes))
         {
@@ -59,11 +99,12 @@
             self.crashes.remove(&oldest);
         }
         let crashes = self.crashes.entry(request).or_default();
-        let is_duplicate = |(known, at): &(Arc<str>, ClockTime)| {
-            known == target && now.since(*at) < CRASH_MERGE_WINDOW
+        let is_duplicate = |(known, known_at): &(Arc<str>, ClockTime)| {
+            let apart = at.since(*known_at).max(known_at.since(at));
+            known == target && apart < CRASH_MERGE_WINDOW
         };
         if !crashes.iter().any(is_duplicate) {
-            crashes.push((target.clone(), now));
+            crashes.push((target.clone(), at));
         }
         crashes.len()
     }
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -21,7 +21,7 @@
 mod waits;
 
 pub use budget::{RetryAllowance, RetryBudget};
-pub use held::{CrashTracker, QUARANTINE_DURATION};
+pub use held::{CrashTracker, KnownCrash, QUARANTINE_DURATION};
 pub use intake::{IngressDecision, IngressLink, LARGE_BODY_BYTES};
 pub use loss::{LatencyBreakdown, LossCause};
 pub use pacer::RateLimit;
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -17,6 +17,7 @@
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use hyper::body::Incoming;
 
+use crate::crashes::CRASHING_RETRY_AFTER;
 use crate::message::{FullResponse, empty_response, forwarded_request, full_response};
 use crate::node::NodeState;
 use crate::note::{CallNote, ReplyEnd, ReplyNote};
@@ -26,9 +27,6 @@
 /// When a client should retry while the node has no configuration.
 const NOT_READY_RETRY_AFTER: ClockSpan = ClockSpan::new(300);
 
-/// When a client should retry a request that has crashed several targets.
-const CRASHING_RETRY_AFTER: ClockSpan = ClockSpan::new(5_000);
-
 /// How long to wait for a response after the deadline. One that is already on its way is still
 /// delivered.
 const RESPONSE_GRACE: Duration = Duration::from_millis(60);
--- a/sidecar/src/follower.rs
+++ b/sidecar/src/follower.rs
@@ -284,6 +284,7 @@
             vm: self.state.settings.load().target.ip(),
             small: self.state.is_small(),
             sizes: lock(&self.state.vm_sizes).digest(),
+            wants_crashes: !self.state.has_learned_crashes(),
         }
     }
 
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -65,6 +65,8 @@
     removals_deferred_until: AtomicU64,
     /// Requests that crash the targets that execute them.
     pub(crate) crashes: Mutex<CrashTracker>,
+    /// Whether another node has reported its crashes since this node started.
+    crashes_learned: AtomicBool,
     /// Decisions on recent requests that failed or took more than one attempt.
     pub(crate) recent_calls: RecentCalls,
     /// Offset of this node in traffic splits, so that nodes do not choose services in step.
@@ -151,6 +153,7 @@
             confirmed_at: AtomicU64::new(0),
             removals_deferred_until: AtomicU64::new(0),
             crashes: Mutex::default(),
+            crashes_learned: AtomicBool::new(false),
             recent_calls: RecentCalls::new(EXPLAIN_RECORDS),
             split_offset: node_seed as u32,
             stop,
@@ -217,6 +220,15 @@
         self.removals_deferred_until.fetch_max(until.millis(), Ordering::AcqRel);
     }
 
+    /// Whether another node has reported its crashes since this node started.
+    pub(crate) fn has_learned_crashes(&self) -> bool {
+        self.crashes_learned.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn set_crashes_learned(&self) {
+        self.crashes_learned.store(true, Ordering::Release);
+    }
+
     /// Returns the version of the active configuration, or 0.
     pub(crate) fn active_version(&self) -> u64 {
         self.routes.load().as_ref().map_or(0, |routes| routes.version)
--- a/sidecar/src/note.rs
+++ b/sidecar/src/note.rs
@@ -187,6 +187,8 @@
     pub(crate) small: bool,
     /// Digest of the VM sizes that the requesting node knows.
     pub(crate) sizes: u64,
+    /// Whether the requesting node has started and not learned of crashes yet.
+    pub(crate) wants_crashes: bool,
 }
 
 impl SyncNote {
--- a/sidecar/src/peer.rs
+++ b/sidecar/src/peer.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use async_std::task;
 use bytes::Bytes;
 use fescuestack_core::{ClockSpan, RequestFingerprint};
 use fescuestack_http::{BufferedRequest, BufferedResponse, CollectError, collect_body, lock};
@@ -13,6 +12,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 
+use crate::crashes::{CRASHING_RETRY_AFTER, broadcast_crash, record_crash};
 use crate::links::LinkError;
 use crate::message::{FullResponse, empty_response, forwarded_request, full_response};
 use crate::node::NodeState;
@@ -156,6 +156,10 @@
     call: BufferedRequest,
 ) -> TargetReply {
     let request = fingerprint(&call);
+    // The node that received the request may have been restarted and not know of the crashes.
+    if lock(&state.crashes).is_quarantined(state.clock.now(), request) {
+        return state.local_target.reply(&note.route, ReplyEnd::Refused, CRASHING_RETRY_AFTER);
+    }
     let reply = state.local_target.run(note, call).await;
     if reply.note.crashed {
         let crash = CrashNote::new(note.target.clone(), request);
@@ -175,32 +179,3 @@
     let length = Some(call.body.len() as u64);
     RequestFingerprint::new(host, call.method.as_str(), &call.target, length, &call.body)
 }
-
-/// Records a crash. Returns the number of crashes of the request so far, or 0 if it is not
-/// suspected.
-fn record_crash(state: &NodeState, crash: &CrashNote) -> usize {
-    let (now, request) = (state.clock.now(), crash.request());
-    let crashes = lock(&state.crashes).record_crash(now, &crash.target, request);
-    log::info!(target = &*crash.target, hash = request.number(), crashes = crashes;
-        "request crashed a target");
-    crashes
-}
-
-/// Reports a crash to the nodes of all targets, since any of them may receive the request again.
-fn broadcast_crash(state: &Arc<NodeState>, crash: &CrashNote) {
-    for vm in lock(&state.routing).picker.vms() {
-        if state.is_own_vm(vm) {
-            continue;
-        }
-        let state = state.clone();
-        let mut message = Request::new(Full::new(Bytes::new()));
-        *message.uri_mut() = Uri::from_static("http://node/");
-        crash.write(message.headers_mut());
-        task::spawn(async move {
-            // An unreachable node learns of the request at its next crash.
-            if let Err(err) = state.links.send(state.node_address(vm), false, message).await {
-                log::debug!(node = vm.to_string().as_str(); "cannot report a crash: {err}");
-            }
-        });
-    }
-}
--- a/sidecar/src/sync.rs
+++ b/sidecar/src/sync.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
+use crate::crashes::{CrashEntry, known_crashes, learn_crashes};
 use crate::message::{FullResponse, empty_response};
 use crate::node::{EncodedContent, NodeState};
 use crate::note::SyncNote;
@@ -43,6 +44,8 @@
     pub(crate) config: Option<Vec<u8>>,
     /// All keys of the store, if the node knows a later position than the request.
     pub(crate) items: Option<Vec<SyncItem>>,
+    /// Crashes that the node knows, if the requesting node wants them.
+    pub(crate) crashes: Vec<CrashEntry>,
 }
 
 /// A key of the store.
@@ -88,7 +91,7 @@
     };
     within(timeout, changed).await;
     let answer = build_answer(state, note);
-    if answer.items.is_none() || answer.config.is_some() {
+    if answer.items.is_none() || answer.config.is_some() || !answer.crashes.is_empty() {
         return encode_response(&answer);
     }
     // Most followers request the same revisions, and compression takes most of the time.
@@ -135,6 +138,7 @@
         lapse: state.removals_deferred_until().since(state.clock.now()).millis(),
         config: newer_config(state, &view, note.version),
         items: (at > after).then(|| view.iter().map(item).collect()),
+        crashes: if note.wants_crashes { known_crashes(state) } else { Vec::new() },
     }
 }
 
@@ -175,7 +179,12 @@
     log::debug!(node = vm.to_string().as_str(), bytes = response.body().len();
         "received store content");
     match decode_answer(response.body()) {
-        Ok(answer) => Some(answer),
+        Ok(mut answer) => {
+            if note.wants_crashes {
+                learn_crashes(state, vm, std::mem::take(&mut answer.crashes));
+            }
+            Some(answer)
+        }
         Err(err) => {
             log::warn!(node = vm.to_string().as_str();
                 "801 cannot decode the store's content: {err}");
--- a/sidecar/tests/path.rs
+++ b/sidecar/tests/path.rs
@@ -366,6 +366,39 @@
     });
 }
 
+/// Guards against a node that has started after the crashes and sends the request on: at once, when
+/// the node beside the target still knows of them, and later, when all of those have been replaced.
+#[test]
+fn started_node_learns_of_a_crashing_request() {
+    task::block_on(async {
+        let mut mesh = Mesh::start(&["alpha", "beta", "beta", "beta"]).await;
+        for node in &mesh.nodes {
+            node.application.set_crash_body("crash");
+        }
+        let call = TestCall::post("x", "/b/pay/", b"crash");
+        for _ in 0..3 {
+            assert_eq!(mesh.send(0, &call).await.expect("a response").status, 502);
+            task::sleep(Duration::from_millis(400)).await;
+        }
+        // Two further nodes, with a healthy target each. The first one knows of the crashes by the
+        // time the second one starts.
+        for node in [4, 5] {
+            mesh.add_node("beta", 1_000.0).await;
+            mesh.nodes[node].application.set_crash_body("crash");
+            eventually("the node is ready", async || mesh.is_ready(node).await).await;
+            task::sleep(Duration::from_millis(1_500)).await;
+            assert_eq!(mesh.send(node, &call).await.expect("a response").status, 503);
+            assert_eq!(mesh.nodes[node].application.runs().len(), 0, "a target has run it");
+        }
+        mesh.add_node("alpha", 1_000.0).await;
+        eventually("the node is ready", async || mesh.is_ready(6).await).await;
+        // It may not have learned of the crashes yet.
+        assert_eq!(mesh.send(6, &call).await.expect("a response").status, 503);
+        let runs: usize = mesh.nodes.iter().map(|node| node.application.runs().len()).sum();
+        assert_eq!(runs, 3, "the request was sent to a target after its third crash");
+    });
+}
+
 /// Guards against metrics that are documented and not exported.
 #[test]
 fn documented_metrics_are_exported() {
