Test unsafe calls at a stopping node's neighbour, and more kinds of chunks

`long_calls_avoid_a_stopping_node_and_short_ones_do_not` sent safe calls only, and `endless_clients_do_not_block_a_node` bodies in one-byte chunks only. They now send unsafe calls as well, and bodies in chunks with extensions and of two sizes. No bound is changed, and no code of the product.

--- a/fescuestack/tests/endless_input.rs
+++ b/fescuestack/tests/endless_input.rs
@@ -34,6 +34,10 @@
 
 const SMALL_CHUNK: &[u8] = b"1\r\nx\r\n";
 
+const EXTENDED_CHUNK: &[u8] = b"1;extension=value\r\nx\r\n";
+
+const MIXED_CHUNKS: &[u8] = b"1\r\nx\r\n2\r\nxx\r\n";
+
 const CHUNKED_RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
 
 /// HTTP/2 client preface with an empty SETTINGS frame.
@@ -317,8 +321,10 @@
     let upload = b"POST /a/ HTTP/1.1\r\nhost: endless.example\r\nx-fescuestack-request-id: u\r\n\
         x-fescuestack-deadline-ms: 1000\r\ntransfer-encoding: chunked\r\n\r\n";
     let refused = b"GET /none/ HTTP/1.1\r\nhost: none.example\r\n\r\n";
-    let inputs: [(usize, &'static [u8], &'static [u8]); 4] = [
+    let inputs: [(usize, &'static [u8], &'static [u8]); 6] = [
         (0, upload, SMALL_CHUNK),
+        (0, upload, EXTENDED_CHUNK),
+        (0, upload, MIXED_CHUNKS),
         (0, b"", refused),
         (0, b"GET /a/ HTTP/1.1\r\n", b"name: value\r\n"),
         (1, PREFACE, UNKNOWN_FRAME),
--- a/sidecar/tests/shutdown.rs
+++ b/sidecar/tests/shutdown.rs
@@ -186,9 +186,12 @@
         for (timeout_ms, is_long) in [(10_000, true), (1_000, false)] {
             let before = runs_of(&mesh);
             for number in 0..30 {
-                let mut call = TestCall::get(&format!("c{number}"), "/s/");
-                call.timeout_ms = timeout_ms;
-                assert_eq!(timed_status(&mesh, 2, &call).await.0, 200);
+                let id = format!("c{number}");
+                let calls = [TestCall::get(&id, "/s/"), TestCall::post(&id, "/s/pay/", b"1")];
+                for mut call in calls {
+                    call.timeout_ms = timeout_ms;
+                    assert_eq!(timed_status(&mesh, 2, &call).await.0, 200);
+                }
             }
             assert_eq!(runs_of(&mesh) == before, is_long, "calls of {timeout_ms} ms");
         }
