Reject responses whose status is not one of HTTP

Callers got the answer of a target in trouble whose status was 000 or 099, as a 502 with the target's signature and body, and one with 600 or 999 with that status. `httparse` takes any three digits; the buffered reader took its code as it was, and the conversion for the caller replaced a code that `http` cannot hold by 502. The streaming reader checked the range in a rule of its own.

Both readers now share the rule: 100 to 599. A buffered response holds an `http::StatusCode`, so that the replacement, which made a response that no target had sent, is gone. An invalid status is an invalid response: the node logs it and counts the call as lost, so that a safe call is retried and any other one gets a 502 of the node's own.

Four existing tests convert the status to a number where they compare it with one; they check the same values.

--- a/fescuestack/tests/endless_input.rs
+++ b/fescuestack/tests/endless_input.rs
@@ -245,7 +245,7 @@
         let mut connection = ExchangeConnection::open(address, CLIENT_TIMEOUT).await.ok()?;
         connection.exchange(&request, None).await.ok()
     };
-    Some(within(CLIENT_TIMEOUT, exchange).await??.status)
+    Some(within(CLIENT_TIMEOUT, exchange).await??.status.as_u16())
 }
 
 /// Sends requests that get endless responses until the task is cancelled.
--- a/fescuestack/tests/soak.rs
+++ b/fescuestack/tests/soak.rs
@@ -222,7 +222,7 @@
     if answer.status == 404 {
         return Err("a configured route returned 404".to_owned());
     }
-    Ok(Some(answer.status))
+    Ok(Some(answer.status.as_u16()))
 }
 
 async fn run_seed(seed: u64, duration: Duration) {
--- a/http/src/exchange.rs
+++ b/http/src/exchange.rs
@@ -12,13 +12,14 @@
 use async_std::net::TcpStream;
 use bytes::Bytes;
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWriteExt, future};
-use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use snafu::Snafu;
 use socket2::{SockRef, TcpKeepalive};
 
 use crate::budget::{ByteBudget, ByteReservation};
 use crate::coarse_timer::within;
 use crate::read_turn::ReadTurn;
+use crate::response_head::response_status;
 use crate::{ChunkParser, ParseSchedule};
 
 /// Maximum length of a response head.
@@ -80,8 +81,8 @@
 /// A response with its complete body.
 #[derive(Debug, Clone)]
 pub struct BufferedResponse {
-    /// Status code.
-    pub status: u16,
+    /// Status code, from 200 to 599.
+    pub status: StatusCode,
     /// All headers, including hop-by-hop ones.
     pub headers: HeaderMap,
     /// The decoded body.
@@ -251,7 +252,7 @@
     ) -> Result<(BufferedResponse, bool), ExchangeError> {
         for _ in 0..MAX_RESPONSES_PER_EXCHANGE {
             let (status, headers) = self.read_head().await?;
-            if (100..200).contains(&status) {
+            if status.is_informational() {
                 continue;
             }
             let (body, at_eof) = self.read_body(method, status, &headers).await?;
@@ -272,7 +273,7 @@
         })
     }
 
-    async fn read_head(&mut self) -> Result<(u16, HeaderMap), ExchangeError> {
+    async fn read_head(&mut self) -> Result<(StatusCode, HeaderMap), ExchangeError> {
         let mut schedule = ParseSchedule::new();
         loop {
             if schedule.is_due(self.buffer)
@@ -291,10 +292,10 @@
     async fn read_body(
         &mut self,
         method: &Method,
-        status: u16,
+        status: StatusCode,
         headers: &HeaderMap,
     ) -> Result<(Bytes, bool), ExchangeError> {
-        if *method == Method::HEAD || matches!(status, 204 | 304) {
+        if *method == Method::HEAD || matches!(status.as_u16(), 204 | 304) {
             return Ok((Bytes::new(), false));
         }
         match response_framing(headers)? {
@@ -416,7 +417,9 @@
     }
 }
 
-fn parse_response_head(bytes: &[u8]) -> Result<Option<(usize, u16, HeaderMap)>, ExchangeError> {
+fn parse_response_head(
+    bytes: &[u8],
+) -> Result<Option<(usize, StatusCode, HeaderMap)>, ExchangeError> {
     let mut storage = [httparse::EMPTY_HEADER; MAX_RESPONSE_HEADERS];
     let mut response = httparse::Response::new(&mut storage);
     let length = match response.parse(bytes) {
@@ -424,6 +427,9 @@
         Ok(httparse::Status::Partial) => return Ok(None),
         Err(_) => return Err(ExchangeError::InvalidResponse { reason: "the head is malformed" }),
     };
+    let Some(status) = response.code.and_then(response_status) else {
+        return Err(ExchangeError::InvalidResponse { reason: "the status is invalid" });
+    };
     let mut headers = HeaderMap::with_capacity(response.headers.len());
     for header in response.headers.iter() {
         let name = HeaderName::from_bytes(header.name.as_bytes());
@@ -433,7 +439,7 @@
         };
         headers.append(name, value);
     }
-    Ok(Some((length, response.code.unwrap_or(0), headers)))
+    Ok(Some((length, status, headers)))
 }
 
 fn encode_head(request: &BufferedRequest) -> Vec<u8> {
--- a/http/src/head.rs
+++ b/http/src/head.rs
@@ -1,6 +1,9 @@
 //! Parsers for message heads, without I/O.
 
+use http::StatusCode;
+
 use crate::HttpFault;
+use crate::response_head::response_status;
 
 /// Maximum number of headers in a head. `async-h1` parses up to 128.
 pub const MAX_HEADERS: usize = 100;
@@ -121,13 +124,13 @@
     (valid_protocol && valid_name && printable && valid_form).then_some((method, target))
 }
 
-/// Returns the status code of an HTTP/1.1 status line.
-pub fn parse_status_line(line: &[u8]) -> Option<u16> {
+/// Returns the status of an HTTP/1.1 status line.
+pub fn parse_status_line(line: &[u8]) -> Option<StatusCode> {
     let rest = line.strip_prefix(b"HTTP/1.1 ")?;
     let (digits, reason) = rest.split_at_checked(3)?;
     let ended = reason.is_empty() || reason.starts_with(b" ");
-    let status = parse_decimal(digits)? as u16;
-    (ended && (100..600).contains(&status)).then_some(status)
+    let code = u16::try_from(parse_decimal(digits)?).ok()?;
+    response_status(code).filter(|_| ended)
 }
 
 /// Returns whether `host` only has characters of a host with an optional port, and none that a URL
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -17,6 +17,7 @@
 mod progress;
 mod read_turn;
 mod reader;
+mod response_head;
 mod runtime;
 mod server;
 mod writer;
--- /dev/null
+++ b/http/tests/responses.rs
@@ -0,0 +1,96 @@
+//! Bytes that are no valid response, sent to each reader of responses.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_std::io::{ReadExt, WriteExt};
+use async_std::net::TcpListener;
+use async_std::task;
+use bytes::Bytes;
+use fescuestack_http::{BufferedRequest, ClientConnection, ExchangeConnection, within};
+use http::{HeaderMap, HeaderValue, Method};
+use http_types::Url;
+
+const LIMIT: Duration = Duration::from_secs(5);
+
+/// Serves one connection: reads a request, writes `response` and closes.
+async fn serve(response: &[u8]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound port");
+    let response = response.to_vec();
+    task::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a client");
+        let _ = stream.read(&mut [0; 4096]).await;
+        // The client may close as soon as it has seen that the response is invalid.
+        let _ = stream.write_all(&response).await;
+    });
+    address
+}
+
+/// A response as a reader has returned it.
+type ReadResponse = Result<(u16, Vec<u8>), String>;
+
+async fn read_buffered(response: &[u8]) -> ReadResponse {
+    let address = serve(response).await;
+    let mut headers = HeaderMap::new();
+    headers.insert("host", HeaderValue::from_static("h"));
+    let (method, target, body) = (Method::GET, "/".to_owned(), Bytes::new());
+    let request = BufferedRequest { method, target, headers, body };
+    let connection = ExchangeConnection::open(address, LIMIT).await;
+    let mut connection = connection.map_err(|err| err.to_string())?;
+    let response = connection.exchange(&request, None).await.map_err(|err| err.to_string())?;
+    Ok((u16::from(response.status), response.body.to_vec()))
+}
+
+async fn read_streamed(response: &[u8]) -> ReadResponse {
+    let address = serve(response).await;
+    let connection = ClientConnection::open(address, LIMIT).await;
+    let mut connection = connection.map_err(|err| err.to_string())?;
+    let url = Url::parse("http://h/").expect("a URL");
+    let request = http_types::Request::new(http_types::Method::Get, url);
+    let mut response = connection.send(request).await.map_err(|err| err.to_string())?;
+    let body = response.body_bytes().await.map_err(|err| err.to_string())?;
+    Ok((response.status() as u16, body))
+}
+
+/// Returns what both readers make of `response`.
+fn read(response: &[u8]) -> [(&'static str, ReadResponse); 2] {
+    task::block_on(async {
+        let buffered = within(LIMIT, read_buffered(response)).await;
+        let streamed = within(LIMIT, read_streamed(response)).await;
+        let late = || Err("the reader still waits".to_owned());
+        [("buffered", buffered.unwrap_or_else(late)), ("streamed", streamed.unwrap_or_else(late))]
+    })
+}
+
+#[track_caller]
+fn assert_invalid(response: &[u8]) {
+    for (reader, outcome) in read(response) {
+        let text = response.escape_ascii();
+        assert!(outcome.is_err(), "{reader} reader took {outcome:?} from {text}");
+    }
+}
+
+#[track_caller]
+fn assert_valid(response: &[u8], status: u16, body: &[u8]) {
+    for (reader, outcome) in read(response) {
+        let text = response.escape_ascii();
+        assert_eq!(outcome, Ok((status, body.to_vec())), "{reader} reader, {text}");
+    }
+}
+
+/// Guards against a response whose status is not one of HTTP and that reaches the caller.
+#[test]
+fn statuses_outside_of_http_are_invalid() {
+    let framings = ["content-length: 4\r\n\r\nbody", "transfer-encoding: chunked\r\n\r\n0\r\n\r\n"];
+    for status in ["000", "099", "600", "999", "20", "2000", "2 0", "-20", "0200", "200x", ""] {
+        for framing in framings {
+            assert_invalid(format!("HTTP/1.1 {status} Trouble\r\n{framing}").as_bytes());
+        }
+        assert_invalid(format!("HTTP/1.1 {status} Trouble\r\n\r\nuntil the end").as_bytes());
+    }
+    for status in [200, 404, 500, 511] {
+        let response = format!("HTTP/1.1 {status} Reason\r\ncontent-length: 4\r\n\r\nbody");
+        assert_valid(response.as_bytes(), status, b"body");
+    }
+}
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -357,7 +357,7 @@
 ) -> (AttemptEnd, TargetFeedback) {
     match (reply.end, response) {
         (ReplyEnd::Answered, Some(response)) => {
-            let failed = response.status >= 500;
+            let failed = response.status.is_server_error();
             let feedback = if failed { TargetFeedback::Failed } else { TargetFeedback::Served };
             (AttemptEnd::Answered { failed }, feedback)
         }
@@ -462,18 +462,19 @@
 fn log_late_or_failed(
     state: &NodeState,
     id: Option<&HeaderValue>,
-    status: u16,
+    status: StatusCode,
     trace: &EntryTrace,
 ) {
-    let cause = match status {
-        500.. => Some(LossCause::TargetFailed),
-        _ => trace.times.lateness_cause(),
+    let cause = if status.is_server_error() {
+        Some(LossCause::TargetFailed)
+    } else {
+        trace.times.lateness_cause()
     };
     let Some(cause) = cause else { return };
     let LatencyBreakdown { soft_timeout, before_last_attempt, queued, total } = trace.times;
     log::info!(
         request = id.and_then(|id| id.to_str().ok()).unwrap_or(""),
-        cause = cause.label(), status = status, node = state.settings.load().node.as_str(),
+        cause = cause.label(), status = status.as_u16(), node = state.settings.load().node.as_str(),
         route = trace.route.as_ref().map_or("", |route| &*route.name),
         service = trace.service.as_deref().unwrap_or(""),
         aim_left_ms = soft_timeout, searched_ms = before_last_attempt, queued_ms = queued,
--- a/sidecar/src/message.rs
+++ b/sidecar/src/message.rs
@@ -19,8 +19,7 @@
 /// Converts a target's response, without the hop-by-hop headers of the target's connection.
 pub(crate) fn full_response(buffered: BufferedResponse) -> FullResponse {
     let mut response = Response::new(Full::new(buffered.body));
-    *response.status_mut() =
-        StatusCode::from_u16(buffered.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    *response.status_mut() = buffered.status;
     *response.headers_mut() = buffered.headers;
     remove_hop_by_hop_headers(response.headers_mut());
     response
--- a/sidecar/src/peer.rs
+++ b/sidecar/src/peer.rs
@@ -51,7 +51,7 @@
     };
     let (mut parts, body) = response.into_parts();
     let Some(reply) = ReplyNote::take(&mut parts.headers) else { return Err(AttemptEnd::LinkLost) };
-    let status = parts.status.as_u16();
+    let status = parts.status;
     let answered = reply.end == ReplyEnd::Answered;
     let response = answered.then_some(BufferedResponse { status, headers: parts.headers, body });
     Ok((reply, response))
--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -19,7 +19,7 @@
     SlotLoad, SlotQueue, SlotTicket, TargetListing, TargetNotice, TargetState,
 };
 use futures_lite::future;
-use http::HeaderValue;
+use http::{HeaderValue, StatusCode};
 use rustc_hash::FxHashMap;
 
 use crate::note::{CallNote, ReplyEnd, ReplyNote};
@@ -49,7 +49,7 @@
 const RESPONSE_GRACE: Duration = Duration::from_millis(30);
 
 /// Status of a response by another target than the one that the request was meant for.
-const WRONG_INSTANCE: u16 = 421;
+const WRONG_INSTANCE: StatusCode = StatusCode::MISDIRECTED_REQUEST;
 
 /// Number of idle connections that are kept.
 const MAX_IDLE_CONNECTIONS: usize = 16;
@@ -432,7 +432,7 @@
     if response.headers.contains_key(&NOT_EXECUTED) {
         return (ReplyEnd::Rejected, None);
     }
-    if response.status < 400 && !response.headers.contains_key(&RESPONSE_SIGNATURE) {
+    if response.status.as_u16() < 400 && !response.headers.contains_key(&RESPONSE_SIGNATURE) {
         log::info!(target = &*note.target; "response without the target's signature");
         return (ReplyEnd::Lost, None);
     }
--- a/sidecar/tests/path.rs
+++ b/sidecar/tests/path.rs
@@ -23,7 +23,7 @@
         let mesh = Mesh::start(&["alpha", "beta"]).await;
         let response = mesh.send(0, &TestCall::post("p1", "/b/pay/x?q=1", b"body")).await;
         let response = response.expect("a response");
-        assert_eq!((response.status, &response.body[..]), (200, &b"answer"[..]));
+        assert_eq!((response.status.as_u16(), &response.body[..]), (200, &b"answer"[..]));
         assert_eq!(request_id_and_signature(&response.headers), (Some("p1"), Some("t2")));
         let runs = mesh.nodes[1].application.runs();
         assert_eq!(runs.len(), 1);
@@ -257,7 +257,12 @@
             let call = TestCall::post(&format!("u{index}"), "/b/up/", &body);
             let mut connection = mesh.connect(0).await.expect("a node");
             uploads.push(task::spawn(async move {
-                connection.exchange(&call.request(), None).await.expect("a response").status
+                connection
+                    .exchange(&call.request(), None)
+                    .await
+                    .expect("a response")
+                    .status
+                    .as_u16()
             }));
         }
         let mut statuses = Vec::new();
--- a/sidecar/tests/shutdown.rs
+++ b/sidecar/tests/shutdown.rs
@@ -133,7 +133,7 @@
     if response.status == 503 {
         assert!(response.headers.contains_key("retry-after"), "{:?}", response.headers);
     }
-    (response.status, started.elapsed())
+    (response.status.as_u16(), started.elapsed())
 }
 
 /// Guards against a stopping node that takes a call, passes it on and exits before its response: the
