Report a response that a reset breaks off as truncated

Callers got a part of a response as a complete one: a target answered an upload at once with a head without a length, sent part of the body and reset the connection while the upload was still being written.

Cause: a socket reports a reset only once, to the read or to the write that comes first. The exchange ignored the error of its write, because a server may respond early and close. The read then saw an ordinary end of the connection, which completes a body without a declared length. Chunked bodies and those with a length were not affected, nor were requests that had been written.

The exchange keeps the error of the write, and a response that extends to the end of the connection is truncated if there is one. A broken pipe is the exception: the kernel reports it if the server had ended its side before the reset, so that all of the body has arrived.

--- a/http/src/exchange.rs
+++ b/http/src/exchange.rs
@@ -208,7 +208,7 @@
         self.reusable = false;
         let head = encode_head(request);
         let mut writer = self.stream.clone();
-        let mut request_written = false;
+        let mut written = RequestWrite::Pending;
         let sending = async {
             let sent = async {
                 writer.write_all(&head).await?;
@@ -216,7 +216,10 @@
             };
             // A server may respond early to an upload and close, so reading continues after a
             // failed write. If there is no response, reading fails as well.
-            request_written = sent.await.is_ok();
+            written = match sent.await {
+                Ok(()) => RequestWrite::Complete,
+                Err(source) => RequestWrite::Failed { source },
+            };
             future::pending().await
         };
         let reservation = self.budget.as_ref().map(ByteBudget::reservation);
@@ -225,6 +228,15 @@
         let mut reader = ResponseReader { stream, buffer, read: 0, received, reservation, turn };
         let (response, at_eof) =
             future::or(reader.read_response(&request.method, tag), sending).await?;
+        let request_written = matches!(written, RequestWrite::Complete);
+        // A socket reports a reset only once. If a write got the report, reads see an ordinary end.
+        // A broken pipe stands for a reset after the server had ended its side, which is such an end.
+        if at_eof
+            && let RequestWrite::Failed { source } = written
+            && source.kind() != io::ErrorKind::BrokenPipe
+        {
+            return Err(ExchangeError::Truncated { source });
+        }
         self.last_used = Instant::now();
         self.keep_alive_timeout = parse_keep_alive_timeout(&response.headers);
         self.reusable = request_written && !at_eof && !has_connection_close(&response.headers);
@@ -232,6 +244,13 @@
     }
 }
 
+/// How far the request of an exchange was written.
+enum RequestWrite {
+    Pending,
+    Complete,
+    Failed { source: io::Error },
+}
+
 struct ResponseReader<'a> {
     stream: &'a TcpStream,
     buffer: &'a mut Vec<u8>,
