Reject response heads with lines that do not end in CRLF

Callers got a response as the target's although a bare line feed ended lines of its head. Two parsers can split such a head into different fields, so that a body or a field is not the one that the target meant. `httparse` takes a bare line feed for the end of a line, and the buffered reader relied on it; the streaming reader has a parser of its own that rejects them.

The rule for heads of the buffered reader moves to `response_head`, where the status already is, so that all readers can share it, and now checks the line ends as well. A head that is not complete yet is checked too, so that such a response fails as soon as the line feed has arrived.

Bare carriage returns and folded lines were rejected before.

--- a/http/src/exchange.rs
+++ b/http/src/exchange.rs
@@ -1,6 +1,6 @@
 //! Client connections with buffered bodies, for servers that may send invalid responses.
 //!
-//! Heads are parsed by `httparse`. A connection carries one exchange at a time.
+//! A connection carries one exchange at a time.
 
 use std::io;
 use std::net::SocketAddr;
@@ -19,15 +19,12 @@
 use crate::budget::{ByteBudget, ByteReservation};
 use crate::coarse_timer::within;
 use crate::read_turn::ReadTurn;
-use crate::response_head::response_status;
+use crate::response_head::{ResponseFault, ResponseHead, parse_response_head};
 use crate::{ChunkParser, ParseSchedule};
 
 /// Maximum length of a response head.
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
 
-/// Maximum number of headers in a response.
-const MAX_RESPONSE_HEADERS: usize = 128;
-
 /// Maximum length of a response body. Several of them must fit into the memory of a small VM.
 const MAX_RESPONSE_BODY_BYTES: usize = 16 * 1024 * 1024;
 
@@ -78,6 +75,12 @@
     },
 }
 
+impl From<ResponseFault> for ExchangeError {
+    fn from(fault: ResponseFault) -> ExchangeError {
+        ExchangeError::InvalidResponse { reason: fault.reason() }
+    }
+}
+
 /// A response with its complete body.
 #[derive(Debug, Clone)]
 pub struct BufferedResponse {
@@ -270,7 +273,7 @@
         tag: Option<&ResponseTag>,
     ) -> Result<(BufferedResponse, bool), ExchangeError> {
         for _ in 0..MAX_RESPONSES_PER_EXCHANGE {
-            let (status, headers) = self.read_head().await?;
+            let ResponseHead { status, headers, .. } = self.read_head().await?;
             if status.is_informational() {
                 continue;
             }
@@ -292,14 +295,14 @@
         })
     }
 
-    async fn read_head(&mut self) -> Result<(StatusCode, HeaderMap), ExchangeError> {
+    async fn read_head(&mut self) -> Result<ResponseHead, ExchangeError> {
         let mut schedule = ParseSchedule::new();
         loop {
             if schedule.is_due(self.buffer)
-                && let Some((length, status, headers)) = parse_response_head(self.buffer)?
+                && let Some(head) = parse_response_head(self.buffer)?
             {
-                self.buffer.drain(..length);
-                return Ok((status, headers));
+                self.buffer.drain(..head.length);
+                return Ok(head);
             }
             if self.buffer.len() >= MAX_RESPONSE_HEAD_BYTES {
                 return Err(ExchangeError::InvalidResponse { reason: "the head is too long" });
@@ -436,31 +439,6 @@
     }
 }
 
-fn parse_response_head(
-    bytes: &[u8],
-) -> Result<Option<(usize, StatusCode, HeaderMap)>, ExchangeError> {
-    let mut storage = [httparse::EMPTY_HEADER; MAX_RESPONSE_HEADERS];
-    let mut response = httparse::Response::new(&mut storage);
-    let length = match response.parse(bytes) {
-        Ok(httparse::Status::Complete(length)) => length,
-        Ok(httparse::Status::Partial) => return Ok(None),
-        Err(_) => return Err(ExchangeError::InvalidResponse { reason: "the head is malformed" }),
-    };
-    let Some(status) = response.code.and_then(response_status) else {
-        return Err(ExchangeError::InvalidResponse { reason: "the status is invalid" });
-    };
-    let mut headers = HeaderMap::with_capacity(response.headers.len());
-    for header in response.headers.iter() {
-        let name = HeaderName::from_bytes(header.name.as_bytes());
-        let value = HeaderValue::from_bytes(header.value);
-        let (Ok(name), Ok(value)) = (name, value) else {
-            return Err(ExchangeError::InvalidResponse { reason: "a header is malformed" });
-        };
-        headers.append(name, value);
-    }
-    Ok(Some((length, status, headers)))
-}
-
 fn encode_head(request: &BufferedRequest) -> Vec<u8> {
     let mut head = Vec::with_capacity(512);
     head.extend_from_slice(request.method.as_str().as_bytes());
--- a/http/src/response_head.rs
+++ b/http/src/response_head.rs
@@ -1,6 +1,80 @@
-//! The rule for what is a valid response, shared by all readers of responses.
+//! The rule for what is a valid response head, shared by all readers of responses.
+//!
+//! `httparse` splits a head into its fields. It also takes forms that
+//! another parser reads differently; these are rejected here.
 
-use http::StatusCode;
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+
+/// Maximum number of headers in a response.
+const MAX_RESPONSE_HEADERS: usize = 128;
+
+/// Reason why bytes are not a valid response head.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ResponseFault {
+    /// The bytes are not a head, or have too many headers.
+    Malformed,
+    /// A line does not end in CRLF.
+    LineEnd,
+    /// The status is not one of HTTP.
+    Status,
+}
+
+impl ResponseFault {
+    /// Returns a description for logs.
+    pub(crate) const fn reason(self) -> &'static str {
+        match self {
+            ResponseFault::Malformed => "the head is malformed",
+            ResponseFault::LineEnd => "a line of the head has an invalid end",
+            ResponseFault::Status => "the status is invalid",
+        }
+    }
+}
+
+/// A valid response head.
+#[derive(Debug)]
+pub(crate) struct ResponseHead {
+    /// Length in bytes, including the empty line.
+    pub(crate) length: usize,
+    /// Status from 100 to 599.
+    pub(crate) status: StatusCode,
+    /// All headers, including hop-by-hop ones.
+    pub(crate) headers: HeaderMap,
+}
+
+/// Parses the head at the start of `bytes`. Returns `None` if more bytes are needed.
+pub(crate) fn parse_response_head(bytes: &[u8]) -> Result<Option<ResponseHead>, ResponseFault> {
+    let mut storage = [httparse::EMPTY_HEADER; MAX_RESPONSE_HEADERS];
+    let mut response = httparse::Response::new(&mut storage);
+    let parsed = response.parse(bytes).map_err(|_| ResponseFault::Malformed)?;
+    let length = match parsed {
+        httparse::Status::Complete(length) => length,
+        httparse::Status::Partial => bytes.len(),
+    };
+    if !has_valid_lines(&bytes[..length]) {
+        return Err(ResponseFault::LineEnd);
+    }
+    if parsed.is_partial() {
+        return Ok(None);
+    }
+    let status = response.code.and_then(response_status).ok_or(ResponseFault::Status)?;
+    let mut headers = HeaderMap::with_capacity(response.headers.len());
+    for header in response.headers.iter() {
+        let name = HeaderName::from_bytes(header.name.as_bytes());
+        let value = HeaderValue::from_bytes(header.value);
+        let (Ok(name), Ok(value)) = (name, value) else { return Err(ResponseFault::Malformed) };
+        headers.append(name, value);
+    }
+    Ok(Some(ResponseHead { length, status, headers }))
+}
+
+/// Returns whether all lines of a head end in CRLF. `httparse` also takes a bare line feed for the end
+/// of a line.
+fn has_valid_lines(head: &[u8]) -> bool {
+    let ends_in_crlf =
+        |index: usize| index.checked_sub(1).is_some_and(|before| head[before] == b'\r');
+    let mut line_feeds = (0..head.len()).filter(|index| head[*index] == b'\n');
+    line_feeds.all(ends_in_crlf)
+}
 
 /// Returns the status with this code, unless HTTP assigns it no class of responses.
 pub(crate) fn response_status(code: u16) -> Option<StatusCode> {
--- a/http/tests/responses.rs
+++ b/http/tests/responses.rs
@@ -94,3 +94,21 @@
         assert_valid(response.as_bytes(), status, b"body");
     }
 }
+
+/// Guards against a response head that another parser splits into other lines, and that reaches the
+/// caller.
+#[test]
+fn lines_that_do_not_end_in_crlf_are_invalid() {
+    for head in [
+        "HTTP/1.1 200 OK\nx: y\ncontent-length: 4\n\n",
+        "HTTP/1.1 200 OK\nx: y\r\ncontent-length: 4\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nx: y\ncontent-length: 4\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nx: y\r\ncontent-length: 4\n\r\n",
+        "HTTP/1.1 200 OK\r\nx: y\r\ncontent-length: 4\r\n\n",
+        "HTTP/1.1 200 OK\r\nx: y\rcontent-length: 4\r\n\r\n",
+        "HTTP/1.1 200 OK\rx: y\r\ncontent-length: 4\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nx: y\r\n folded\r\ncontent-length: 4\r\n\r\n",
+    ] {
+        assert_invalid(format!("{head}body").as_bytes());
+    }
+}
--- a/sidecar/tests/broken_responses.rs
+++ b/sidecar/tests/broken_responses.rs
@@ -100,3 +100,13 @@
         }
     });
 }
+
+/// Guards against forwarding a response whose lines another parser splits differently.
+#[test]
+fn heads_with_invalid_line_ends_are_not_forwarded() {
+    task::block_on(async {
+        for head in ["HTTP/1.1 200 OK\ncontent-length: 4\n", "HTTP/1.1 200 OK\r\nx: y\nz: w\r\n"] {
+            assert_not_forwarded(head, b"body", RawEnding::Close).await;
+        }
+    });
+}
