Reject responses of a version other than HTTP/1.1

The buffered reader took the response of a target or of the store whose status line named HTTP/1.0, and passed it on. Such a response ends its connection and has no chunked coding, but the reader reused the connection and decoded the chunks. `httparse` takes both versions. Nodes speak HTTP/1.1 with targets and with the store, and the streaming reader takes no other version.

Evidence: `other_versions_are_invalid` failed before with Ok((200, "body")) from HTTP/1.0 in the buffered reader, and passes now. All other versions in the test were rejected before.

--- a/http/src/response_head.rs
+++ b/http/src/response_head.rs
@@ -1,6 +1,6 @@
 //! The rule for what is a valid response head, shared by all readers of responses.
 //!
-//! `httparse` splits a head into its fields. It also takes forms that
+//! `httparse` splits a head into its fields. It also takes forms that are not HTTP/1.1, or that
 //! another parser reads differently; these are rejected here.
 
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
@@ -15,6 +15,8 @@
     Malformed,
     /// A line does not end in CRLF.
     LineEnd,
+    /// The version is not HTTP/1.1.
+    Version,
     /// The status is not one of HTTP.
     Status,
 }
@@ -25,6 +27,7 @@
         match self {
             ResponseFault::Malformed => "the head is malformed",
             ResponseFault::LineEnd => "a line of the head has an invalid end",
+            ResponseFault::Version => "the version is not HTTP/1.1",
             ResponseFault::Status => "the status is invalid",
         }
     }
@@ -56,6 +59,9 @@
     if parsed.is_partial() {
         return Ok(None);
     }
+    if response.version != Some(1) {
+        return Err(ResponseFault::Version);
+    }
     let status = response.code.and_then(response_status).ok_or(ResponseFault::Status)?;
     let mut headers = HeaderMap::with_capacity(response.headers.len());
     for header in response.headers.iter() {
--- a/http/tests/responses.rs
+++ b/http/tests/responses.rs
@@ -112,3 +112,11 @@
         assert_invalid(format!("{head}body").as_bytes());
     }
 }
+
+/// Guards against a response of another version, whose framing has other rules.
+#[test]
+fn other_versions_are_invalid() {
+    for version in ["HTTP/1.0", "HTTP/1.2", "HTTP/2.0", "HTTP/2", "HTTP/11", "http/1.1", "ICY"] {
+        assert_invalid(format!("{version} 200 OK\r\ncontent-length: 4\r\n\r\nbody").as_bytes());
+    }
+}
