Reject responses with an ambiguous body framing

Callers could get a body other than the target's: of several `transfer-encoding` fields the buffered reader used the first one, and with a length beside it, the coding. Another reader of the same bytes ends the body elsewhere; with `chunked` and `gzip`, the decoded chunks were passed on as the body although they are compressed.

The framing is part of the rule for heads now: one field with the single coding `chunked`, or equal lengths, or neither. It is derived once, when the head is parsed, and also for responses that have no body.

Lists of codings in one field, unknown codings and malformed or differing lengths were rejected before.

--- a/http/src/exchange.rs
+++ b/http/src/exchange.rs
@@ -19,7 +19,7 @@
 use crate::budget::{ByteBudget, ByteReservation};
 use crate::coarse_timer::within;
 use crate::read_turn::ReadTurn;
-use crate::response_head::{ResponseFault, ResponseHead, parse_response_head};
+use crate::response_head::{ResponseFault, ResponseFraming, ResponseHead, parse_response_head};
 use crate::{ChunkParser, ParseSchedule};
 
 /// Maximum length of a response head.
@@ -273,11 +273,11 @@
         tag: Option<&ResponseTag>,
     ) -> Result<(BufferedResponse, bool), ExchangeError> {
         for _ in 0..MAX_RESPONSES_PER_EXCHANGE {
-            let ResponseHead { status, headers, .. } = self.read_head().await?;
+            let ResponseHead { status, headers, framing, .. } = self.read_head().await?;
             if status.is_informational() {
                 continue;
             }
-            let (body, at_eof) = self.read_body(method, status, &headers).await?;
+            let (body, at_eof) = self.read_body(method, status, framing).await?;
             let matches_tag = |tag: &ResponseTag| headers.get(&tag.name) == Some(&tag.value);
             if tag.is_none_or(matches_tag) {
                 return Ok((BufferedResponse { status, headers, body }, at_eof));
@@ -315,13 +315,18 @@
         &mut self,
         method: &Method,
         status: StatusCode,
-        headers: &HeaderMap,
+        framing: ResponseFraming,
     ) -> Result<(Bytes, bool), ExchangeError> {
         if *method == Method::HEAD || matches!(status.as_u16(), 204 | 304) {
             return Ok((Bytes::new(), false));
         }
-        match response_framing(headers)? {
+        let too_long = ExchangeError::InvalidResponse { reason: "the body is too long" };
+        match framing {
+            ResponseFraming::Length(length) if length > MAX_RESPONSE_BODY_BYTES as u64 => {
+                Err(too_long)
+            }
             ResponseFraming::Length(length) => {
+                let length = length as usize;
                 while self.buffer.len() < length {
                     self.fill().await?;
                 }
@@ -332,9 +337,7 @@
             ResponseFraming::UntilEnd => {
                 while self.try_fill().await? {
                     if self.buffer.len() > MAX_RESPONSE_BODY_BYTES {
-                        return Err(ExchangeError::InvalidResponse {
-                            reason: "the body is too long",
-                        });
+                        return Err(too_long);
                     }
                 }
                 let body = std::mem::take(self.buffer);
@@ -413,32 +416,6 @@
     }
 }
 
-enum ResponseFraming {
-    Length(usize),
-    Chunked,
-    UntilEnd,
-}
-
-fn response_framing(headers: &HeaderMap) -> Result<ResponseFraming, ExchangeError> {
-    let invalid = |reason| Err(ExchangeError::InvalidResponse { reason });
-    if let Some(coding) = headers.get(http::header::TRANSFER_ENCODING) {
-        if coding.as_bytes().eq_ignore_ascii_case(b"chunked") {
-            return Ok(ResponseFraming::Chunked);
-        }
-        return invalid("unknown transfer encoding");
-    }
-    let mut lengths = headers.get_all(http::header::CONTENT_LENGTH).iter();
-    let Some(first) = lengths.next() else { return Ok(ResponseFraming::UntilEnd) };
-    if lengths.any(|other| other != first) {
-        return invalid("conflicting content-length headers");
-    }
-    match crate::parse_decimal(first.as_bytes()).and_then(|length| usize::try_from(length).ok()) {
-        Some(length) if length <= MAX_RESPONSE_BODY_BYTES => Ok(ResponseFraming::Length(length)),
-        Some(_) => invalid("the body is too long"),
-        None => invalid("malformed content-length header"),
-    }
-}
-
 fn encode_head(request: &BufferedRequest) -> Vec<u8> {
     let mut head = Vec::with_capacity(512);
     head.extend_from_slice(request.method.as_str().as_bytes());
--- a/http/src/response_head.rs
+++ b/http/src/response_head.rs
@@ -3,6 +3,7 @@
 //! `httparse` splits a head into its fields. It also takes forms that are not HTTP/1.1, or that
 //! another parser reads differently; these are rejected here.
 
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
 /// Maximum number of headers in a response.
@@ -19,6 +20,10 @@
     Version,
     /// The status is not one of HTTP.
     Status,
+    /// The body has a transfer coding other than `chunked`, or several.
+    Coding,
+    /// The length of the body is malformed or ambiguous.
+    Length,
 }
 
 impl ResponseFault {
@@ -29,10 +34,23 @@
             ResponseFault::LineEnd => "a line of the head has an invalid end",
             ResponseFault::Version => "the version is not HTTP/1.1",
             ResponseFault::Status => "the status is invalid",
+            ResponseFault::Coding => "the transfer coding is unknown or ambiguous",
+            ResponseFault::Length => "the body length is malformed or ambiguous",
         }
     }
 }
 
+/// How the end of a response body is determined.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ResponseFraming {
+    /// The body has this length in bytes.
+    Length(u64),
+    /// The body uses the chunked transfer coding.
+    Chunked,
+    /// The body extends to the end of the connection.
+    UntilEnd,
+}
+
 /// A valid response head.
 #[derive(Debug)]
 pub(crate) struct ResponseHead {
@@ -42,6 +60,8 @@
     pub(crate) status: StatusCode,
     /// All headers, including hop-by-hop ones.
     pub(crate) headers: HeaderMap,
+    /// Framing of the body that the headers declare.
+    pub(crate) framing: ResponseFraming,
 }
 
 /// Parses the head at the start of `bytes`. Returns `None` if more bytes are needed.
@@ -70,7 +90,8 @@
         let (Ok(name), Ok(value)) = (name, value) else { return Err(ResponseFault::Malformed) };
         headers.append(name, value);
     }
-    Ok(Some(ResponseHead { length, status, headers }))
+    let framing = response_framing(&headers)?;
+    Ok(Some(ResponseHead { length, status, headers, framing }))
 }
 
 /// Returns whether all lines of a head end in CRLF. `httparse` also takes a bare line feed for the end
@@ -82,6 +103,27 @@
     line_feeds.all(ends_in_crlf)
 }
 
+/// Rejects several codings, and a coding combined with a length: readers differ in which of them they
+/// use, and so in where the body ends.
+fn response_framing(headers: &HeaderMap) -> Result<ResponseFraming, ResponseFault> {
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
+    match (codings.next(), lengths.next()) {
+        (None, None) => Ok(ResponseFraming::UntilEnd),
+        (Some(coding), None) => {
+            let is_chunked = coding.as_bytes().eq_ignore_ascii_case(b"chunked");
+            let is_single = codings.next().is_none();
+            let framing = (is_chunked && is_single).then_some(ResponseFraming::Chunked);
+            framing.ok_or(ResponseFault::Coding)
+        }
+        (None, Some(first)) if lengths.all(|other| other == first) => {
+            let length = crate::parse_decimal(first.as_bytes()).ok_or(ResponseFault::Length)?;
+            Ok(ResponseFraming::Length(length))
+        }
+        _ => Err(ResponseFault::Length),
+    }
+}
+
 /// Returns the status with this code, unless HTTP assigns it no class of responses.
 pub(crate) fn response_status(code: u16) -> Option<StatusCode> {
     StatusCode::from_u16(code).ok().filter(|status| status.as_u16() < 600)
--- a/http/tests/responses.rs
+++ b/http/tests/responses.rs
@@ -120,3 +120,35 @@
         assert_invalid(format!("{version} 200 OK\r\ncontent-length: 4\r\n\r\nbody").as_bytes());
     }
 }
+
+/// Guards against a body whose end depends on which of several fields a reader uses.
+#[test]
+fn ambiguous_framings_are_invalid() {
+    const CHUNKS: &str = "4\r\nbody\r\n0\r\n\r\n";
+    for fields in [
+        "transfer-encoding: chunked\r\ntransfer-encoding: chunked",
+        "transfer-encoding: chunked\r\ntransfer-encoding: gzip",
+        "transfer-encoding: chunked\r\nTransfer-Encoding: identity",
+        "transfer-encoding: gzip\r\ntransfer-encoding: chunked",
+        "transfer-encoding: gzip, chunked",
+        "transfer-encoding: chunked, chunked",
+        "transfer-encoding: identity",
+        "transfer-encoding: chunked;q=1",
+        "transfer-encoding:",
+        "transfer-encoding: chunked\r\ncontent-length: 4",
+        "content-length: 4\r\ntransfer-encoding: chunked",
+        "content-length: 4\r\ncontent-length: 5",
+        "content-length: 4, 4",
+        "content-length: +4",
+        "content-length: 4.0",
+        "content-length: 0x4",
+        "content-length: 18446744073709551620",
+        "content-length:",
+    ] {
+        assert_invalid(format!("HTTP/1.1 200 OK\r\n{fields}\r\n\r\n{CHUNKS}").as_bytes());
+    }
+    let chunked = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked \r\n\r\n{CHUNKS}");
+    assert_valid(chunked.as_bytes(), 200, b"body");
+    let repeated = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\ncontent-length: 4\r\n\r\nbody";
+    assert_valid(repeated.as_bytes(), 200, b"body");
+}
--- a/sidecar/tests/broken_responses.rs
+++ b/sidecar/tests/broken_responses.rs
@@ -110,3 +110,18 @@
         }
     });
 }
+
+/// Guards against forwarding a response with the body that one of several framings yields.
+#[test]
+fn ambiguous_framings_are_not_forwarded() {
+    const CHUNKS: &[u8] = b"4\r\nbody\r\n0\r\n\r\n";
+    task::block_on(async {
+        for fields in [
+            "transfer-encoding: chunked\r\ntransfer-encoding: gzip\r\n",
+            "transfer-encoding: chunked\r\ncontent-length: 4\r\n",
+        ] {
+            let head = format!("HTTP/1.1 200 OK\r\n{fields}");
+            assert_not_forwarded(&head, CHUNKS, RawEnding::KeepOpen).await;
+        }
+    });
+}
