Reject responses that switch to another protocol

A target that answered 101 and then sent a head had that head passed on as its response, although the bytes after 101 belong to another protocol. The buffered reader skipped 101 like other interim responses and failed only if no head followed. The streaming reader had a check of its own, which is part of the shared rule for the status now.

Evidence: `switched_protocols_are_invalid` failed before with Ok((200, "body")) in the buffered reader, and passes now. Other interim responses are skipped as before.

--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -172,11 +172,8 @@
     ) -> Result<Option<Response>, HttpFault> {
         let view = parse_head(&head)?;
         let status = parse_status_line(view.first_line).ok_or(HttpFault::BadHead)?;
-        match status.as_u16() {
-            // Requests never ask for a protocol upgrade.
-            101 => return Err(HttpFault::BadHead),
-            100..200 => return Ok(None),
-            _ => (),
+        if status.is_informational() {
+            return Ok(None);
         }
         let bodiless = method == Method::Head || matches!(status.as_u16(), 204 | 304);
         let framing = view.framing;
--- a/http/src/response_head.rs
+++ b/http/src/response_head.rs
@@ -56,7 +56,7 @@
 pub(crate) struct ResponseHead {
     /// Length in bytes, including the empty line.
     pub(crate) length: usize,
-    /// Status from 100 to 599.
+    /// Status from 100 to 599, other than 101.
     pub(crate) status: StatusCode,
     /// All headers, including hop-by-hop ones.
     pub(crate) headers: HeaderMap,
@@ -124,7 +124,10 @@
     }
 }
 
-/// Returns the status with this code, unless HTTP assigns it no class of responses.
+/// Returns the status with this code, unless HTTP assigns it no class of responses. Requests never ask
+/// for another protocol, so that no server may switch to one.
 pub(crate) fn response_status(code: u16) -> Option<StatusCode> {
-    StatusCode::from_u16(code).ok().filter(|status| status.as_u16() < 600)
+    let is_valid =
+        |status: &StatusCode| status.as_u16() < 600 && *status != StatusCode::SWITCHING_PROTOCOLS;
+    StatusCode::from_u16(code).ok().filter(is_valid)
 }
--- a/http/tests/responses.rs
+++ b/http/tests/responses.rs
@@ -152,3 +152,15 @@
     let repeated = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\ncontent-length: 4\r\n\r\nbody";
     assert_valid(repeated.as_bytes(), 200, b"body");
 }
+
+/// Guards against skipping the switch to another protocol as an interim response, and taking what
+/// follows for the response.
+#[test]
+fn switched_protocols_are_invalid() {
+    const FINAL: &str = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody";
+    let switched = "HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n";
+    assert_invalid(switched.as_bytes());
+    assert_invalid(format!("{switched}{FINAL}").as_bytes());
+    let interim = format!("HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n{FINAL}");
+    assert_valid(interim.as_bytes(), 200, b"body");
+}
