Read all response heads by one rule

Empty lines before a status line were dropped by both readers, so that bytes that are no response became one with what followed. The readers had a rule each: `httparse` in the buffered reader, and in the streaming reader the parser for requests, which must skip such lines because some clients send them after a body. The streaming reader also looked for CRLF twice before it checked anything, so that a head with bare line feeds kept a caller until its timeout while the server left the connection open.

The streaming reader now parses heads with the rule that the buffered reader has. Its own parser of status lines is gone, and so are the second decoding of each head by `async-h1` and the removal of the date that it adds. What stays different is what it can pass on, not what it takes for a response: no body without a declared length, and no status or value that `http-types` cannot hold. The parser in `head` is for requests alone.

--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -9,16 +9,15 @@
 use std::time::{Duration, Instant};
 
 use async_std::net::TcpStream;
-use futures_lite::io::Cursor;
-use http_types::headers::DATE;
-use http_types::{Body, Method, Request, Response};
+use http_types::{Body, Method, Request, Response, StatusCode};
 
-use crate::body::{BodySource, SharedBody, lock, now_or_never};
+use crate::body::{BodySource, SharedBody, lock};
 use crate::coarse_timer::within;
-use crate::hop_by_hop::remove_hop_by_hop_fields;
+use crate::hop_by_hop::{has_connection_close, remove_hop_by_hop_fields};
 use crate::reader::MessageReader;
+use crate::response_head::{ResponseFraming, ResponseHead};
 use crate::writer::{MessageWriter, WriteFault};
-use crate::{BodyFraming, HttpFault, parse_head, parse_status_line};
+use crate::{BodyFraming, HttpFault};
 
 /// Maximum number of interim (1xx) responses before the final one.
 const MAX_INTERIM_RESPONSES: usize = 16;
@@ -155,8 +154,9 @@
         lock(&self.exchange).start(writer);
         let mut progress = RequestProgress::default();
         for _ in 0..MAX_INTERIM_RESPONSES {
-            let head = poll_fn(|cx| progress.poll(&mut lock(&self.exchange), cx)).await?;
-            let response = self.parse_response(head, method).map_err(invalid_response)?;
+            let reading = poll_fn(|cx| progress.poll(&mut lock(&self.exchange), cx));
+            let head = reading.await?;
+            let response = self.convert_head(&head, method).map_err(invalid_response)?;
             if let Some(response) = response {
                 return Ok(response);
             }
@@ -164,38 +164,32 @@
         Err(invalid_response(HttpFault::BadHead))
     }
 
-    /// Parses a response head. Returns `None` for an interim response.
-    fn parse_response(
+    /// Converts a response head. Returns `None` for an interim response.
+    fn convert_head(
         &mut self,
-        head: Vec<u8>,
+        head: &ResponseHead,
         method: Method,
     ) -> Result<Option<Response>, HttpFault> {
-        let view = parse_head(&head)?;
-        let status = parse_status_line(view.first_line).ok_or(HttpFault::BadHead)?;
-        if status.is_informational() {
+        if head.status.is_informational() {
             return Ok(None);
         }
-        let bodiless = method == Method::Head || matches!(status.as_u16(), 204 | 304);
-        let framing = view.framing;
-        if framing == BodyFraming::Absent && !bodiless {
-            return Err(HttpFault::MissingLength);
-        }
-        let (close, has_date, has_content_type) =
-            (view.close, view.has_date, view.has_content_type);
-        // `async-h1` only gets the head, because it would end a truncated body without an error.
-        let decoded = now_or_never(async_h1::client::decode(Cursor::new(head)));
-        let Some(Ok(mut response)) = decoded else { return Err(HttpFault::BadHead) };
+        let bodiless = method == Method::Head || matches!(head.status.as_u16(), 204 | 304);
+        let framing = match head.framing {
+            ResponseFraming::Length(length) => BodyFraming::Length(length),
+            ResponseFraming::Chunked => BodyFraming::Chunked,
+            ResponseFraming::UntilEnd if bodiless => BodyFraming::Absent,
+            // The head is passed on before the end of the connection shows whether the body is
+            // complete.
+            ResponseFraming::UntilEnd => return Err(HttpFault::MissingLength),
+        };
+        let mut response = response_without_body(head)?;
         self.set_body(&mut response, framing, method)?;
-        if !has_content_type {
+        // Setting a body adds a content type.
+        if !head.headers.contains_key(http::header::CONTENT_TYPE) {
             response.remove_header("content-type");
         }
-        // `async-h1` adds a date that contains line breaks, which would end the head early when the
-        // response is forwarded.
-        if !has_date {
-            response.remove_header(DATE);
-        }
         remove_hop_by_hop_fields(response.as_mut());
-        self.keep_alive = !close;
+        self.keep_alive = !has_connection_close(&head.headers);
         Ok(Some(response))
     }
 
@@ -263,9 +257,9 @@
         &mut self,
         exchange: &mut ClientExchange,
         cx: &mut Context<'_>,
-    ) -> Poll<Result<Vec<u8>, SendError>> {
+    ) -> Poll<Result<ResponseHead, SendError>> {
         self.poll_writer(exchange, cx)?;
-        let cause = match ready!(exchange.reader.poll_head(cx)) {
+        let cause = match ready!(exchange.reader.poll_response_head(cx)) {
             Ok(Some(head)) => return Poll::Ready(Ok(head)),
             Ok(None) => LossCause::ConnectionFailed(io::ErrorKind::UnexpectedEof),
             Err(HttpFault::Io { kind }) => LossCause::ConnectionFailed(kind),
@@ -313,6 +307,18 @@
     }
 }
 
+/// Converts the status and headers of a response. Fails for a status that `http-types` does not know,
+/// and for a header value that is not printable ASCII, on which it panics.
+fn response_without_body(head: &ResponseHead) -> Result<Response, HttpFault> {
+    let status = StatusCode::try_from(head.status.as_u16()).map_err(|_| HttpFault::BadHead)?;
+    let mut response = Response::new(status);
+    for (name, value) in &head.headers {
+        let value = value.to_str().map_err(|_| HttpFault::BadHead)?;
+        response.append_header(name.as_str(), value);
+    }
+    Ok(response)
+}
+
 fn invalid_response(fault: HttpFault) -> SendError {
     SendError::Lost { cause: LossCause::InvalidResponse(fault) }
 }
--- a/http/src/exchange.rs
+++ b/http/src/exchange.rs
@@ -18,6 +18,7 @@
 
 use crate::budget::{ByteBudget, ByteReservation};
 use crate::coarse_timer::within;
+use crate::hop_by_hop::has_connection_close;
 use crate::read_turn::ReadTurn;
 use crate::response_head::{ResponseFault, ResponseFraming, ResponseHead, parse_response_head};
 use crate::{ChunkParser, ParseSchedule};
@@ -436,12 +437,6 @@
     head
 }
 
-fn has_connection_close(headers: &HeaderMap) -> bool {
-    let values = headers.get_all(http::header::CONNECTION).iter();
-    let mut words = values.flat_map(|value| value.as_bytes().split(|byte| *byte == b','));
-    words.any(|word| word.trim_ascii().eq_ignore_ascii_case(b"close"))
-}
-
 /// Returns the duration in `Keep-Alive: timeout=N`.
 fn parse_keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
--- a/http/src/head.rs
+++ b/http/src/head.rs
@@ -1,9 +1,6 @@
 //! Parsers for message heads, without I/O.
 
-use http::StatusCode;
-
 use crate::HttpFault;
-use crate::response_head::response_status;
 
 /// Maximum number of headers in a head. `async-h1` parses up to 128.
 pub const MAX_HEADERS: usize = 100;
@@ -76,8 +73,6 @@
     pub close: bool,
     /// Whether the peer waits for `100 Continue` before it sends the body.
     pub expects_continue: bool,
-    /// Whether there is a `Date` header.
-    pub has_date: bool,
     /// Whether there is a `Content-Type` header.
     pub has_content_type: bool,
     /// Number of `Host` headers.
@@ -124,15 +119,6 @@
     (valid_protocol && valid_name && printable && valid_form).then_some((method, target))
 }
 
-/// Returns the status of an HTTP/1.1 status line.
-pub fn parse_status_line(line: &[u8]) -> Option<StatusCode> {
-    let rest = line.strip_prefix(b"HTTP/1.1 ")?;
-    let (digits, reason) = rest.split_at_checked(3)?;
-    let ended = reason.is_empty() || reason.starts_with(b" ");
-    let code = u16::try_from(parse_decimal(digits)?).ok()?;
-    response_status(code).filter(|_| ended)
-}
-
 /// Returns whether `host` only has characters of a host with an optional port, and none that a URL
 /// parser would interpret, such as `/` or `@`.
 pub fn is_valid_host(host: &[u8]) -> bool {
@@ -153,7 +139,6 @@
         framing: BodyFraming::Absent,
         close: false,
         expects_continue: false,
-        has_date: false,
         has_content_type: false,
         host_count: 0,
     };
@@ -192,7 +177,6 @@
                 return Err(HttpFault::BadHead);
             }
         }
-        self.has_date |= is("date");
         self.has_content_type |= is("content-type");
         Ok(())
     }
--- a/http/src/hop_by_hop.rs
+++ b/http/src/hop_by_hop.rs
@@ -1,5 +1,7 @@
 //! Hop-by-hop headers, which apply to a single connection.
 
+use http::HeaderMap;
+use http::header::CONNECTION;
 use http_types::headers::{HeaderName, Headers};
 
 /// Headers that are not forwarded. Besides the hop-by-hop headers, the list has `expect` and the
@@ -33,3 +35,10 @@
         headers.remove(name);
     }
 }
+
+/// Returns whether `Connection` contains `close`.
+pub(crate) fn has_connection_close(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(CONNECTION).iter();
+    let mut words = values.flat_map(|value| value.as_bytes().split(|byte| *byte == b','));
+    words.any(|word| word.trim_ascii().eq_ignore_ascii_case(b"close"))
+}
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 connections with strict message framing.
 //!
-//! `async-h1` parses heads and encodes messages. This crate reads the head first, rejects ambiguous
-//! messages, limits each body to its framing and reports every truncated message as an error.
+//! `async-h1` parses heads of requests and encodes messages. This crate reads the head first, rejects
+//! ambiguous messages, limits each body to its framing and reports every truncated message as an error.
 
 mod body;
 mod budget;
@@ -36,7 +36,7 @@
 pub use fault::HttpFault;
 pub use head::{
     BodyFraming, MAX_HEADERS, ParseSchedule, ParsedHead, find_head_end, is_valid_host,
-    parse_decimal, parse_head, parse_header, parse_request_line, parse_status_line,
+    parse_decimal, parse_head, parse_header, parse_request_line,
 };
 pub use runtime::{CloseWatch, HyperExecutor, HyperStream, HyperTimer, PeerActivity};
 pub use server::{ServerSettings, serve_connection, serve_listener};
--- a/http/src/reader.rs
+++ b/http/src/reader.rs
@@ -13,7 +13,8 @@
 use crate::head::find_head_end;
 use crate::progress::ProgressTimer;
 use crate::read_turn::ReadTurn;
-use crate::{BodyFraming, ChunkParser, HttpFault, MAX_HEAD_BYTES};
+use crate::response_head::{ResponseHead, parse_response_head};
+use crate::{BodyFraming, ChunkParser, HttpFault, MAX_HEAD_BYTES, ParseSchedule};
 
 /// Size of the read buffer of a connection. A complete head must fit.
 const BUFFER_BYTES: usize = MAX_HEAD_BYTES + 1;
@@ -36,6 +37,7 @@
     start: usize,
     end: usize,
     searched_bytes: usize,
+    parse_schedule: ParseSchedule,
     eof: bool,
     body: BodyState,
     /// Part of `100 Continue` that must be written before the body is read.
@@ -69,6 +71,7 @@
             start: 0,
             end: 0,
             searched_bytes: 0,
+            parse_schedule: ParseSchedule::new(),
             eof: false,
             body: BodyState::Done,
             continue_left: &[],
@@ -99,8 +102,9 @@
         self.continue_left.len() == CONTINUE_RESPONSE.len()
     }
 
-    /// Reads a head, including the empty line. Returns `None` if the connection ended before it.
-    pub(crate) fn poll_head(
+    /// Reads a request head, including the empty line. Returns `None` if the connection ended before
+    /// it.
+    pub(crate) fn poll_request_head(
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Result<Option<Vec<u8>>, HttpFault>> {
@@ -121,16 +125,39 @@
             }
             self.searched_bytes = bytes.len().saturating_sub(3);
             if ready!(self.poll_fill(cx))? == 0 {
-                let at_boundary = self.buffered().is_empty();
-                return Poll::Ready(if at_boundary {
-                    Ok(None)
-                } else {
-                    Err(HttpFault::HeadTruncated)
-                });
+                return Poll::Ready(self.ended_head());
             }
         }
     }
 
+    /// Reads a response head. Returns `None` if the connection ended before it.
+    pub(crate) fn poll_response_head(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Result<Option<ResponseHead>, HttpFault>> {
+        loop {
+            let bytes = &self.buffer[self.start..self.end];
+            if self.parse_schedule.is_due(bytes)
+                && let Some(head) = parse_response_head(bytes)?
+            {
+                self.start += head.length;
+                self.parse_schedule = ParseSchedule::new();
+                return Poll::Ready(Ok(Some(head)));
+            }
+            if bytes.len() >= MAX_HEAD_BYTES {
+                return Poll::Ready(Err(HttpFault::HeadTooLarge));
+            }
+            if ready!(self.poll_fill(cx))? == 0 {
+                return Poll::Ready(self.ended_head());
+            }
+        }
+    }
+
+    /// Returns the outcome of reading a head after the connection has ended.
+    fn ended_head<T>(&self) -> Result<Option<T>, HttpFault> {
+        if self.buffered().is_empty() { Ok(None) } else { Err(HttpFault::HeadTruncated) }
+    }
+
     /// Prepares to read the body that follows the last head.
     pub(crate) fn start_body(&mut self, framing: BodyFraming, expects_continue: bool) {
         // Other reads have replaced the waker of the socket since.
--- a/http/src/response_head.rs
+++ b/http/src/response_head.rs
@@ -6,6 +6,8 @@
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
+use crate::HttpFault;
+
 /// Maximum number of headers in a response.
 const MAX_RESPONSE_HEADERS: usize = 128;
 
@@ -14,7 +16,7 @@
 pub(crate) enum ResponseFault {
     /// The bytes are not a head, or have too many headers.
     Malformed,
-    /// A line does not end in CRLF.
+    /// A line does not end in CRLF, or an empty line precedes the status line.
     LineEnd,
     /// The version is not HTTP/1.1.
     Version,
@@ -40,6 +42,18 @@
     }
 }
 
+impl From<ResponseFault> for HttpFault {
+    fn from(fault: ResponseFault) -> HttpFault {
+        match fault {
+            ResponseFault::Malformed
+            | ResponseFault::LineEnd
+            | ResponseFault::Version
+            | ResponseFault::Status => HttpFault::BadHead,
+            ResponseFault::Coding | ResponseFault::Length => HttpFault::BadLength,
+        }
+    }
+}
+
 /// How the end of a response body is determined.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ResponseFraming {
@@ -94,13 +108,13 @@
     Ok(Some(ResponseHead { length, status, headers, framing }))
 }
 
-/// Returns whether all lines of a head end in CRLF. `httparse` also takes a bare line feed for the end
-/// of a line.
+/// Returns whether a head has no empty line before its status line and all lines end in CRLF.
+/// `httparse` skips empty lines and takes a bare line feed for the end of a line.
 fn has_valid_lines(head: &[u8]) -> bool {
     let ends_in_crlf =
         |index: usize| index.checked_sub(1).is_some_and(|before| head[before] == b'\r');
     let mut line_feeds = (0..head.len()).filter(|index| head[*index] == b'\n');
-    line_feeds.all(ends_in_crlf)
+    !head.starts_with(b"\r") && line_feeds.all(ends_in_crlf)
 }
 
 /// Rejects several codings, and a coding combined with a length: readers differ in which of them they
--- a/http/src/server.rs
+++ b/http/src/server.rs
@@ -152,7 +152,7 @@
                 _ => return Ok(None),
             }
         }
-        let head = poll_fn(|cx| lock(&self.reader).poll_head(cx));
+        let head = poll_fn(|cx| lock(&self.reader).poll_request_head(cx));
         let head =
             within(self.settings.head_timeout, head).await.ok_or(HttpFault::HeadTimeout)??;
         match head {
--- a/http/tests/responses.rs
+++ b/http/tests/responses.rs
@@ -1,7 +1,7 @@
 //! Bytes that are no valid response, sent to each reader of responses.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::io::{ReadExt, WriteExt};
 use async_std::net::TcpListener;
@@ -10,11 +10,14 @@
 use fescuestack_http::{BufferedRequest, ClientConnection, ExchangeConnection, within};
 use http::{HeaderMap, HeaderValue, Method};
 use http_types::Url;
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
 
 const LIMIT: Duration = Duration::from_secs(5);
 
-/// Serves one connection: reads a request, writes `response` and closes.
-async fn serve(response: &[u8]) -> SocketAddr {
+/// Serves one connection: reads a request, writes `response` and closes after `pause`.
+async fn serve(response: &[u8], pause: Duration) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("a bound port");
     let response = response.to_vec();
@@ -23,6 +26,7 @@
         let _ = stream.read(&mut [0; 4096]).await;
         // The client may close as soon as it has seen that the response is invalid.
         let _ = stream.write_all(&response).await;
+        task::sleep(pause).await;
     });
     address
 }
@@ -30,8 +34,7 @@
 /// A response as a reader has returned it.
 type ReadResponse = Result<(u16, Vec<u8>), String>;
 
-async fn read_buffered(response: &[u8]) -> ReadResponse {
-    let address = serve(response).await;
+async fn read_buffered(address: SocketAddr) -> ReadResponse {
     let mut headers = HeaderMap::new();
     headers.insert("host", HeaderValue::from_static("h"));
     let (method, target, body) = (Method::GET, "/".to_owned(), Bytes::new());
@@ -42,8 +45,7 @@
     Ok((u16::from(response.status), response.body.to_vec()))
 }
 
-async fn read_streamed(response: &[u8]) -> ReadResponse {
-    let address = serve(response).await;
+async fn read_streamed(address: SocketAddr) -> ReadResponse {
     let connection = ClientConnection::open(address, LIMIT).await;
     let mut connection = connection.map_err(|err| err.to_string())?;
     let url = Url::parse("http://h/").expect("a URL");
@@ -53,16 +55,20 @@
     Ok((response.status() as u16, body))
 }
 
-/// Returns what both readers make of `response`.
-fn read(response: &[u8]) -> [(&'static str, ReadResponse); 2] {
+/// Returns what both readers make of `response`, after which the connection stays open for `pause`.
+fn read_before(response: &[u8], pause: Duration) -> [(&'static str, ReadResponse); 2] {
     task::block_on(async {
-        let buffered = within(LIMIT, read_buffered(response)).await;
-        let streamed = within(LIMIT, read_streamed(response)).await;
+        let buffered = within(LIMIT, read_buffered(serve(response, pause).await)).await;
+        let streamed = within(LIMIT, read_streamed(serve(response, pause).await)).await;
         let late = || Err("the reader still waits".to_owned());
         [("buffered", buffered.unwrap_or_else(late)), ("streamed", streamed.unwrap_or_else(late))]
     })
 }
 
+fn read(response: &[u8]) -> [(&'static str, ReadResponse); 2] {
+    read_before(response, Duration::ZERO)
+}
+
 #[track_caller]
 fn assert_invalid(response: &[u8]) {
     for (reader, outcome) in read(response) {
@@ -113,6 +119,18 @@
     }
 }
 
+/// Guards against bytes before the status line that are dropped, so that the rest is taken for a
+/// response.
+#[test]
+fn responses_start_with_their_status_line() {
+    for start in ["\r\n", "\n", "\r\n\r\n", " ", "\t", "\0", "x"] {
+        let response = format!("{start}HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody");
+        assert_invalid(response.as_bytes());
+        let interim = format!("HTTP/1.1 100 Continue\r\n\r\n{response}");
+        assert_invalid(interim.as_bytes());
+    }
+}
+
 /// Guards against a response of another version, whose framing has other rules.
 #[test]
 fn other_versions_are_invalid() {
@@ -164,3 +182,58 @@
     let interim = format!("HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n{FINAL}");
     assert_valid(interim.as_bytes(), 200, b"body");
 }
+
+/// Guards against waiting for the rest of a head that cannot become valid, while the server keeps the
+/// connection open.
+#[test]
+fn invalid_heads_fail_at_once() {
+    for response in
+        ["HTTP/1.1 200 OK\nx: y\n\n", "\r\n\r\nHTTP", "no response", "HTTP/1.1 200 OK\r\n:"]
+    {
+        let started = Instant::now();
+        for (reader, outcome) in read_before(response.as_bytes(), LIMIT) {
+            assert!(outcome.is_err(), "{reader} reader took {outcome:?} from {response:?}");
+        }
+        let taken = started.elapsed();
+        assert!(taken < LIMIT / 2, "both readers took {taken:?} for {response:?}");
+    }
+}
+
+/// Guards against two readers that differ in what they take for a response, and against panics on what
+/// a library does not expect.
+#[test]
+fn readers_agree_on_damaged_heads() {
+    const HEAD: &[u8] =
+        b"HTTP/1.1 200 OK\r\nx-y: z\r\nconnection: close\r\ncontent-length: 4\r\n\r\n";
+    let mut rng = Pcg32::seed_from_u64(42);
+    let mut taken = 0;
+    for case in 0..2_000 {
+        let mut response = HEAD.to_vec();
+        for _ in 0..rng.random_range(0..3) {
+            let index = rng.random_range(0..response.len());
+            let byte = *b"\r\n\0\x7f\x80 \t:,;19zH".choose(&mut rng).expect("a byte");
+            match rng.random_range(0..3) {
+                0 => response[index] = byte,
+                1 => response.insert(index, byte),
+                _ => drop(response.remove(index)),
+            }
+        }
+        response.extend_from_slice(b"body");
+        let [(_, buffered), (_, streamed)] = read(&response);
+        let text = response.escape_ascii();
+        match &streamed {
+            Ok(_) => {
+                taken += 1;
+                assert_eq!(buffered, streamed, "case {case}: {text}");
+            }
+            // The streaming reader cannot pass on a body without a declared length, nor a value or a
+            // status that its library cannot hold.
+            Err(err) => {
+                let is_limit = err.contains("no body length") || !response.is_ascii();
+                let is_known = matches!(&buffered, Ok((200, _)));
+                assert!(!is_known || is_limit, "case {case}: {err}, {text}");
+            }
+        }
+    }
+    assert!(taken > 500, "{taken}");
+}
