Test field names with blanks and control bytes

Operators of other systems saw responses passed on whose field names held a blank or a control byte. Both readers reject them already: `httparse` takes only the bytes of a token, as does the parser of the streaming reader that the shared rule has replaced. No product code changes.

--- a/http/tests/responses.rs
+++ b/http/tests/responses.rs
@@ -139,6 +139,28 @@
     }
 }
 
+/// Guards against a field whose name another parser reads differently, which can hide the framing of
+/// the body or reach the caller.
+#[test]
+fn names_with_blanks_or_control_bytes_are_invalid() {
+    let names =
+        ["x y", " x", "x ", "\tx", "x\t", "x\0", "\x01x", "x\x7f", "x\x1fy", "", "x\u{e9}", "x(y)"];
+    for name in
+        names.into_iter().chain(["content-length ", "transfer-encoding\t", " content-length"])
+    {
+        let framed = format!("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n{name}: 9\r\n\r\nbody");
+        assert_invalid(framed.as_bytes());
+        let first = format!("HTTP/1.1 200 OK\r\n{name}: 9\r\ncontent-length: 4\r\n\r\nbody");
+        assert_invalid(first.as_bytes());
+        assert_invalid(format!("HTTP/1.1 200 OK\r\n{name}: 9\r\n\r\nuntil the end").as_bytes());
+    }
+    for value in ["a\0b", "a\x01b", "a\x7fb", "\x1b"] {
+        let response = format!("HTTP/1.1 200 OK\r\ncontent-length: 4\r\nx: {value}\r\n\r\nbody");
+        assert_invalid(response.as_bytes());
+    }
+    assert_invalid(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\nno colon\r\n\r\nbody");
+}
+
 /// Guards against a body whose end depends on which of several fields a reader uses.
 #[test]
 fn ambiguous_framings_are_invalid() {
--- a/sidecar/tests/broken_responses.rs
+++ b/sidecar/tests/broken_responses.rs
@@ -125,3 +125,15 @@
         }
     });
 }
+
+/// Guards against forwarding a response in whose head the name of a field has a blank or a control
+/// byte.
+#[test]
+fn names_with_blanks_or_control_bytes_are_not_forwarded() {
+    task::block_on(async {
+        for name in ["x y", " x", "x ", "x\t", "x\x01", "x\0", "x\x7f", "content-length "] {
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n{name}: 2\r\n");
+            assert_not_forwarded(&head, b"body", RawEnding::KeepOpen).await;
+        }
+    });
+}
