Reject chunked bodies with damaged framing

Callers got a chunked response as complete although its trailer was no list of fields, or bytes that are no extension followed the size of a chunk. The parser took any bytes up to the next CRLF there. Such bytes show that the end of the body is not where the parser found it, as after a chunk whose size was damaged.

Trailer fields now need a name, a colon and a value, by the rule for header fields; after a chunk size only padding and an extension without control bytes may follow. All readers use this parser, including the server of the project's own form for request bodies.

--- a/http/src/chunk.rs
+++ b/http/src/chunk.rs
@@ -5,6 +5,7 @@
 //! arrive in two reads.
 
 use crate::HttpFault;
+use crate::head::{is_field_byte, is_token};
 
 /// Maximum length of the framing between two chunks of data, including chunk extensions, and of the
 /// last size line with the trailer section.
@@ -13,13 +14,15 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ChunkState {
     Size { size: u64, digits: u8 },
+    SizePadding { size: u64 },
     Extension { size: u64 },
     SizeLf { size: u64 },
     Data { remaining: u64 },
     DataCr,
     DataLf,
     TrailerStart,
-    Trailer,
+    TrailerName,
+    TrailerValue,
     TrailerLf,
     FinalLf,
     Done,
@@ -104,15 +107,22 @@
         }
         let state = match (self.state, byte) {
             (ChunkState::Size { size, digits }, b'\r') if digits > 0 => ChunkState::SizeLf { size },
-            (ChunkState::Size { size, digits }, b';' | b' ' | b'\t') if digits > 0 => {
+            (ChunkState::Size { size, digits }, b' ' | b'\t') if digits > 0 => {
+                ChunkState::SizePadding { size }
+            }
+            (ChunkState::Size { size, digits }, b';') if digits > 0 => {
                 ChunkState::Extension { size }
             }
             (ChunkState::Size { size, digits }, byte) if digits < 16 => {
                 let digit = char::from(byte).to_digit(16).ok_or(HttpFault::BadChunk)?;
                 ChunkState::Size { size: (size << 4) | u64::from(digit), digits: digits + 1 }
             }
-            (ChunkState::Extension { size }, b'\r') => ChunkState::SizeLf { size },
-            (ChunkState::Extension { size }, byte) if byte != b'\n' => {
+            (ChunkState::SizePadding { size }, b' ' | b'\t') => ChunkState::SizePadding { size },
+            (ChunkState::SizePadding { size }, b';') => ChunkState::Extension { size },
+            (ChunkState::SizePadding { size } | ChunkState::Extension { size }, b'\r') => {
+                ChunkState::SizeLf { size }
+            }
+            (ChunkState::Extension { size }, byte) if is_field_byte(byte) => {
                 ChunkState::Extension { size }
             }
             (ChunkState::SizeLf { size: 0 }, b'\n') => ChunkState::TrailerStart,
@@ -123,12 +133,12 @@
             (ChunkState::DataCr, b'\r') => ChunkState::DataLf,
             (ChunkState::DataLf, b'\n') => ChunkState::Size { size: 0, digits: 0 },
             (ChunkState::TrailerStart, b'\r') => ChunkState::FinalLf,
-            (ChunkState::TrailerStart | ChunkState::Trailer, byte)
-                if byte != b'\r' && byte != b'\n' =>
-            {
-                ChunkState::Trailer
+            (ChunkState::TrailerStart | ChunkState::TrailerName, byte) if is_token(byte) => {
+                ChunkState::TrailerName
             }
-            (ChunkState::Trailer, b'\r') => ChunkState::TrailerLf,
+            (ChunkState::TrailerName, b':') => ChunkState::TrailerValue,
+            (ChunkState::TrailerValue, b'\r') => ChunkState::TrailerLf,
+            (ChunkState::TrailerValue, byte) if is_field_byte(byte) => ChunkState::TrailerValue,
             (ChunkState::TrailerLf, b'\n') => ChunkState::TrailerStart,
             (ChunkState::FinalLf, b'\n') => ChunkState::Done,
             _ => return Err(HttpFault::BadChunk),
--- a/http/src/head.rs
+++ b/http/src/head.rs
@@ -191,10 +191,16 @@
     }
 }
 
-fn is_token(byte: u8) -> bool {
+/// Returns whether a field name can have this byte.
+pub(crate) fn is_token(byte: u8) -> bool {
     byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
 }
 
+/// Returns whether a field value can have this byte: no control byte but the tab.
+pub(crate) fn is_field_byte(byte: u8) -> bool {
+    byte == b'\t' || (byte >= b' ' && byte != 0x7f)
+}
+
 /// Splits at CRLF only, so that a bare CR or LF stays in its line and fails validation.
 fn split_lines(mut bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
     let mut ended = false;
--- a/http/tests/responses.rs
+++ b/http/tests/responses.rs
@@ -259,3 +259,31 @@
     }
     assert!(taken > 500, "{taken}");
 }
+
+/// Guards against a chunked body with bytes between its chunks or after them that are no framing.
+#[test]
+fn damaged_chunk_framings_are_invalid() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    for trailer in
+        ["no colon", "x y: z", " x: y", "x : y", ": y", "x: \0", "x: \x01", "x\x7f: y", "x: y\x1f"]
+    {
+        assert_invalid(format!("{HEAD}4\r\nbody\r\n0\r\n{trailer}\r\n\r\n").as_bytes());
+        let second = format!("{HEAD}4\r\nbody\r\n0\r\nx: y\r\n{trailer}\r\n\r\n");
+        assert_invalid(second.as_bytes());
+    }
+    for size in
+        ["4 x", "4 4", "4\t5", "4;\0", "4;a=\x01", "4;a=\x7f", "4\0", " 4", "+4", "0x4", "", ";a"]
+    {
+        assert_invalid(format!("{HEAD}{size}\r\nbody\r\n0\r\n\r\n").as_bytes());
+    }
+    for (size, trailer) in [
+        ("4", "x: y\r\nz:\r\n"),
+        ("04", "x:\ty z\r\n"),
+        ("4 ", ""),
+        ("4\t;a=\"b\"", ""),
+        ("4;\u{e9}", "x: \u{e9}\r\n"),
+    ] {
+        let response = format!("{HEAD}{size}\r\nbody\r\n0\r\n{trailer}\r\n");
+        assert_valid(response.as_bytes(), 200, b"body");
+    }
+}
--- a/sidecar/tests/broken_responses.rs
+++ b/sidecar/tests/broken_responses.rs
@@ -137,3 +137,15 @@
         }
     });
 }
+
+/// Guards against forwarding a chunked body whose trailer is no list of fields.
+#[test]
+fn damaged_trailers_are_not_forwarded() {
+    task::block_on(async {
+        let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n";
+        for trailer in ["no colon", "x y: z", "x: \x01"] {
+            let body = format!("4\r\nbody\r\n0\r\n{trailer}\r\n\r\n");
+            assert_not_forwarded(head, body.as_bytes(), RawEnding::KeepOpen).await;
+        }
+    });
+}
