Reject target responses with a content coding

Callers got the encoded body of a response with `content-encoding` as the answer of the target. Clients ask for no coding, and the users' protocol states that such a response is not the target's. The node beside the target did not look at the field, and passed it on with the target's signature.

A response with a content coding now counts as lost, like a success without the signature, and is logged. A statement that the call was not executed is still taken, since it does not depend on the body.

--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -19,6 +19,7 @@
     SlotLoad, SlotQueue, SlotTicket, TargetListing, TargetNotice, TargetState,
 };
 use futures_lite::future;
+use http::header::CONTENT_ENCODING;
 use http::{HeaderValue, StatusCode};
 use rustc_hash::FxHashMap;
 
@@ -432,6 +433,11 @@
     if response.headers.contains_key(&NOT_EXECUTED) {
         return (ReplyEnd::Rejected, None);
     }
+    // Clients ask for no content coding, so that the body is not the one that the target made.
+    if response.headers.contains_key(CONTENT_ENCODING) {
+        log::info!(target = &*note.target; "response with a content coding");
+        return (ReplyEnd::Lost, None);
+    }
     if response.status.as_u16() < 400 && !response.headers.contains_key(&RESPONSE_SIGNATURE) {
         log::info!(target = &*note.target; "response without the target's signature");
         return (ReplyEnd::Lost, None);
--- a/sidecar/tests/broken_responses.rs
+++ b/sidecar/tests/broken_responses.rs
@@ -149,3 +149,16 @@
         }
     });
 }
+
+/// Guards against forwarding a body with a content coding, which no client asks for.
+#[test]
+fn encoded_bodies_are_not_forwarded() {
+    task::block_on(async {
+        for (status, coding) in [(200, "gzip"), (200, "identity"), (500, "br")] {
+            let head = format!(
+                "HTTP/1.1 {status} Reason\r\ncontent-length: 4\r\ncontent-encoding: {coding}\r\n"
+            );
+            assert_not_forwarded(&head, b"body", RawEnding::KeepOpen).await;
+        }
+    });
+}
