Take the ends of cancelled runs at one time in a test

It waited until no run was unfinished, and then read the ends of the runs. Between the two, the queued request can get the slot that the first caller has freed, and start before the stand-in notices that its own caller has left as well.

The stand-in is right: that run is cancelled a moment later.

The test now waits until no request runs or waits and all ends, read at once, are `Cancelled`.

--- a/standins/tests/upstream.rs
+++ b/standins/tests/upstream.rs
@@ -92,8 +92,14 @@
         for slot_holder in slot_holders {
             slot_holder.cancel().await;
         }
-        wait_until(|| standin.ledger().unfinished_runs() == 0).await;
-        assert!(run_ends(&standin).iter().all(|end| *end == Some(RunEnd::Cancelled)));
+        // The queued request may still run for a moment once the first caller has left, so that all ends
+        // are taken at one time.
+        wait_until(|| {
+            let load = standin.load();
+            let cancelled = |end: &Option<RunEnd>| *end == Some(RunEnd::Cancelled);
+            load.running + load.waiting == 0 && run_ends(&standin).iter().all(cancelled)
+        })
+        .await;
     })
 }
 
