Read responses of the operator port by the shared rule

`fescuestack status` and its kin showed a response as complete whose last chunk had broken off, took an interim response for the answer, and knew no invalid framing. They read responses with `async-h1` directly, which ends a truncated body without an error; a check of the declared length covered only one of these.

They use an `ExchangeConnection` now, so that this reader has the rule for heads and framing that the others have. The error states what was wrong with the response.

Evidence, before: `invalid_responses_are_errors`, Ok("text") from a body that ends inside of its last chunk; `complete_responses_are_returned`, NotFound after `100 Continue`. Both pass now, and so do the tests that run the commands.

--- a/operators/src/client.rs
+++ b/operators/src/client.rs
@@ -4,8 +4,12 @@
 use std::time::Duration;
 
 use async_std::future::timeout;
-use async_std::net::TcpStream;
-use http_types::{Method, Request, StatusCode, Url};
+use bytes::Bytes;
+use fescuestack_http::{BufferedRequest, ExchangeConnection, ExchangeError};
+use http::header::HOST;
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
+use http_types::Url;
+use http_types::url::Position;
 use snafu::{ResultExt, Snafu, ensure};
 
 /// Time limit for a request to the operator port.
@@ -23,10 +27,14 @@
         source: std::io::Error,
     },
     /// The connection was closed early or the response is malformed.
-    #[snafu(display("incomplete or malformed response from the operator port at {address}"))]
+    #[snafu(display(
+        "incomplete or malformed response from the operator port at {address}: {reason}"
+    ))]
     IncompleteResponse {
         /// Address of the operator port.
         address: SocketAddr,
+        /// Description of the underlying error.
+        reason: String,
     },
     /// The time limit was exceeded.
     #[snafu(display("the operator port at {address} did not answer within 5 s"))]
@@ -55,19 +63,26 @@
 }
 
 async fn request_text(address: SocketAddr, path: &str) -> Result<String, ClientError> {
-    let incomplete = |_| ClientError::IncompleteResponse { address };
-    let url = Url::parse(&format!("http://{address}{path}"))
-        .map_err(|_| ClientError::NotFound { address, path: path.to_owned() })?;
-    let stream = TcpStream::connect(address).await.context(ConnectSnafu { address })?;
-    let request = Request::new(Method::Get, url);
-    let mut response = async_h1::connect(stream, request).await.map_err(incomplete)?;
-    ensure!(response.status() == StatusCode::Ok, NotFoundSnafu { address, path });
-    let content_length = response.len();
-    let text = response.body_string().await.map_err(incomplete)?;
-    // async-h1 does not report an error when the body ends before its content length.
-    ensure!(
-        content_length.is_none_or(|len| len == text.len()),
-        IncompleteResponseSnafu { address }
-    );
-    Ok(text)
+    let incomplete = |reason: String| ClientError::IncompleteResponse { address, reason };
+    let request = get_request(address, path)
+        .ok_or_else(|| ClientError::NotFound { address, path: path.to_owned() })?;
+    let exchange = async {
+        let mut connection = ExchangeConnection::open(address, RESPONSE_TIMEOUT).await?;
+        connection.exchange(&request, None).await
+    };
+    let response = exchange.await.map_err(|err| match err {
+        ExchangeError::NotSent { source } => ClientError::Connect { address, source },
+        err => incomplete(err.to_string()),
+    })?;
+    ensure!(response.status == StatusCode::OK, NotFoundSnafu { address, path });
+    String::from_utf8(response.body.to_vec()).map_err(|err| incomplete(err.to_string()))
+}
+
+/// Builds the request for `path`, unless that is no valid path.
+fn get_request(address: SocketAddr, path: &str) -> Option<BufferedRequest> {
+    let url = Url::parse(&format!("http://{address}{path}")).ok()?;
+    let target = url[Position::BeforePath..Position::AfterQuery].to_owned();
+    let mut headers = HeaderMap::new();
+    headers.insert(HOST, HeaderValue::try_from(address.to_string()).ok()?);
+    Some(BufferedRequest { method: Method::GET, target, headers, body: Bytes::new() })
 }
