Test the memory of nodes under endless responses

Operators of other systems saw a faulty target send bytes that are no response, without end, until the VM that had called it was out of memory. Nodes limit what they keep: 64 KB of a head, 16 MB of a body, and a sixth of the VM's memory for all bodies. The new test sends endless chunks, bodies with and without a length, header lines, one header line and interim responses from all targets of a fleet whose VMs have 160 MB, the smallest size there is.

--- a/fescuestack/tests/endless_input.rs
+++ b/fescuestack/tests/endless_input.rs
@@ -12,8 +12,8 @@
 use async_std::task;
 use fescuestack_http::{ExchangeConnection, within};
 use fescuestack_platform_standin::{
-    CONFIG_KEY, READY_PATH, RouteEntry, SettingsEntry, StandinApplication, StandinStore,
-    TargetRecord, client_request, config_value, free_ports, target_key,
+    CONFIG_KEY, DEFAULT_MEMORY_MB, READY_PATH, RouteEntry, SettingsEntry, StandinApplication,
+    StandinStore, TargetRecord, client_request, config_value, free_ports, target_key,
 };
 use http::Method;
 
@@ -75,7 +75,7 @@
 /// Writes until the peer closes the connection.
 fn send_endless(mut stream: TcpStream, head: &[u8], piece: &[u8]) -> std::io::Result<()> {
     stream.write_all(head)?;
-    let block = piece.repeat(16 * 1024 / piece.len());
+    let block = piece.repeat((16 * 1024 / piece.len()).max(1));
     loop {
         stream.write_all(&block)?;
     }
@@ -159,6 +159,16 @@
 impl EndlessFleet {
     /// Starts the nodes. The target beside the first one is `target`, of the service `beta`.
     async fn start(number: u8, target: Option<EndlessServer>) -> EndlessFleet {
+        EndlessFleet::start_with(number, [target, None], DEFAULT_MEMORY_MB).await
+    }
+
+    /// Starts the nodes, on VMs with `memory_mb` MB. The targets beside them are `targets`, and the
+    /// first node's is of the service `beta`, if it is given.
+    async fn start_with(
+        number: u8,
+        targets: [Option<EndlessServer>; 2],
+        memory_mb: u64,
+    ) -> EndlessFleet {
         let store = StandinStore::start().await.expect("a free port");
         let proxy = StoreProxy::start(store.address());
         let [application_port, ports @ ..] = free_ports::<4>().expect("free ports");
@@ -170,16 +180,14 @@
             timeout: CLIENT_TIMEOUT,
         });
         fleet.store.put(CONFIG_KEY, config_value(1, HOST, &routes));
-        for host in [1, 2] {
+        for (host, target) in [1, 2].into_iter().zip(targets) {
             let vm = fleet.vm(host);
             let id = format!("t{host}");
             let application = StandinApplication::start(&id, SocketAddr::new(vm, application_port))
                 .await
                 .expect("a loopback address");
-            let (service, address) = match target {
-                Some(target) if host == 1 => ("beta", target.address),
-                _ => ("alpha", application.address()),
-            };
+            let service = if host == 1 && target.is_some() { "beta" } else { "alpha" };
+            let address = target.map_or(application.address(), |target| target.address);
             let settings = SettingsEntry {
                 vm,
                 ports,
@@ -187,6 +195,7 @@
                 target: address,
                 store: fleet.proxy.address,
                 link_mbps: 1_000.0,
+                memory_mb,
                 grace_s: 4,
             };
             let name = format!("fescuestack-endless-{}-{number}-{host}.json", std::process::id());
@@ -197,7 +206,9 @@
             node.start();
             fleet.nodes.push(node);
         }
-        fleet.await_served().await;
+        if targets[1].is_none() {
+            fleet.await_served().await;
+        }
         fleet
     }
 
@@ -248,12 +259,16 @@
     Some(within(CLIENT_TIMEOUT, exchange).await??.status.as_u16())
 }
 
-/// Sends requests that get endless responses until the task is cancelled.
+/// Sends requests that get endless responses until the tasks are cancelled.
 fn send_requests(address: SocketAddr) -> Vec<task::JoinHandle<()>> {
+    send_requests_to(address, "/b/")
+}
+
+fn send_requests_to(address: SocketAddr, path: &'static str) -> Vec<task::JoinHandle<()>> {
     let request = move |_| {
         task::spawn(async move {
             loop {
-                send(address, "/b/").await;
+                send(address, path).await;
                 task::sleep(Duration::from_millis(10)).await;
             }
         })
@@ -344,3 +359,48 @@
         }
     });
 }
+
+/// Guards against endless responses that a node keeps until its VM has no memory left, so that the
+/// calls of all other clients end with it. All targets of the fleet send them in every response.
+#[test]
+fn endless_responses_stay_within_the_memory_of_a_vm() {
+    /// Memory of the smallest VM that nodes run on.
+    const MEMORY_MB: u64 = 160;
+    const CALLERS: usize = 16;
+    const ZEROS: &[u8] = &[b'0'; 16 * 1024];
+    let chunk: &'static [u8] = [b"4000\r\n", ZEROS, b"\r\n"].concat().leak();
+    let inputs: [(&'static [u8], &'static [u8]); 7] = [
+        (CHUNKED_RESPONSE, chunk),
+        (b"HTTP/1.1 200 OK\r\n\r\n", ZEROS),
+        (b"HTTP/1.1 200 OK\r\ncontent-length: 16000000\r\n\r\n", ZEROS),
+        (CHUNKED_RESPONSE, SMALL_CHUNK),
+        (b"HTTP/1.1 200 OK\r\n", b"name: value\r\n"),
+        (b"HTTP/1.1 200 OK\r\nname: ", ZEROS),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    ];
+    task::block_on(async {
+        for (head, piece) in inputs {
+            let any = "127.0.0.1:0".parse().expect("an address");
+            let targets = [(); 2].map(|()| Some(EndlessServer::start(any, head, piece)));
+            let mut fleet = EndlessFleet::start_with(245, targets, MEMORY_MB).await;
+            let nodes = [1, 2].map(|host| SocketAddr::new(fleet.vm(host), fleet.ports[0]));
+            let callers: Vec<_> = (0..CALLERS)
+                .flat_map(|index| send_requests_to(nodes[index % 2], ["/a/", "/b/"][index / 2 % 2]))
+                .collect();
+            task::sleep(INPUT_TIME).await;
+            let ready = fleet.vm(1);
+            let status = send(SocketAddr::new(ready, fleet.ports[2]), READY_PATH).await;
+            assert_eq!(status, Some(200), "the node is not ready");
+            for node in &mut fleet.nodes {
+                let peak = node.peak_memory_kb();
+                let text = head.escape_ascii();
+                eprintln!("{} {peak} KB {text}", node.vm);
+                assert!(!node.has_ended(), "{} ended, {text}", node.vm);
+                assert!(peak <= MEMORY_MB * 1024, "{peak} KB, {text}");
+            }
+            for caller in callers {
+                caller.cancel().await;
+            }
+        }
+    });
+}
--- a/fescuestack/tests/node_process/mod.rs
+++ b/fescuestack/tests/node_process/mod.rs
@@ -39,6 +39,15 @@
         Command::new("kill").args([name, &id]).status().expect("the signal is sent");
     }
 
+    /// Returns the largest amount of memory that the running process has held, in KB.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let id = self.process.as_ref().expect("a started process").id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).expect("a process");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let peak = peak.and_then(|peak| peak.split_whitespace().next()?.parse().ok());
+        peak.expect("the peak of the resident memory")
+    }
+
     /// Whether the process was never started or has exited.
     pub fn has_ended(&mut self) -> bool {
         self.process
--- a/fescuestack/tests/restart.rs
+++ b/fescuestack/tests/restart.rs
@@ -8,8 +8,8 @@
 use async_std::task;
 use fescuestack_http::{ExchangeConnection, within};
 use fescuestack_platform_standin::{
-    CONFIG_KEY, RouteEntry, SettingsEntry, StandinApplication, StandinStore, TargetRecord,
-    client_request, config_value, free_ports, target_key,
+    CONFIG_KEY, DEFAULT_MEMORY_MB, RouteEntry, SettingsEntry, StandinApplication, StandinStore,
+    TargetRecord, client_request, config_value, free_ports, target_key,
 };
 use http::Method;
 
@@ -71,6 +71,7 @@
                 target: application.address(),
                 store: store.address(),
                 link_mbps: 1_000.0,
+                memory_mb: DEFAULT_MEMORY_MB,
                 grace_s: 4,
             };
             let name = format!("fescuestack-restart-{}-{host}.json", std::process::id());
--- a/fescuestack/tests/sidecar.rs
+++ b/fescuestack/tests/sidecar.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::process::{Child, Command, Output, Stdio};
 
-use fescuestack_platform_standin::{SettingsEntry, free_ports};
+use fescuestack_platform_standin::{DEFAULT_MEMORY_MB, SettingsEntry, free_ports};
 use serde_json::{Value, json};
 
 fn settings_json([outbound, inbound, ready, store]: [u16; 4]) -> Value {
@@ -17,6 +17,7 @@
         target: loopback(9),
         store: loopback(store),
         link_mbps: 1_000.0,
+        memory_mb: DEFAULT_MEMORY_MB,
         grace_s: 3,
     };
     settings.value()
--- a/fescuestack/tests/soak.rs
+++ b/fescuestack/tests/soak.rs
@@ -15,9 +15,9 @@
 use async_std::task;
 use fescuestack_http::{ExchangeConnection, within};
 use fescuestack_platform_standin::{
-    ApplicationMode, CONFIG_KEY, RouteEntry, SettingsEntry, StandinApplication, StandinStore,
-    StoreMode, TargetRecord, client_request, config_value, free_ports, request_id_and_signature,
-    target_key,
+    ApplicationMode, CONFIG_KEY, DEFAULT_MEMORY_MB, RouteEntry, SettingsEntry, StandinApplication,
+    StandinStore, StoreMode, TargetRecord, client_request, config_value, free_ports,
+    request_id_and_signature, target_key,
 };
 use http::Method;
 use rand::{Rng, RngExt, SeedableRng};
@@ -126,6 +126,7 @@
             target: node.application.address(),
             store: self.store.address(),
             link_mbps: 1_000.0,
+            memory_mb: DEFAULT_MEMORY_MB,
             grace_s: 4,
         };
         settings.value().to_string()
--- a/fescuestack/tests/stop.rs
+++ b/fescuestack/tests/stop.rs
@@ -10,8 +10,8 @@
 use async_std::task;
 use fescuestack_http::{ExchangeConnection, within};
 use fescuestack_platform_standin::{
-    CONFIG_KEY, RouteEntry, SettingsEntry, StandinApplication, StandinStore, TargetRecord,
-    client_request, config_value, free_ports, target_key,
+    CONFIG_KEY, DEFAULT_MEMORY_MB, RouteEntry, SettingsEntry, StandinApplication, StandinStore,
+    TargetRecord, client_request, config_value, free_ports, target_key,
 };
 use http::Method;
 use socket2::{Domain, Socket, Type};
@@ -69,6 +69,7 @@
             target: application.address(),
             store: store.address(),
             link_mbps: 1_000.0,
+            memory_mb: DEFAULT_MEMORY_MB,
             grace_s: 6,
         };
         let path =
--- a/sidecar/tests/mesh/mod.rs
+++ b/sidecar/tests/mesh/mod.rs
@@ -12,8 +12,8 @@
 use async_std::task::{self, JoinHandle};
 use fescuestack_http::{BufferedRequest, BufferedResponse, ExchangeConnection, ExchangeError};
 use fescuestack_platform_standin::{
-    CONFIG_KEY, READY_PATH, RouteEntry, SettingsEntry, StandinApplication, StandinStore,
-    TargetRecord, client_request, config_value, free_ports, target_key,
+    CONFIG_KEY, DEFAULT_MEMORY_MB, READY_PATH, RouteEntry, SettingsEntry, StandinApplication,
+    StandinStore, TargetRecord, client_request, config_value, free_ports, target_key,
 };
 use fescuestack_sidecar::SidecarNode;
 use http::Method;
@@ -103,6 +103,7 @@
             target: application.address(),
             store: store.address(),
             link_mbps,
+            memory_mb: DEFAULT_MEMORY_MB,
             grace_s: 6,
         };
         let path = std::env::temp_dir().join(format!(
