Reject responses that name several requests

A response with two request ids was taken for the response to the request of the first one, so that a caller could get an answer that was not its own. The reader compared only the first field with the tag of its request. A response now needs the tag alone; one that has the tag and another value is invalid at once, and one with other values only is skipped as before, as a late second response to an earlier request.

Evidence: `response_with_several_tags_is_invalid` failed before, Ok(200, "one") from the ids 1 and 2 in the exchange of request 1, and passes now.

--- a/http/src/exchange.rs
+++ b/http/src/exchange.rs
@@ -115,6 +115,29 @@
     pub value: HeaderValue,
 }
 
+/// Which request a response belongs to.
+enum TagMatch {
+    /// The request of this exchange.
+    Same,
+    /// An earlier request on the connection.
+    Other,
+    /// None, or several.
+    Unclear,
+}
+
+impl ResponseTag {
+    fn compare(&self, headers: &HeaderMap) -> TagMatch {
+        let values = headers.get_all(&self.name);
+        let matching = values.iter().filter(|value| **value == self.value).count();
+        match (matching, values.iter().count()) {
+            (_, 0) => TagMatch::Unclear,
+            (0, _) => TagMatch::Other,
+            (matching, count) if matching == count => TagMatch::Same,
+            _ => TagMatch::Unclear,
+        }
+    }
+}
+
 /// A connection to a server, for one exchange of buffered messages at a time.
 #[derive(Debug)]
 pub struct ExchangeConnection {
@@ -279,16 +302,15 @@
                 continue;
             }
             let (body, at_eof) = self.read_body(method, status, framing).await?;
-            let matches_tag = |tag: &ResponseTag| headers.get(&tag.name) == Some(&tag.value);
-            if tag.is_none_or(matches_tag) {
-                return Ok((BufferedResponse { status, headers, body }, at_eof));
-            }
-            // A response with another tag is a late second one to an earlier request, and is
-            // skipped.
-            if at_eof || !tag.is_some_and(|tag| headers.contains_key(&tag.name)) {
-                return Err(ExchangeError::InvalidResponse {
-                    reason: "the request id is missing or differs",
-                });
+            match tag.map_or(TagMatch::Same, |tag| tag.compare(&headers)) {
+                TagMatch::Same => return Ok((BufferedResponse { status, headers, body }, at_eof)),
+                // A late second response to an earlier request is skipped.
+                TagMatch::Other if !at_eof => (),
+                TagMatch::Other | TagMatch::Unclear => {
+                    return Err(ExchangeError::InvalidResponse {
+                        reason: "the request id is missing, differs or is ambiguous",
+                    });
+                }
             }
         }
         Err(ExchangeError::InvalidResponse {
--- a/http/tests/exchange.rs
+++ b/http/tests/exchange.rs
@@ -162,6 +162,19 @@
     }
 }
 
+/// Guards against taking a response that names several requests for the response to one of them.
+#[test]
+fn response_with_several_tags_is_invalid() {
+    for ids in ["id: 1\r\nid: 2", "id: 2\r\nid: 1", "id: 1\r\nid:"] {
+        let response = format!("HTTP/1.1 200 OK\r\n{ids}\r\ncontent-length: 3\r\n\r\none");
+        let outcome = one_exchange(response.into_bytes().leak());
+        let is_invalid = matches!(outcome, Err(ExchangeError::InvalidResponse { .. }));
+        assert!(is_invalid, "{ids:?}: {outcome:?}");
+    }
+    let repeated = b"HTTP/1.1 200 OK\r\nid: 1\r\nid: 1\r\ncontent-length: 3\r\n\r\none";
+    assert_eq!(&one_exchange(repeated).expect("a response").body[..], b"one");
+}
+
 /// Guards against a response whose head breaks off and that reaches the caller as a complete one.
 #[test]
 fn head_that_breaks_off_is_no_response() {
