--- a/http/src/head.rs
+++ b/http/src/head.rs
@@ -1,4 +1,4 @@
-//! Parsers for message heads, without I/O.
+//! Parsers for request heads, without I/O, and what they share with other parsers.
 
 use crate::HttpFault;
 
@@ -62,10 +62,10 @@
     Chunked,
 }
 
-/// The properties of a head that framing and validation depend on.
+/// The properties of a request head that framing and validation depend on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ParsedHead<'a> {
-    /// The request line or status line, without CRLF.
+    /// The request line, without CRLF.
     pub first_line: &'a [u8],
     /// Framing of the body.
     pub framing: BodyFraming,
@@ -126,7 +126,7 @@
     !host.is_empty() && host.iter().all(is_host_byte)
 }
 
-/// Validates a complete head, including the empty line, and determines the framing of the body.
+/// Validates a complete request head, including the empty line, and determines the framing of the body.
 ///
 /// Rejects bare line feeds, folded lines, conflicting lengths and a length combined with a transfer
 /// encoding. Two parsers may read such a message differently, which enables request smuggling.
