Read an optional policy of the operators

Two of the parts to come have limits that operators set, and the platform's settings file has no place for them.

--- a/fescuestack/src/cli.rs
+++ b/fescuestack/src/cli.rs
@@ -11,7 +11,7 @@
 use fescuestack_operators::LossTable;
 use fescuestack_platform::SidecarSettings;
 use fescuestack_questionnaire::QuestionnaireCommand;
-use fescuestack_sidecar::SidecarNode;
+use fescuestack_sidecar::{NodePolicy, SidecarNode};
 
 use crate::demo::DemoSettings;
 use crate::logging::{LogStream, start_logging};
@@ -44,6 +44,9 @@
         /// Settings file of the platform. Defaults to the file that the platform names in the environment.
         #[arg(long)]
         settings: Option<PathBuf>,
+        /// Policy of the operators, in YAML. Without it, all of its parts have their defaults.
+        #[arg(long)]
+        policy: Option<PathBuf>,
         /// Log level: error, warn, info, debug or trace.
         #[arg(long, default_value = "info")]
         log: String,
@@ -111,7 +114,9 @@
         match self.command {
             MainCommand::Questionnaire(command) => command.run(),
             MainCommand::Node { settings } => run_node(&settings),
-            MainCommand::Sidecar { settings, log } => run_sidecar(settings, &log),
+            MainCommand::Sidecar { settings, policy, log } => {
+                run_sidecar(settings, policy.as_deref(), &log)
+            }
             MainCommand::Settings(SettingsCommand::Check { file, platform: true }) => {
                 check_platform_settings(&file)
             }
@@ -156,11 +161,19 @@
     })
 }
 
-fn run_sidecar(settings: Option<PathBuf>, level: &str) -> ExitCode {
+fn run_sidecar(
+    settings: Option<PathBuf>,
+    policy: Option<&std::path::Path>,
+    level: &str,
+) -> ExitCode {
     let _logger = match start_logging(level, LogStream::Output) {
         Ok(handle) => handle,
         Err(err) => return fail(&err),
     };
+    let policy = match policy.map_or_else(|| Ok(NodePolicy::default()), NodePolicy::load) {
+        Ok(policy) => policy,
+        Err(err) => return fail(&err),
+    };
     let path = settings.unwrap_or_else(fescuestack_platform::sidecar_settings_path);
     // Installed before the node listens, since a stop may be requested as soon as it does.
     let signals = match ProcessSignals::new() {
@@ -168,7 +181,7 @@
         Err(err) => return fail(&err),
     };
     task::block_on(async {
-        match SidecarNode::start(path).await {
+        match SidecarNode::start_with_policy(path, policy).await {
             Ok(node) => {
                 node.run(
                     async || signals.wait_for_stop().await,
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -13,10 +13,12 @@
 mod node;
 mod note;
 mod peer;
+mod policy;
 mod report;
 mod run;
 mod stop;
 mod sync;
 mod target;
 
+pub use policy::{ClientPolicy, HedgingPolicy, NodePolicy, PolicyError};
 pub use run::{SidecarError, SidecarNode};
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -21,6 +21,7 @@
 use rustc_hash::{FxHashMap, FxHasher};
 
 use crate::links::{LinkObserver, LinkTable};
+use crate::policy::NodePolicy;
 use crate::report::EXPLAIN_RECORDS;
 use crate::stop::StopSignal;
 use crate::target::LocalTarget;
@@ -36,6 +37,8 @@
 /// State of a node.
 pub(crate) struct NodeState {
     pub(crate) settings: ArcSwap<SidecarSettings>,
+    #[expect(dead_code, reason = "read by the parts that it switches on")]
+    pub(crate) policy: NodePolicy,
     pub(crate) clock: CallClock,
     /// The active configuration.
     pub(crate) routes: ArcSwapOption<RouteTable>,
@@ -112,7 +115,11 @@
 }
 
 impl NodeState {
-    pub(crate) fn new(settings: SidecarSettings, metrics: NodeMetrics) -> Arc<NodeState> {
+    pub(crate) fn new(
+        settings: SidecarSettings,
+        policy: NodePolicy,
+        metrics: NodeMetrics,
+    ) -> Arc<NodeState> {
         let clock = CallClock::new();
         let node_seed = node_seed(&settings.node, clock.now().millis());
         let picker = TargetPicker::new(settings.data_centre.as_str().into(), node_seed);
@@ -136,6 +143,7 @@
         );
         let state = Arc::new(NodeState {
             settings: ArcSwap::from_pointee(settings),
+            policy,
             clock,
             routes: ArcSwapOption::empty(),
             config_value: Mutex::new(Arc::from([])),
--- a/sidecar/src/run.rs
+++ b/sidecar/src/run.rs
@@ -28,6 +28,7 @@
 use crate::links::{CONNECTION_WINDOW, SMALL_STREAM_WINDOW, STREAM_WINDOW};
 use crate::message::{FullResponse, empty_response};
 use crate::node::NodeState;
+use crate::policy::NodePolicy;
 use crate::report::{EXPLAIN_PREFIX, STATUS_PATH, explain_response, status_response};
 use crate::{entry, peer};
 
@@ -111,14 +112,22 @@
 }
 
 impl SidecarNode {
-    /// Reads the settings at `path` and starts to accept connections. Fails with 604, 605, 607 or
-    /// 608.
+    /// Reads the settings at `path` and starts to accept connections, with the default policy. Fails
+    /// with 604, 605, 607 or 608.
     pub async fn start(path: PathBuf) -> Result<SidecarNode, SidecarError> {
+        SidecarNode::start_with_policy(path, NodePolicy::default()).await
+    }
+
+    /// Like [`SidecarNode::start`], with a policy of the operators.
+    pub async fn start_with_policy(
+        path: PathBuf,
+        policy: NodePolicy,
+    ) -> Result<SidecarNode, SidecarError> {
         let settings = SidecarSettings::load(&path).context(SettingsSnafu)?;
         let (ready, outbound, inbound) = (settings.ready, settings.outbound, settings.inbound);
         let (name, data_centre) = (settings.node.clone(), settings.data_centre.clone());
         let metrics = NodeMetrics::new().context(MetricsSnafu)?;
-        let state = NodeState::new(settings, metrics);
+        let state = NodeState::new(settings, policy, metrics);
         let ready = bind("ready", ready).await?;
         let outbound = bind("outbound", outbound).await?;
         let inbound = bind("inbound", inbound).await?;
