--- a/routing/src/picker.rs
+++ b/routing/src/picker.rs
@@ -18,6 +18,7 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::intake::LARGE_BODY_BYTES;
+use crate::outage::{KnownOutage, OutageTable};
 use crate::pacer::RateLimit;
 use crate::plan::CallParams;
 use crate::ranks::PriorityCounts;
@@ -195,6 +196,7 @@
     /// Start times of the targets that have stated that they are leaving, with the time of the last
     /// statement.
     departures: FxHashMap<Arc<str>, (u64, ClockTime)>,
+    outages: OutageTable,
     random: Pcg32,
 }
 
@@ -208,6 +210,7 @@
             route_times: FxHashMap::default(),
             unreachable: FxHashSet::default(),
             departures: FxHashMap::default(),
+            outages: OutageTable::default(),
             random: Pcg32::seed_from_u64(seed),
         }
     }
@@ -353,7 +356,8 @@
             let reachable = record.is_usable(now)
                 && !record.may_cut_off(now, call.deadline)
                 && !self.unreachable.contains(&record.entry.address.ip())
-                && !self.has_departed(&record.entry);
+                && !self.has_departed(&record.entry)
+                && !self.outages.is_down(now, id, record.entry.started_ms);
             reachable.then_some((id, record))
         });
         let mut result = SampleResult::default();
@@ -391,6 +395,18 @@
         known.is_none_or(|(started_ms, _)| started_ms != target.started_ms)
     }
 
+    /// Records whether a target is down, as its node states. It is not selected until its node states
+    /// that it is back, its entry shows a later start, or
+    /// [`OUTAGE_TTL`](crate::OUTAGE_TTL) has passed. Returns whether this was not known.
+    pub fn record_outage(&mut self, now: ClockTime, outage: &KnownOutage) -> bool {
+        self.outages.record(now, outage)
+    }
+
+    /// Returns the targets that are known to be down.
+    pub fn known_outages(&self, now: ClockTime) -> Vec<KnownOutage> {
+        self.outages.known(now)
+    }
+
     /// Records that a call was sent.
     pub fn record_sent(&mut self, id: &str, priority: u8) {
         if let Some(record) = self.stats.get_mut(id) {
