Report the end of a target once, and send it no calls until it is back

Calls to a target that was down were sent to its node all the same, and failed there one by one.

The node beside the target now notices the end with one probe, records all requests that were at work, and sends each node one message. A request is quarantined for three ends unless many others were at work at the same ones. Calls to a target that is down are refused at once (ReplyEnd::Down), other nodes leave it out, and such attempts no longer use up the four refusals of a request.

--- a/operators/src/metrics.rs
+++ b/operators/src/metrics.rs
@@ -47,6 +47,8 @@
     version: Gauge<u64>,
     targets: Gauge<u64>,
     target_calls: Gauge<u64>,
+    target_ends: Counter<u64>,
+    held_requests: Counter<u64>,
 }
 
 impl NodeMetrics {
@@ -73,6 +75,11 @@
         let version = meter.u64_gauge("fescuestack_version").build();
         let targets = meter.u64_gauge("fescuestack_targets").build();
         let target_calls = meter.u64_gauge("fescuestack_target_calls").build();
+        let target_ends = meter.u64_counter("fescuestack_target_ends").build();
+        let held_requests = meter.u64_counter("fescuestack_held_requests").build();
+        // Exports them before the first event.
+        target_ends.add(0, &[]);
+        held_requests.add(0, &[]);
         let _meter_provider = provider;
         Ok(NodeMetrics {
             registry,
@@ -87,6 +94,8 @@
             version,
             targets,
             target_calls,
+            target_ends,
+            held_requests,
         })
     }
 
@@ -119,6 +128,16 @@
         self.target_calls.record(waiting.into(), &[KeyValue::new("state", "waiting")]);
     }
 
+    /// Counts an end of the target of the node.
+    pub fn record_target_end(&self) {
+        self.target_ends.add(1, &[]);
+    }
+
+    /// Counts a request that was refused because it has crashed several targets.
+    pub fn record_held_request(&self) {
+        self.held_requests.add(1, &[]);
+    }
+
     /// Adds bytes of control traffic in one direction.
     pub fn record_control_bytes(&self, direction: &'static str, bytes: u64) {
         self.control_bytes.add(bytes, &[KeyValue::new("direction", direction)]);
--- a/routing/src/held.rs
+++ b/routing/src/held.rs
@@ -1,132 +1,236 @@
 //! Detects requests that crash the targets that run them.
 //!
+//! A target that falls over under load ends with dozens of requests at work, and none of them is the
+//! cause. One end therefore tells nothing about its requests. A request that was at work at several
+//! ends is suspect, unless many others were at work at the same ones.
+//!
 //! `QuarantineList` of the core crate weights each crash by the number of suspects and quarantines
-//! a request at a weight of 1.5. Here the operators specify the number of crashes, so crashes are
-//! counted instead.
+//! a request at a weight of 1.5. Here the operators specify the number of crashes, so ends are
+//! counted instead, however many other requests were at work.
 
 use std::sync::Arc;
 
 use fescuestack_core::{ClockSpan, ClockTime, CompletedSet, RequestFingerprint};
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
-/// How long a request stays in quarantine after its last crash.
+/// How long a request stays in quarantine after the last end at which it was at work.
 pub const QUARANTINE_DURATION: ClockSpan = ClockSpan::new(120_000);
 
-/// Number of crashes after which a request is no longer sent to targets.
+/// Maximum number of requests in the report of an end. A target has fewer slots.
+pub const MAX_REPORTED_REQUESTS: usize = 256;
+
+/// Number of ends after which a request is no longer sent to targets.
 const CRASH_LIMIT: usize = 3;
 
-/// Reports of a crash of the same target within this time count as one crash. A target needs
-/// several seconds to restart.
-const CRASH_MERGE_WINDOW: ClockSpan = ClockSpan::new(1_000);
+/// The same for a request that is as suspect as more than [`MAX_COMPANIONS`] others. The operators
+/// allow three further tries after the third crash.
+const SHARED_CRASH_LIMIT: usize = 5;
+
+/// Number of other requests that may have been at work at the same ends as a request that is
+/// quarantined for them. More of them point to a cause outside the requests, such as load.
+const MAX_COMPANIONS: usize = 8;
+
+/// Reports of an end of the same target within this time are about one end. A target needs several
+/// seconds to restart.
+const END_MERGE_WINDOW: ClockSpan = ClockSpan::new(1_000);
 
-/// Maximum number of suspected requests that are tracked.
-const MAX_SUSPECTS: usize = 1_024;
+/// Maximum number of requests that are tracked. They take about 100 bytes each.
+const MAX_SUSPECTS: usize = 4_096;
 
-/// A crash, as a node reports it to another one that has started.
+/// Number of requests that stay tracked when there are too many.
+const KEPT_SUSPECTS: usize = MAX_SUSPECTS * 3 / 4;
+
+/// The end of a target, as a node reports it to others.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct KnownCrash {
-    /// The request that the target executed.
-    pub request: RequestFingerprint,
-    /// The target that crashed.
+pub struct KnownEnd {
+    /// The target that ended.
     pub target: Arc<str>,
-    /// Time since the crash.
+    /// Time since the end.
     pub age: ClockSpan,
+    /// Requests that were at work, the most suspect first.
+    pub requests: Vec<RequestFingerprint>,
+}
+
+/// What the end of a target tells about the requests that were at work.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct EndEvidence {
+    /// Requests that have not completed lately, the most suspect first, with the number of ends at
+    /// which each was at work.
+    pub requests: Vec<(RequestFingerprint, usize)>,
+    /// Number of these requests that are in quarantine from this end on.
+    pub quarantined: usize,
 }
 
-/// Counts the crashes in which each request was involved.
+impl EndEvidence {
+    /// Returns the most suspect request with its number of ends: one that was at work at several
+    /// ends, or alone.
+    pub fn suspect(&self) -> Option<(RequestFingerprint, usize)> {
+        let (request, ends) = *self.requests.first()?;
+        (ends > 1 || self.requests.len() == 1).then_some((request, ends))
+    }
+}
+
+#[derive(Debug)]
+struct TargetEnd {
+    target: Arc<str>,
+    at: ClockTime,
+}
+
+/// Tracks the ends of targets at which each request was at work.
 ///
 /// Many requests have the same fingerprint, such as lookups without a body. A fingerprint that
 /// completed recently is not suspected, and identical requests that ran concurrently on a crashed
-/// target count as one crash.
+/// target count as one.
 #[derive(Debug, Default)]
 pub struct CrashTracker {
-    /// Targets that crashed while they ran a request, with the time of each crash.
-    crashes: FxHashMap<RequestFingerprint, Vec<(Arc<str>, ClockTime)>>,
+    /// Ends at which each request was at work, in the order in which they became known.
+    suspects: FxHashMap<RequestFingerprint, Vec<Arc<TargetEnd>>>,
+    /// Ends with requests in `suspects`.
+    ends: Vec<Arc<TargetEnd>>,
     completed: CompletedSet,
 }
 
 impl CrashTracker {
-    /// Creates a tracker without crashes.
+    /// Creates a tracker that knows no ends.
     pub fn new() -> CrashTracker {
         CrashTracker::default()
     }
 
-    /// Records that `target` crashed while it ran the request. Returns the number of crashes
-    /// counted so far.
-    pub fn record_crash(
+    /// Records that `target` ended while the requests were at work there.
+    pub fn record_end(
         &mut self,
         now: ClockTime,
         target: &Arc<str>,
-        request: RequestFingerprint,
-    ) -> usize {
-        self.crashes.retain(|_, crashes| is_recent(now, crashes));
-        self.add_crash(now, target, request)
+        requests: &[RequestFingerprint],
+    ) -> EndEvidence {
+        self.add_end(now, target, requests)
     }
 
-    /// Adds crashes that another node knows. Those of nodes that report the same crash count once.
-    pub fn merge(&mut self, now: ClockTime, crashes: &[KnownCrash]) {
-        for crash in crashes {
-            self.add_crash(now - crash.age, &crash.target, crash.request);
+    /// Adds ends that another node knows. Those that several nodes report count once.
+    pub fn merge(&mut self, now: ClockTime, known_ends: &[KnownEnd]) {
+        for end in known_ends {
+            self.add_end(now - end.age, &end.target, &end.requests);
         }
     }
 
-    /// Returns the crashes of all suspected requests.
-    pub fn known_crashes(&self, now: ClockTime) -> Vec<KnownCrash> {
-        let recent = self.crashes.iter().filter(|(_, crashes)| is_recent(now, crashes));
-        let known = recent.flat_map(|(request, crashes)| {
-            crashes.iter().map(|(target, at)| KnownCrash {
-                request: *request,
-                target: target.clone(),
-                age: now.since(*at),
-            })
+    /// Returns all ends of which requests are still suspected.
+    pub fn known_ends(&self, now: ClockTime) -> Vec<KnownEnd> {
+        let mut requests: FxHashMap<_, Vec<_>> = FxHashMap::default();
+        for (request, ends) in &self.suspects {
+            if is_recent(now, ends) {
+                for end in ends {
+                    requests.entry(Arc::as_ptr(end)).or_default().push(*request);
+                }
+            }
+        }
+        let known = self.ends.iter().filter_map(|end| {
+            let requests = requests.remove(&Arc::as_ptr(end))?;
+            Some(KnownEnd { target: end.target.clone(), age: now.since(end.at), requests })
         });
         known.collect()
     }
 
-    fn add_crash(
+    fn add_end(
         &mut self,
         at: ClockTime,
         target: &Arc<str>,
-        request: RequestFingerprint,
-    ) -> usize {
-        if self.completed.contains(request) {
-            return 0;
+        requests: &[RequestFingerprint],
+    ) -> EndEvidence {
+        let requests: FxHashSet<_> =
+            requests.iter().copied().filter(|request| !self.completed.contains(*request)).collect();
+        if requests.is_empty() {
+            return EndEvidence::default();
         }
-        if self.crashes.len() >= MAX_SUSPECTS
-            && let Some(oldest) = self.crashes.iter().min_by_key(|(_, crashes)| last_crash(crashes))
-        {
-            let oldest = *oldest.0;
-            self.crashes.remove(&oldest);
+        let end = self.find_or_add_end(at, target);
+        let mut quarantined = 0;
+        let mut counted: Vec<_> = requests
+            .into_iter()
+            .map(|request| {
+                let ends = self.suspects.entry(request).or_default();
+                if !is_recent(at, ends) {
+                    ends.clear();
+                }
+                if !ends.iter().any(|known| Arc::ptr_eq(known, &end)) {
+                    ends.push(end.clone());
+                }
+                (request, ends.len())
+            })
+            .collect();
+        counted.sort_unstable_by_key(|(request, ends)| (std::cmp::Reverse(*ends), *request));
+        for (request, ends) in &counted {
+            let is_latest = *ends == CRASH_LIMIT || *ends == SHARED_CRASH_LIMIT;
+            quarantined += usize::from(is_latest && self.is_quarantined(at, *request));
         }
-        let crashes = self.crashes.entry(request).or_default();
-        let is_duplicate = |(known, known_at): &(Arc<str>, ClockTime)| {
-            let apart = at.since(*known_at).max(known_at.since(at));
-            known == target && apart < CRASH_MERGE_WINDOW
-        };
-        if !crashes.iter().any(is_duplicate) {
-            crashes.push((target.clone(), at));
+        self.drop_least_suspect(at);
+        EndEvidence { requests: counted, quarantined }
+    }
+
+    fn find_or_add_end(&mut self, at: ClockTime, target: &Arc<str>) -> Arc<TargetEnd> {
+        let known = self.ends.iter().find(|end| {
+            let apart = at.since(end.at).max(end.at.since(at));
+            end.target == *target && apart < END_MERGE_WINDOW
+        });
+        if let Some(known) = known {
+            return known.clone();
+        }
+        // Ends that no suspected request refers to.
+        self.ends.retain(|end| Arc::strong_count(end) > 1);
+        let end = Arc::new(TargetEnd { target: target.clone(), at });
+        self.ends.push(end.clone());
+        end
+    }
+
+    /// Keeps to the limit. Requests that were at work at one end only, and long ago, go first.
+    fn drop_least_suspect(&mut self, now: ClockTime) {
+        if self.suspects.len() <= MAX_SUSPECTS {
+            return;
+        }
+        let mut ranked: Vec<_> = self
+            .suspects
+            .iter()
+            .map(|(request, ends)| ((is_recent(now, ends), ends.len(), last_end(ends)), *request))
+            .collect();
+        ranked.sort_unstable();
+        for (_, request) in &ranked[..ranked.len() - KEPT_SUSPECTS] {
+            self.suspects.remove(request);
         }
-        crashes.len()
     }
 
     /// Records a completed run, which clears the request of suspicion.
     pub fn record_completion(&mut self, request: RequestFingerprint) {
-        self.crashes.remove(&request);
+        self.suspects.remove(&request);
         self.completed.insert(request);
     }
 
     /// Whether the request has crashed too many targets to be sent to another one.
     pub fn is_quarantined(&self, now: ClockTime, request: RequestFingerprint) -> bool {
-        self.crashes
-            .get(&request)
-            .is_some_and(|crashes| crashes.len() >= CRASH_LIMIT && is_recent(now, crashes))
+        let Some(ends) = self.suspects.get(&request) else { return false };
+        ends.len() >= CRASH_LIMIT
+            && is_recent(now, ends)
+            && (ends.len() >= SHARED_CRASH_LIMIT || !self.is_shared(request, ends))
+    }
+
+    /// Whether many other requests were at work at the ends that make a request suspect.
+    fn is_shared(&self, request: RequestFingerprint, ends: &[Arc<TargetEnd>]) -> bool {
+        let companions = self.suspects.iter().filter(|(other, other_ends)| {
+            let is_common = |end: &&Arc<TargetEnd>| ends.iter().any(|own| Arc::ptr_eq(own, end));
+            **other != request
+                && other_ends.len() >= CRASH_LIMIT
+                && other_ends.iter().filter(is_common).count() >= CRASH_LIMIT
+        });
+        companions.take(MAX_COMPANIONS + 1).count() > MAX_COMPANIONS
+    }
+
+    /// Returns the number of requests and ends that are tracked.
+    pub fn tracked(&self) -> (usize, usize) {
+        (self.suspects.len(), self.ends.len())
     }
 }
 
-fn is_recent(now: ClockTime, crashes: &[(Arc<str>, ClockTime)]) -> bool {
-    last_crash(crashes).is_some_and(|last| now.since(last) < QUARANTINE_DURATION)
+fn is_recent(now: ClockTime, ends: &[Arc<TargetEnd>]) -> bool {
+    last_end(ends).is_some_and(|last| now.since(last) < QUARANTINE_DURATION)
 }
 
-fn last_crash(crashes: &[(Arc<str>, ClockTime)]) -> Option<ClockTime> {
-    crashes.iter().map(|(_, at)| *at).max()
+fn last_end(ends: &[Arc<TargetEnd>]) -> Option<ClockTime> {
+    ends.iter().map(|end| end.at).max()
 }
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -22,7 +22,7 @@
 mod waits;
 
 pub use budget::{RetryAllowance, RetryBudget};
-pub use held::{CrashTracker, KnownCrash, QUARANTINE_DURATION};
+pub use held::{CrashTracker, EndEvidence, KnownEnd, MAX_REPORTED_REQUESTS, QUARANTINE_DURATION};
 pub use intake::{IngressDecision, IngressLink, LARGE_BODY_BYTES};
 pub use loss::{LatencyBreakdown, LossCause};
 pub use outage::{FailureStep, KnownOutage, OUTAGE_TTL, OutageChange, OutageNotice, OutageTracker};
--- a/routing/src/loss.rs
+++ b/routing/src/loss.rs
@@ -17,6 +17,8 @@
     NodeUnreachable,
     /// The target had shut down or been replaced.
     FormerTarget,
+    /// The target was down, and its node refused the request.
+    TargetDown,
     /// The target itself rejected the request.
     TargetRejected,
     /// The memory for request bodies was used up.
@@ -48,13 +50,14 @@
 
 impl LossCause {
     /// All causes.
-    pub const ALL: [LossCause; 19] = [
+    pub const ALL: [LossCause; 20] = [
         LossCause::NoConfiguration,
         LossCause::Stopping,
         LossCause::NoTarget,
         LossCause::QueueFull,
         LossCause::NodeUnreachable,
         LossCause::FormerTarget,
+        LossCause::TargetDown,
         LossCause::TargetRejected,
         LossCause::MemoryFull,
         LossCause::CrashesTargets,
@@ -79,6 +82,7 @@
             LossCause::QueueFull => "queue-full",
             LossCause::NodeUnreachable => "node-unreachable",
             LossCause::FormerTarget => "former-target",
+            LossCause::TargetDown => "target-down",
             LossCause::TargetRejected => "target-rejected",
             LossCause::MemoryFull => "memory-full",
             LossCause::CrashesTargets => "crashes-targets",
@@ -112,6 +116,7 @@
             AttemptEnd::Rejected => LossCause::TargetRejected,
             AttemptEnd::NotSent => LossCause::NodeUnreachable,
             AttemptEnd::Moved => LossCause::FormerTarget,
+            AttemptEnd::Down => LossCause::TargetDown,
             AttemptEnd::Answered { .. } => LossCause::TargetFailed,
             AttemptEnd::Lost => LossCause::LostAtTarget,
             AttemptEnd::LinkLost => LossCause::LostOnLink,
--- a/routing/src/plan.rs
+++ b/routing/src/plan.rs
@@ -16,6 +16,11 @@
 /// have run resets the count.
 const MAX_REFUSALS: u32 = 4;
 
+/// A request is given up after this many attempts that ended at a node that cannot be reached, or at
+/// one whose target is down. Such an attempt tells nothing about the load of other targets, and it
+/// takes no time once the outage is known. Half of a service's targets may be down at once.
+const MAX_UNREACHED: u32 = 16;
+
 /// Maximum queue time at the first local nodes while another target may be free. Asking a node
 /// costs less than a millisecond.
 const LOCAL_MAX_WAIT: ClockSpan = ClockSpan::new(25);
@@ -77,6 +82,8 @@
     /// The request did not reach the target, because the target has shut down or been replaced, or
     /// its node is shutting down.
     Moved,
+    /// The node next to the target did not run the request, because the target is down.
+    Down,
     /// The request may have run.
     Lost,
     /// The request may have run: the connection to the node next to the target broke.
@@ -94,6 +101,7 @@
             AttemptEnd::Rejected => "rejected",
             AttemptEnd::NotSent => "not sent",
             AttemptEnd::Moved => "moved",
+            AttemptEnd::Down => "down",
             AttemptEnd::Lost => "lost",
             AttemptEnd::LinkLost => "link lost",
         }
@@ -133,6 +141,8 @@
     last_end: Option<AttemptEnd>,
     deliveries: u32,
     refusals: u32,
+    /// Number of attempts that found no node or no target.
+    unreached: u32,
     /// Whether a node of another data centre has refused the request. That node was selected for
     /// its free capacity, so other nodes are unlikely to have any.
     refused_remotely: bool,
@@ -152,6 +162,7 @@
             last_end: None,
             deliveries: 0,
             refusals: 0,
+            unreached: 0,
             refused_remotely: false,
             may_have_run: false,
             answered: false,
@@ -194,7 +205,8 @@
                 self.deliveries += 1;
                 self.update_retry_after(REJECTED_RETRY_AFTER);
             }
-            AttemptEnd::NotSent | AttemptEnd::Moved | AttemptEnd::Busy => self.refusals += 1,
+            AttemptEnd::Moved | AttemptEnd::Busy => self.refusals += 1,
+            AttemptEnd::NotSent | AttemptEnd::Down => self.unreached += 1,
             AttemptEnd::Refused { retry_after } => {
                 self.refusals += 1;
                 self.refused_remotely |= was_remote;
@@ -231,7 +243,8 @@
                 AttemptEnd::Refused { .. }
                 | AttemptEnd::Busy
                 | AttemptEnd::NotSent
-                | AttemptEnd::Moved,
+                | AttemptEnd::Moved
+                | AttemptEnd::Down,
             ) => self.deliveries > 0,
         };
         if self.is_exhausted(now) || (self.may_have_run && !self.call.kind.is_idempotent()) {
@@ -255,6 +268,7 @@
     fn is_exhausted(&self, now: ClockTime) -> bool {
         self.deliveries >= self.call.max_attempts.max(1)
             || self.refusals >= MAX_REFUSALS
+            || self.unreached >= MAX_UNREACHED
             || self.refused_remotely
             || self.call.deadline.since(now) < MIN_TIME_LEFT
     }
--- a/routing/tests/state.rs
+++ b/routing/tests/state.rs
@@ -473,7 +473,8 @@
     for (index, target) in ["a", "b", "a"].into_iter().enumerate() {
         assert!(!tracker.is_quarantined(NOW, request), "quarantined after {index} crashes");
         let now = NOW + ClockSpan::new(5_000 * index as u64);
-        assert_eq!(tracker.record_crash(now, &target.into(), request), index + 1);
+        let evidence = tracker.record_end(now, &target.into(), &[request]);
+        assert_eq!(evidence.requests, [(request, index + 1)]);
     }
     let now = NOW + ClockSpan::new(10_000);
     assert!(tracker.is_quarantined(now, request));
@@ -488,14 +489,14 @@
     let [alike, known] = [1, 2].map(RequestFingerprint::from_number);
     tracker.record_completion(known);
     for index in 0..6 {
-        tracker.record_crash(NOW + ClockSpan::new(index), &"a".into(), alike);
-        tracker.record_crash(NOW, &format!("t{index}").into(), known);
+        tracker.record_end(NOW + ClockSpan::new(index), &"a".into(), &[alike]);
+        tracker.record_end(NOW, &format!("t{index}").into(), &[known]);
     }
     assert!(!tracker.is_quarantined(NOW, alike), "one crash was counted more than once");
     assert!(!tracker.is_quarantined(NOW, known), "a request that had completed was quarantined");
-    tracker.record_crash(NOW, &"b".into(), alike);
+    tracker.record_end(NOW, &"b".into(), &[alike]);
     tracker.record_completion(alike);
-    tracker.record_crash(NOW, &"c".into(), alike);
+    tracker.record_end(NOW, &"c".into(), &[alike]);
     assert!(!tracker.is_quarantined(NOW, alike));
 }
 
--- a/sidecar/src/crashes.rs
+++ b/sidecar/src/crashes.rs
@@ -1,5 +1,4 @@
-//! Exchange of crash reports between nodes: at each crash, and to a node that has
-//! started.
+//! Reports of ended targets between nodes: at each end and return, and to a node that has started.
 
 use std::net::IpAddr;
 use std::sync::Arc;
@@ -8,78 +7,158 @@
 use bytes::Bytes;
 use fescuestack_core::{ClockSpan, RequestFingerprint};
 use fescuestack_http::lock;
-use fescuestack_routing::KnownCrash;
+use fescuestack_routing::{
+    EndEvidence, KnownEnd, KnownOutage, MAX_REPORTED_REQUESTS, OutageNotice,
+};
 use http::{Request, Uri};
 use http_body_util::Full;
 use serde::{Deserialize, Serialize};
 
+use crate::down::{OutageEvent, OutageObserver};
 use crate::node::NodeState;
-use crate::note::CrashNote;
+use crate::note::OutageNote;
 
 /// When a client should retry a request that has crashed several targets.
 pub(crate) const CRASHING_RETRY_AFTER: ClockSpan = ClockSpan::new(5_000);
 
-/// A crash as it is sent to a node that has started.
+/// The end of a target as it is sent to a node that has started.
 #[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct CrashEntry {
-    /// Number of the request's fingerprint.
-    request: u64,
+pub(crate) struct EndEntry {
     target: Arc<str>,
-    /// Time since the crash, in ms.
+    /// Time since the end, in ms.
     age: u64,
+    /// Numbers of the fingerprints of the requests that were at work.
+    requests: Vec<u64>,
 }
 
-/// Records a crash. Returns the number of crashes of the request so far, or 0 if it is not
-/// suspected.
-pub(crate) fn record_crash(state: &NodeState, crash: &CrashNote) -> usize {
-    let (now, request) = (state.clock.now(), crash.request());
-    let crashes = lock(&state.crashes).record_crash(now, &crash.target, request);
-    log::info!(target = &*crash.target, hash = request.number(), crashes = crashes;
-        "request crashed a target");
-    crashes
+/// A target that is down, as it is sent to a node that has started.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct OutageEntry {
+    target: Arc<str>,
+    started_ms: Option<u64>,
+    notice: OutageNotice,
+}
+
+/// What a node knows of ended targets.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub(crate) struct EndKnowledge {
+    ends: Vec<EndEntry>,
+    outages: Vec<OutageEntry>,
+}
+
+impl EndKnowledge {
+    pub(crate) fn is_empty(&self) -> bool {
+        self.ends.is_empty() && self.outages.is_empty()
+    }
 }
 
-/// Reports a crash to the nodes of all targets, since any of them may receive the request again.
-pub(crate) fn broadcast_crash(state: &Arc<NodeState>, crash: &CrashNote) {
-    for vm in lock(&state.routing).picker.vms() {
-        if state.is_own_vm(vm) {
-            continue;
+impl OutageObserver for NodeState {
+    /// Takes in that this node's own target has ended or is back, and reports it to the nodes of all
+    /// targets, since any of them may send calls or receive a request that crashed the target again.
+    fn outage_changed(&self, event: OutageEvent) {
+        let OutageEvent { target, started_ms, notice, requests, reason } = event;
+        let outage = KnownOutage { target, started_ms, notice };
+        let now = self.clock.now();
+        lock(&self.routing).picker.record_outage(now, &outage);
+        let mut reported = Vec::new();
+        if notice.is_down {
+            let evidence = lock(&self.crashes).record_end(now, &outage.target, &requests);
+            log::info!(target = &*outage.target, reason = reason.as_str(),
+                running = requests.len(), changes = notice.changes; "cannot connect to the target");
+            log_suspect(&outage.target, &evidence, log::Level::Info);
+            self.metrics.record_target_end();
+            let most_suspect = evidence.requests.iter().take(MAX_REPORTED_REQUESTS);
+            reported.extend(most_suspect.map(|(request, _)| *request));
+        } else {
+            log::info!(target = &*outage.target, changes = notice.changes;
+                "target accepts connections again");
+        }
+        let note = OutageNote::new(&outage, &reported);
+        let vms = lock(&self.routing).picker.vms();
+        for vm in vms {
+            if !self.is_own_vm(vm) {
+                self.send_outage(vm, &note);
+            }
         }
-        let state = state.clone();
+    }
+}
+
+impl NodeState {
+    fn send_outage(&self, vm: IpAddr, note: &OutageNote) {
+        let (links, address) = (self.links.clone(), self.node_address(vm));
         let mut message = Request::new(Full::new(Bytes::new()));
         *message.uri_mut() = Uri::from_static("http://node/");
-        crash.write(message.headers_mut());
+        note.write(message.headers_mut());
         task::spawn(async move {
-            // An unreachable node learns of the request at its next crash, or when it starts.
-            if let Err(err) = state.links.send(state.node_address(vm), false, message).await {
-                log::debug!(node = vm.to_string().as_str(); "cannot report a crash: {err}");
+            // An unreachable node learns of it from the reply to its next call, or when it starts.
+            if let Err(err) = links.send(address, false, message).await {
+                log::debug!(node = vm.to_string().as_str(); "cannot report the end of a target: {err}");
             }
         });
     }
 }
 
-/// Returns the crashes that this node knows.
-pub(crate) fn known_crashes(state: &NodeState) -> Vec<CrashEntry> {
-    let entry = |crash: KnownCrash| CrashEntry {
-        request: crash.request.number(),
-        target: crash.target,
-        age: crash.age.millis(),
+/// Takes in what another node reports about its target.
+pub(crate) fn record_outage_note(state: &NodeState, note: &OutageNote) {
+    let now = state.clock.now();
+    let outage = note.outage();
+    lock(&state.routing).picker.record_outage(now, &outage);
+    if !note.notice.is_down {
+        return;
+    }
+    let requests = note.requests(MAX_REPORTED_REQUESTS);
+    let evidence = lock(&state.crashes).record_end(now, &outage.target, &requests);
+    // The node beside the target has logged the end.
+    let level = if evidence.quarantined > 0 { log::Level::Info } else { log::Level::Debug };
+    log_suspect(&outage.target, &evidence, level);
+}
+
+fn log_suspect(target: &str, evidence: &EndEvidence, level: log::Level) {
+    let Some((request, crashes)) = evidence.suspect() else { return };
+    log::log!(level, target = target, hash = request.number(), crashes = crashes,
+        running = evidence.requests.len(), quarantined = evidence.quarantined;
+        "request crashed a target");
+}
+
+/// Returns what this node knows of ended targets.
+pub(crate) fn known_ends(state: &NodeState) -> EndKnowledge {
+    let now = state.clock.now();
+    let end = |end: KnownEnd| EndEntry {
+        target: end.target,
+        age: end.age.millis(),
+        requests: end.requests.iter().map(|request| request.number()).collect(),
+    };
+    let outage = |outage: KnownOutage| {
+        let KnownOutage { target, started_ms, notice } = outage;
+        OutageEntry { target, started_ms, notice }
     };
-    lock(&state.crashes).known_crashes(state.clock.now()).into_iter().map(entry).collect()
+    let ends = lock(&state.crashes).known_ends(now);
+    let outages = lock(&state.routing).picker.known_outages(now);
+    EndKnowledge {
+        ends: ends.into_iter().map(end).collect(),
+        outages: outages.into_iter().map(outage).collect(),
+    }
 }
 
-/// Adds the crashes that the node on `vm` knows.
-pub(crate) fn learn_crashes(state: &NodeState, vm: IpAddr, entries: Vec<CrashEntry>) {
+/// Adds what the node on `vm` knows of ended targets.
+pub(crate) fn learn_ends(state: &NodeState, vm: IpAddr, knowledge: EndKnowledge) {
     state.set_crashes_learned();
-    if entries.is_empty() {
+    if knowledge.is_empty() {
         return;
     }
-    log::info!(node = vm.to_string().as_str(), crashes = entries.len(); "crashes learned");
-    let known = |entry: CrashEntry| KnownCrash {
-        request: RequestFingerprint::from_number(entry.request),
+    let EndKnowledge { ends, outages } = knowledge;
+    log::info!(node = vm.to_string().as_str(), crashes = ends.len(), down = outages.len();
+        "crashes learned");
+    let now = state.clock.now();
+    let end = |entry: EndEntry| KnownEnd {
         target: entry.target,
         age: ClockSpan::new(entry.age),
+        requests: entry.requests.into_iter().map(RequestFingerprint::from_number).collect(),
     };
-    let crashes: Vec<_> = entries.into_iter().map(known).collect();
-    lock(&state.crashes).merge(state.clock.now(), &crashes);
+    let ends: Vec<_> = ends.into_iter().map(end).collect();
+    lock(&state.crashes).merge(now, &ends);
+    let picker = &mut lock(&state.routing).picker;
+    for OutageEntry { target, started_ms, notice } in outages {
+        picker.record_outage(now, &KnownOutage { target, started_ms, notice });
+    }
 }
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -9,8 +9,8 @@
 };
 use fescuestack_platform::headers::{CALLER_SERVICE, DEADLINE_MS, EXPECTED_INSTANCE, REQUEST_ID};
 use fescuestack_routing::{
-    AttemptEnd, CallParams, CallPlan, LatencyBreakdown, LossCause, PickedTarget, PlanStep,
-    RateLimit, RouteRule, TargetFeedback,
+    AttemptEnd, CallParams, CallPlan, KnownOutage, LatencyBreakdown, LossCause, PickedTarget,
+    PlanStep, RateLimit, RouteRule, TargetFeedback,
 };
 use futures_lite::future;
 use http::header::{CONNECTION, HOST, RETRY_AFTER};
@@ -253,6 +253,7 @@
         let mut response = None;
         if lock(&state.crashes).is_quarantined(state.clock.now(), self.fingerprint) {
             progress.trace.cause = Some(LossCause::CrashesTargets);
+            state.metrics.record_held_request();
             return Err(EntryFault::NotRun { retry_after: CRASHING_RETRY_AFTER });
         }
         loop {
@@ -372,6 +373,7 @@
         (ReplyEnd::Gone, _) => (AttemptEnd::Moved, TargetFeedback::Replaced),
         (ReplyEnd::Rejected, _) => (AttemptEnd::Rejected, TargetFeedback::Failed),
         (ReplyEnd::NotSent, _) => (AttemptEnd::NotSent, TargetFeedback::Failed),
+        (ReplyEnd::Down, _) => (AttemptEnd::Down, TargetFeedback::Refused),
     }
 }
 
@@ -392,6 +394,14 @@
             let wait = ClockSpan::new(reply.retry_after);
             picker.record_refusal(now, &self.target.id, route.priority, wait);
         }
+        picker.record_outage(
+            now,
+            &KnownOutage {
+                target: self.target.id.clone(),
+                started_ms: Some(self.target.started_ms),
+                notice: reply.outage,
+            },
+        );
         if reply.target_leaving && picker.record_departure(now, self.target) {
             log::info!(target = &*self.target.id; "target is leaving, as it has stated itself");
         }
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -6,6 +6,7 @@
 //! `fescuestack-routing`.
 
 mod crashes;
+mod down;
 mod entry;
 mod follower;
 mod links;
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -20,6 +20,7 @@
 use http_body_util::Full;
 use rustc_hash::{FxHashMap, FxHasher};
 
+use crate::down::OutageObserver;
 use crate::links::{LinkObserver, LinkTable};
 use crate::policy::NodePolicy;
 use crate::report::EXPLAIN_RECORDS;
@@ -66,7 +67,7 @@
     confirmed_at: AtomicU64,
     /// Local time until which targets that vanish from the store are kept, in ms.
     removals_deferred_until: AtomicU64,
-    /// Requests that crash the targets that execute them.
+    /// Ends of targets, and the requests that were at work.
     pub(crate) crashes: Mutex<CrashTracker>,
     /// Whether another node has reported its crashes since this node started.
     crashes_learned: AtomicBool,
@@ -173,6 +174,8 @@
         });
         let observer: Arc<dyn LinkObserver> = state.clone();
         state.links.set_observer(Arc::downgrade(&observer));
+        let observer: Arc<dyn OutageObserver> = state.clone();
+        state.local_target.outage.set_observer(Arc::downgrade(&observer));
         state
     }
 
--- a/sidecar/src/note.rs
+++ b/sidecar/src/note.rs
@@ -6,7 +6,9 @@
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD_NO_PAD;
 use fescuestack_core::{ClockSpan, RequestFingerprint};
-use fescuestack_routing::{PriorityCounts, RateLimit, SlotLoad, StorePosition};
+use fescuestack_routing::{
+    KnownOutage, OutageNotice, PriorityCounts, RateLimit, SlotLoad, StorePosition,
+};
 use http::{HeaderMap, HeaderName, HeaderValue};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -17,8 +19,8 @@
 /// Header with the [`ReplyNote`] of the response to a call.
 const REPLY_HEADER: HeaderName = HeaderName::from_static("fescuestack-reply");
 
-/// Header with the [`CrashNote`] of a message to another node.
-const CRASH_HEADER: HeaderName = HeaderName::from_static("fescuestack-crash");
+/// Header with the [`OutageNote`] of a message to another node.
+const OUTAGE_HEADER: HeaderName = HeaderName::from_static("fescuestack-outage");
 
 /// Header with the [`SyncNote`] of a request to another node.
 const SYNC_HEADER: HeaderName = HeaderName::from_static("fescuestack-sync");
@@ -66,6 +68,8 @@
     Rejected,
     /// Not executed: it could not be sent to the target.
     NotSent,
+    /// Not executed: the target is down.
+    Down,
     /// The target may have executed it.
     Lost,
     /// Not executed: the node is stopping and might break it off.
@@ -93,8 +97,8 @@
     pub(crate) rate_delay: u64,
     /// Time for which the call waited in the queue.
     pub(crate) waited: u64,
-    /// Whether the target crashed while it executed the call.
-    pub(crate) crashed: bool,
+    /// Whether the target is down.
+    pub(crate) outage: OutageNotice,
     /// Whether the target has stated that it is leaving.
     pub(crate) target_leaving: bool,
     /// After a refusal, the time after which a retry is likely to be accepted.
@@ -146,29 +150,46 @@
     }
 }
 
-/// Report that a target crashed while it executed a request.
+/// Report that a target has ended or is back.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub(crate) struct CrashNote {
-    pub(crate) target: Arc<str>,
-    request: u64,
+pub(crate) struct OutageNote {
+    target: Arc<str>,
+    /// Start time of the target as listed, if it is known.
+    started_ms: Option<u64>,
+    pub(crate) notice: OutageNotice,
+    /// At an end, numbers of the fingerprints of the requests that were at work, the most suspect
+    /// first.
+    requests: Vec<u64>,
 }
 
-impl CrashNote {
-    pub(crate) fn new(target: Arc<str>, request: RequestFingerprint) -> CrashNote {
-        CrashNote { target, request: request.number() }
+impl OutageNote {
+    pub(crate) fn new(outage: &KnownOutage, requests: &[RequestFingerprint]) -> OutageNote {
+        OutageNote {
+            target: outage.target.clone(),
+            started_ms: outage.started_ms,
+            notice: outage.notice,
+            requests: requests.iter().map(|request| request.number()).collect(),
+        }
+    }
+
+    pub(crate) fn outage(&self) -> KnownOutage {
+        let OutageNote { target, started_ms, notice, .. } = self.clone();
+        KnownOutage { target, started_ms, notice }
     }
 
-    pub(crate) fn request(&self) -> RequestFingerprint {
-        RequestFingerprint::from_number(self.request)
+    /// Returns at most `limit` of the requests.
+    pub(crate) fn requests(&self, limit: usize) -> Vec<RequestFingerprint> {
+        let numbers = self.requests.iter().take(limit);
+        numbers.map(|number| RequestFingerprint::from_number(*number)).collect()
     }
 
     pub(crate) fn write(&self, headers: &mut HeaderMap) {
-        write_note(headers, CRASH_HEADER, self);
+        write_note(headers, OUTAGE_HEADER, self);
     }
 
     /// Removes the note from the headers of a message and decodes it.
-    pub(crate) fn take(headers: &mut HeaderMap) -> Option<CrashNote> {
-        take_note(headers, &CRASH_HEADER)
+    pub(crate) fn take(headers: &mut HeaderMap) -> Option<OutageNote> {
+        take_note(headers, &OUTAGE_HEADER)
     }
 }
 
--- a/sidecar/src/peer.rs
+++ b/sidecar/src/peer.rs
@@ -12,11 +12,11 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 
-use crate::crashes::{CRASHING_RETRY_AFTER, broadcast_crash, record_crash};
+use crate::crashes::{CRASHING_RETRY_AFTER, record_outage_note};
 use crate::links::LinkError;
 use crate::message::{FullResponse, empty_response, forwarded_request, full_response};
 use crate::node::NodeState;
-use crate::note::{CallNote, CrashNote, ReplyEnd, ReplyNote, SyncNote};
+use crate::note::{CallNote, OutageNote, ReplyEnd, ReplyNote, SyncNote};
 use crate::sync::serve_sync;
 use crate::target::TargetReply;
 
@@ -86,8 +86,8 @@
             }
         };
     }
-    if let Some(crash) = CrashNote::take(&mut parts.headers) {
-        record_crash(&state, &crash);
+    if let Some(note) = OutageNote::take(&mut parts.headers) {
+        record_outage_note(&state, &note);
         return empty_response(StatusCode::NO_CONTENT);
     }
     let _call_guard = state.begin_call();
@@ -149,7 +149,7 @@
     response
 }
 
-/// Executes a call at this node's target and reports a crash to the other nodes.
+/// Executes a call at this node's target.
 pub(crate) async fn run_local(
     state: &Arc<NodeState>,
     note: &CallNote,
@@ -158,15 +158,11 @@
     let request = fingerprint(&call);
     // The node that received the request may have been restarted and not know of the crashes.
     if lock(&state.crashes).is_quarantined(state.clock.now(), request) {
+        state.metrics.record_held_request();
         return state.local_target.reply(&note.route, ReplyEnd::Refused, CRASHING_RETRY_AFTER);
     }
-    let reply = state.local_target.run(note, call).await;
-    if reply.note.crashed {
-        let crash = CrashNote::new(note.target.clone(), request);
-        if record_crash(state, &crash) > 0 {
-            broadcast_crash(state, &crash);
-        }
-    } else if reply.note.end == ReplyEnd::Answered {
+    let reply = state.local_target.run(note, request, call).await;
+    if reply.note.end == ReplyEnd::Answered {
         lock(&state.crashes).record_completion(request);
     }
     reply
--- a/sidecar/src/sync.rs
+++ b/sidecar/src/sync.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
-use crate::crashes::{CrashEntry, known_crashes, learn_crashes};
+use crate::crashes::{EndKnowledge, known_ends, learn_ends};
 use crate::message::{FullResponse, empty_response};
 use crate::node::{EncodedContent, NodeState};
 use crate::note::SyncNote;
@@ -44,8 +44,8 @@
     pub(crate) config: Option<Vec<u8>>,
     /// All keys of the store, if the node knows a later position than the request.
     pub(crate) items: Option<Vec<SyncItem>>,
-    /// Crashes that the node knows, if the requesting node wants them.
-    pub(crate) crashes: Vec<CrashEntry>,
+    /// What the node knows of ended targets, if the requesting node wants it.
+    pub(crate) crashes: EndKnowledge,
 }
 
 /// A key of the store.
@@ -138,7 +138,7 @@
         lapse: state.removals_deferred_until().since(state.clock.now()).millis(),
         config: newer_config(state, &view, note.version),
         items: (at > after).then(|| view.iter().map(item).collect()),
-        crashes: if note.wants_crashes { known_crashes(state) } else { Vec::new() },
+        crashes: if note.wants_crashes { known_ends(state) } else { EndKnowledge::default() },
     }
 }
 
@@ -181,7 +181,7 @@
     match decode_answer(response.body()) {
         Ok(mut answer) => {
             if note.wants_crashes {
-                learn_crashes(state, vm, std::mem::take(&mut answer.crashes));
+                learn_ends(state, vm, std::mem::take(&mut answer.crashes));
             }
             Some(answer)
         }
--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
-use fescuestack_core::{ClockSpan, ClockTime};
+use fescuestack_core::{ClockSpan, ClockTime, RequestFingerprint};
 use fescuestack_http::{
     BufferedRequest, BufferedResponse, ByteBudget, CallClock, ExchangeConnection, ExchangeError,
     ResponseTag, lock, within,
@@ -23,6 +23,7 @@
 use http::{HeaderValue, StatusCode};
 use rustc_hash::FxHashMap;
 
+use crate::down::{OutageWatch, SentRun, confirm_outage};
 use crate::note::{CallNote, ReplyEnd, ReplyNote};
 use crate::stop::StopSignal;
 
@@ -30,7 +31,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Timeout for reconnecting to a target that broke a connection. If this fails, the target counts
-/// as crashed.
+/// as down.
 const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Longest idle time of a connection that is reused for non-idempotent requests. The target may
@@ -68,6 +69,7 @@
     clock: CallClock,
     body_budget: Arc<ByteBudget>,
     stop: Arc<StopSignal>,
+    pub(crate) outage: Arc<OutageWatch>,
     ingress: Mutex<IngressLink>,
     state: Mutex<LocalTargetState>,
 }
@@ -110,7 +112,9 @@
             waiters: FxHashMap::default(),
         };
         let ingress = Mutex::new(IngressLink::new(link_mbps));
-        Arc::new(LocalTarget { clock, body_budget, stop, ingress, state: Mutex::new(state) })
+        let outage = OutageWatch::new();
+        let state = Mutex::new(state);
+        Arc::new(LocalTarget { clock, body_budget, stop, outage, ingress, state })
     }
 
     /// Applies the platform's entry for the target's address. Without an entry, a target that was
@@ -132,6 +136,7 @@
                     }
                     state.actual_id = None;
                     state.idle.clear();
+                    self.outage.probe_now();
                 }
                 let is_leaving = state.notice.is_some_and(|notice| notice.is_leaving);
                 state.queue.set_slots(listing.slots);
@@ -179,6 +184,7 @@
     pub(crate) async fn run(
         self: &Arc<Self>,
         note: &CallNote,
+        fingerprint: RequestFingerprint,
         mut request: BufferedRequest,
     ) -> TargetReply {
         let now = self.clock.now();
@@ -189,6 +195,9 @@
         if !self.stop.allows(deadline) {
             return self.reply(&note.route, ReplyEnd::Stopping, ClockSpan::ZERO);
         }
+        if self.outage.is_down() {
+            return self.reply(&note.route, ReplyEnd::Down, ClockSpan::ZERO);
+        }
         let ticket = match self.acquire_slot(now, note).await {
             Ok(ticket) => ticket,
             Err(_) if self.is_leaving() => return self.leaving_reply(note),
@@ -205,28 +214,31 @@
             headers.insert(EXPECTED_INSTANCE, id);
         }
         let timeout = Duration::from_millis(left.millis()) + RESPONSE_GRACE;
-        let Some(outcome) = within(timeout, self.exchange(note, &request)).await else {
+        let run = self.outage.prepare_run(fingerprint);
+        let Some(outcome) = within(timeout, self.exchange(note, &request, &run)).await else {
             // The response would come too late. Closing the connection cancels the call at the
             // target.
             return self.reply(&note.route, ReplyEnd::Lost, ClockSpan::ZERO);
         };
-        let mut crashed = false;
         let (end, response) = match outcome {
             Ok(response) if response.status == WRONG_INSTANCE => {
                 self.record_actual_id(note, &response);
                 (ReplyEnd::Rejected, None)
             }
             Ok(response) => classify_response(note, response),
+            Err(ExchangeError::NotSent { .. }) if confirm_outage(self, &note.target).await => {
+                (ReplyEnd::Down, None)
+            }
             Err(ExchangeError::NotSent { source }) => {
                 log::info!(target = &*note.target, reason = source.to_string().as_str();
                     "cannot connect to the target");
                 (ReplyEnd::NotSent, None)
             }
             Err(err) => {
-                crashed = matches!(
+                let crashed = matches!(
                     err,
                     ExchangeError::ConnectionLost { .. } | ExchangeError::Truncated { .. }
-                ) && self.is_down().await;
+                ) && confirm_outage(self, &note.target).await;
                 log::info!(target = &*note.target, request = request_id(&request),
                     reason = err.to_string().as_str(), crashed = crashed;
                     "exchange with the target failed");
@@ -237,14 +249,23 @@
         ticket.end(if answered { CallEnd::Answered } else { CallEnd::Aborted });
         let mut reply = self.reply(&note.route, end, ClockSpan::ZERO);
         reply.note.waited = waited.millis();
-        reply.note.crashed = crashed;
         TargetReply { response, ..reply }
     }
 
-    /// Whether no connection to the target can be opened.
-    async fn is_down(&self) -> bool {
+    /// Opens a connection to the target and closes it.
+    pub(crate) async fn probe(&self) -> Result<(), ExchangeError> {
         let address = lock(&self.state).address;
-        ExchangeConnection::open(address, CRASH_PROBE_TIMEOUT).await.is_err()
+        ExchangeConnection::open(address, CRASH_PROBE_TIMEOUT).await.map(drop)
+    }
+
+    /// Returns the start time of the listed target if its id is `id`.
+    pub(crate) fn listed_start(&self, id: &str) -> Option<u64> {
+        let state = lock(&self.state);
+        state
+            .listed
+            .as_ref()
+            .filter(|(listed, _)| **listed == *id)
+            .map(|(_, started_ms)| *started_ms)
     }
 
     /// Whether the target is known to have another id than `id`.
@@ -338,7 +359,11 @@
                 self.stop.forbids(deadline).await;
                 Err((ReplyEnd::Stopping, ClockSpan::ZERO))
             };
-            future::or(admitted, stopped).await?;
+            let went_down = async {
+                self.outage.went_down().await;
+                Err((ReplyEnd::Down, ClockSpan::ZERO))
+            };
+            future::or(admitted, future::or(stopped, went_down)).await?;
         }
         Ok(guard)
     }
@@ -347,12 +372,14 @@
         &self,
         note: &CallNote,
         request: &BufferedRequest,
+        run: &SentRun,
     ) -> Result<BufferedResponse, ExchangeError> {
         let tag = request
             .headers
             .get(&REQUEST_ID)
             .map(|value| ResponseTag { name: REQUEST_ID, value: value.clone() });
         let mut connection = self.connection(note.idempotent).await?;
+        run.start();
         lock(&self.state).sent_since_notice += 1;
         let response = connection.exchange(request, tag.as_ref()).await?;
         if response.status != WRONG_INSTANCE {
@@ -416,7 +443,7 @@
             rate_limit: load.rate_limit.map(RateLimit::millihertz),
             rate_delay: load.rate_delay.millis(),
             waited: 0,
-            crashed: false,
+            outage: self.outage.notice(),
             target_leaving: self.is_leaving(),
             retry_after: retry_after.millis(),
             stops_in: self.stop.time_left().map(ClockSpan::millis),
