Limit calls to cold targets

Nothing read warmup_per_s, and warmup_left_s only kept slow starts out of the averages of service times.

The node beside the target, which all calls pass, now takes it as cold from the node's start, a return after a crash, another start or id, or a listed or stated time, until a later statement ends it (ColdTracker). CallPacer admits at most warmup_per_s x warmup_over calls in any 1.05 s, counted when they are sent and also while the target is warm; SlotQueue::reset keeps the count. The target is asked by GET of the service's health path only after such an event. Other nodes see the limit in load reports, and offer a listed cold target without a report a part of its usual share. Calls between nodes carry the rule in a header of its own, only if the service has one. Nothing applies without warmup_per_s in the configuration.

All other tests of routing, platform, sidecar and questionnaire passed.

--- a/operators/src/metrics.rs
+++ b/operators/src/metrics.rs
@@ -47,6 +47,7 @@
     version: Gauge<u64>,
     targets: Gauge<u64>,
     target_calls: Gauge<u64>,
+    cold_time: Gauge<u64>,
 }
 
 impl NodeMetrics {
@@ -73,6 +74,7 @@
         let version = meter.u64_gauge("fescuestack_version").build();
         let targets = meter.u64_gauge("fescuestack_targets").build();
         let target_calls = meter.u64_gauge("fescuestack_target_calls").build();
+        let cold_time = meter.u64_gauge("fescuestack_target_cold").with_unit("ms").build();
         let _meter_provider = provider;
         Ok(NodeMetrics {
             registry,
@@ -87,6 +89,7 @@
             version,
             targets,
             target_calls,
+            cold_time,
         })
     }
 
@@ -119,6 +122,11 @@
         self.target_calls.record(waiting.into(), &[KeyValue::new("state", "waiting")]);
     }
 
+    /// Sets the time in ms for which the target of the node stays cold.
+    pub fn record_cold_time(&self, left_ms: u64) {
+        self.cold_time.record(left_ms, &[]);
+    }
+
     /// Adds bytes of control traffic in one direction.
     pub fn record_control_bytes(&self, direction: &'static str, bytes: u64) {
         self.control_bytes.add(bytes, &[KeyValue::new("direction", direction)]);
--- a/questionnaire/src/routes.rs
+++ b/questionnaire/src/routes.rs
@@ -82,7 +82,7 @@
 impl RouteTableBuilder<'_> {
     fn add_service(&mut self, mut table: RouteTable, service: &ServiceAnswer) -> RouteTable {
         let name: Arc<str> = service.name.value.as_str().into();
-        let rule = ServiceRule { max_connections: min_connections(service) };
+        let rule = ServiceRule::new(min_connections(service));
         table = table.with_service(name.clone(), rule);
         self.report_omission(
             service.queue_limit.referenced,
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -19,12 +19,13 @@
 mod stop;
 mod view;
 mod waits;
+mod warmth;
 
 pub use budget::{RetryAllowance, RetryBudget};
 pub use held::{CrashTracker, KnownCrash, QUARANTINE_DURATION};
 pub use intake::{IngressDecision, IngressLink, LARGE_BODY_BYTES};
 pub use loss::{LatencyBreakdown, LossCause};
-pub use pacer::RateLimit;
+pub use pacer::{ColdLimit, RateLimit};
 pub use picker::{Alternatives, PickedTarget, TargetFeedback, TargetPicker};
 pub use plan::{AttemptEnd, CallParams, CallPlan, PlanStep};
 pub use ranks::PriorityCounts;
@@ -38,3 +39,4 @@
 pub use stop::{READINESS_NOTICE_TIME, StopSchedule};
 pub use view::{StorePosition, StoreView, StoredItem, ViewChange};
 pub use waits::CallerWaitEstimator;
+pub use warmth::{ColdCause, ColdTracker, WarmupRule};
--- a/routing/src/picker.rs
+++ b/routing/src/picker.rs
@@ -62,6 +62,16 @@
 /// Lower and upper bound of the slowdown taken from one report.
 const SLOWDOWN_BOUNDS: (f64, f64) = (0.2, 12.0);
 
+/// Penalty for a listed cold target beyond its share of calls, in multiples of the service time of the
+/// route. Other nodes call it too, so that its limit is likely to be used up.
+const COLD_PENALTY: f64 = 2.0;
+
+/// Fraction of their capacity at which targets usually run.
+const USUAL_LOAD: f64 = 0.6;
+
+/// Lowest share of its usual calls that is offered to a cold target, so that its load gets known.
+const MIN_COLD_SHARE: f64 = 0.05;
+
 /// Half-life of the slowdown without reports, so that a slow target is eventually tried again.
 const SLOWDOWN_HALF_LIFE: ClockSpan = ClockSpan::new(3_000);
 
@@ -195,6 +205,8 @@
     /// Start times of the targets that have stated that they are leaving, with the time of the last
     /// statement.
     departures: FxHashMap<Arc<str>, (u64, ClockTime)>,
+    /// Calls per second that cold targets accept, for each service where they are limited.
+    cold_rates: FxHashMap<Arc<str>, f64>,
     random: Pcg32,
 }
 
@@ -208,10 +220,16 @@
             route_times: FxHashMap::default(),
             unreachable: FxHashSet::default(),
             departures: FxHashMap::default(),
+            cold_rates: FxHashMap::default(),
             random: Pcg32::seed_from_u64(seed),
         }
     }
 
+    /// Sets the calls per second that cold targets accept, for each service where they are limited.
+    pub fn set_cold_rates(&mut self, cold_rates: FxHashMap<Arc<str>, f64>) {
+        self.cold_rates = cold_rates;
+    }
+
     /// Adds a target or updates its entry.
     pub fn insert(&mut self, now: ClockTime, entry: &TargetListing) {
         let warm_from = now + entry.cold_time_left;
@@ -356,6 +374,7 @@
                 && !self.has_departed(&record.entry);
             reachable.then_some((id, record))
         });
+        let cold_rate = self.cold_rates.get(&call.service).copied();
         let mut result = SampleResult::default();
         for (id, record) in reachable.take(SAMPLE_SIZE) {
             result.reachable += 1;
@@ -366,6 +385,11 @@
             result.candidates += 1;
             let mut time = record.expected_time(now, call.priority, route_time);
             time += random.random::<f64>() * record.jitter_range(now, route_time);
+            if let Some(share) = cold_rate.and_then(|rate| record.cold_share(now, rate, route_time))
+                && random.random::<f64>() >= share
+            {
+                time += COLD_PENALTY * route_time;
+            }
             if call.body_bytes as u64 >= LARGE_BODY_BYTES {
                 time += record.ingress_delay_ms(now);
             }
@@ -507,6 +531,17 @@
         (delay - now.since(at).millis() as f64).max(refused_ms)
     }
 
+    /// Share of its usual calls that a listed cold target without a recent report can take at
+    /// `cold_rate` calls per second. Returns `None` for other targets.
+    fn cold_share(&self, now: ClockTime, cold_rate: f64, route_time: f64) -> Option<f64> {
+        let is_reported = self.load_reported_at.is_some_and(|at| now.since(at) < REPORT_TTL);
+        if is_reported || now >= self.warm_from {
+            return None;
+        }
+        let usual_rate = f64::from(self.entry.slots) * 1_000.0 / route_time.max(1.0);
+        Some((cold_rate / (usual_rate * USUAL_LOAD)).clamp(MIN_COLD_SHARE, 1.0))
+    }
+
     fn update_slowdown(&mut self, now: ClockTime, ratio: f64) {
         let known = self.slowdown(now);
         let (min, max) = SLOWDOWN_BOUNDS;
--- a/routing/src/routes.rs
+++ b/routing/src/routes.rs
@@ -6,6 +6,8 @@
 use fescuestack_core::ClockSpan;
 use rustc_hash::FxHashMap;
 
+use crate::warmth::WarmupRule;
+
 /// Fractional part of the golden ratio in 32 bits. Its multiples are distributed evenly over the
 /// range, so that a traffic split matches its weights even over few calls.
 const GOLDEN_STEP: u32 = 0x9e37_79b9;
@@ -116,6 +118,15 @@
 pub struct ServiceRule {
     /// Maximum number of connections that a target accepts from all callers.
     pub max_connections: u32,
+    /// How its targets warm up, if calls to cold ones are limited.
+    pub warmup: Option<WarmupRule>,
+}
+
+impl ServiceRule {
+    /// Creates the rule of a service whose targets need not warm up.
+    pub const fn new(max_connections: u32) -> ServiceRule {
+        ServiceRule { max_connections, warmup: None }
+    }
 }
 
 /// Limits for the requests of clients.
--- a/routing/src/slots.rs
+++ b/routing/src/slots.rs
@@ -11,7 +11,7 @@
 use fescuestack_core::{ClockSpan, ClockTime};
 use rustc_hash::FxHashMap;
 
-use crate::pacer::{CallPacer, RateLimit};
+use crate::pacer::{CallPacer, ColdLimit, RateLimit};
 use crate::ranks::PriorityCounts;
 
 /// Weight of the latest service time in the moving averages.
@@ -200,18 +200,23 @@
         }
     }
 
+    /// Returns the number of slots.
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
     /// Sets the number of slots.
     pub fn set_slots(&mut self, slots: u32) {
         self.slots = slots.max(1);
     }
 
     /// Resets the queue for a new target at the same address. Calls running at the old one no
-    /// longer count.
+    /// longer count, except against the limit on a cold target.
     pub fn reset(&mut self, slots: u32) {
         self.slots = slots.max(1);
         self.running.clear();
         self.route_times.clear();
-        self.pacer = CallPacer::default();
+        self.pacer.reset();
         self.accepting = true;
     }
 
@@ -223,7 +228,19 @@
 
     /// Sets the rate of calls that the target accepts, or that it does not limit them.
     pub fn set_rate_limit(&mut self, limit: Option<RateLimit>) {
-        self.pacer.set_limit(limit);
+        self.pacer.set_stated(limit);
+    }
+
+    /// Sets the limit on a cold target, or that none of the service is ever cold.
+    pub fn set_cold_limit(&mut self, now: ClockTime, limit: Option<ColdLimit>) {
+        self.pacer.set_cold(now, limit);
+    }
+
+    /// Records that a call that was started is sent to the target now.
+    pub fn record_sent(&mut self, now: ClockTime, ticket: SlotTicket) {
+        if let Some(running) = self.running.get(&ticket) {
+            self.pacer.record_sent(now, running.started);
+        }
     }
 
     /// Whether calls are queued.
@@ -248,7 +265,7 @@
             service_time: ClockSpan::new(self.mean_ms as u64),
             route_service_time: None,
             ingress_delay: ClockSpan::ZERO,
-            rate_limit: self.pacer.limit(),
+            rate_limit: self.pacer.limit(now),
             rate_delay: millis(self.pacer.delay(now)),
         }
     }
@@ -433,7 +450,7 @@
     /// it and the next slot is free in `free_in_ms`. The estimate includes calls of preferred
     /// classes that are expected to arrive and overtake it.
     fn wait_after(&self, now: ClockTime, class: CallClass, ahead_ms: f64, free_in_ms: f64) -> f64 {
-        let slots = self.usable_slots();
+        let slots = self.usable_slots(now);
         let left =
             (slots - self.usage.used_by_preferred(now, class)).max(slots * MIN_SLOT_FRACTION);
         (ahead_ms / slots + free_in_ms) * (slots / left)
@@ -441,9 +458,9 @@
 
     /// Number of slots that the target can keep busy: at a limited rate, only as many as the calls of
     /// an average service time occupy.
-    fn usable_slots(&self) -> f64 {
+    fn usable_slots(&self, now: ClockTime) -> f64 {
         let slots = f64::from(self.slots);
-        self.pacer.limit().map_or(slots, |limit| slots.min(self.mean_ms / limit.interval_ms()))
+        self.pacer.limit(now).map_or(slots, |limit| slots.min(self.mean_ms / limit.interval_ms()))
     }
 
     /// Expected time in ms until a slot is free and the rate limit allows a call.
--- a/routing/tests/state.rs
+++ b/routing/tests/state.rs
@@ -57,7 +57,7 @@
     let rule = || rule("/", &[("a", 1)]);
     let table = RouteTable::new(1, limits()).with_route("h", rule());
     assert!(!table.is_complete());
-    let table = table.with_service("a".into(), ServiceRule { max_connections: 10 });
+    let table = table.with_service("a".into(), ServiceRule::new(10));
     assert!(table.is_complete());
 }
 
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -322,6 +322,7 @@
             wait_limit: wait_limit.millis(),
             body_bytes: self.request.body.len() as u64,
             rate_limit: target.rate_limit.map(RateLimit::millihertz),
+            warmup: state.warmup_rule(&progress.plan.call().service),
         };
         let (reply, response) = if state.is_own_vm(target.vm) {
             let reply = run_local(state, &note, self.request.clone()).await;
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -19,6 +19,7 @@
 mod stop;
 mod sync;
 mod target;
+mod warmth;
 
 pub use policy::{ClientPolicy, HedgingPolicy, NodePolicy, PolicyError};
 pub use run::{SidecarError, SidecarNode};
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -15,7 +15,7 @@
 use fescuestack_platform::{SidecarSettings, decode_config};
 use fescuestack_routing::{
     CallerWaitEstimator, CrashTracker, RetryAllowance, RetryBudget, RouteTable, StorePosition,
-    StoreView, TargetPicker, VmSizes, is_small_vm,
+    StoreView, TargetPicker, VmSizes, WarmupRule, is_small_vm,
 };
 use http_body_util::Full;
 use rustc_hash::{FxHashMap, FxHasher};
@@ -268,6 +268,26 @@
             revision = revision; "configuration active");
         *active_value = value.clone();
         self.routes.store(Some(Arc::new(routes)));
+        self.apply_warmup();
+    }
+
+    /// Returns how targets of a service warm up, if calls to cold ones are limited.
+    pub(crate) fn warmup_rule(&self, service: &str) -> Option<WarmupRule> {
+        self.routes.load().as_ref()?.service(service)?.warmup.clone()
+    }
+
+    /// Applies how the targets of all services warm up, after a change of the configuration or the
+    /// settings.
+    pub(crate) fn apply_warmup(&self) {
+        let (settings, routes) = (self.settings.load(), self.routes.load());
+        let Some(routes) = &*routes else { return };
+        let factor = settings.warmup_factor;
+        let cold_rates = routes.services().into_iter().filter_map(|(name, rule)| {
+            let calls = rule.warmup.as_ref()?.calls_per_second(factor);
+            Some((name.into(), f64::from(calls)))
+        });
+        lock(&self.routing).picker.set_cold_rates(cold_rates.collect());
+        self.local_target.set_warmup(self.warmup_rule(&settings.service), factor);
     }
 
     /// Whether the VM is small, so that other nodes prefer to follow larger ones.
@@ -315,6 +335,7 @@
         let load = self.local_target.load();
         self.metrics.record_node_state(version, targets, self.store_calls.load(Ordering::Relaxed));
         self.metrics.record_target_queue(load.running, load.queued.total());
+        self.metrics.record_cold_time(self.local_target.cold_time_left().millis());
         self.metrics.encode()
     }
 
--- a/sidecar/src/note.rs
+++ b/sidecar/src/note.rs
@@ -6,7 +6,7 @@
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD_NO_PAD;
 use fescuestack_core::{ClockSpan, RequestFingerprint};
-use fescuestack_routing::{PriorityCounts, RateLimit, SlotLoad, StorePosition};
+use fescuestack_routing::{PriorityCounts, RateLimit, SlotLoad, StorePosition, WarmupRule};
 use http::{HeaderMap, HeaderName, HeaderValue};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -14,6 +14,9 @@
 /// Header with the [`CallNote`] of a request to another node.
 const CALL_HEADER: HeaderName = HeaderName::from_static("fescuestack-call");
 
+/// Header with the [`WarmupNote`] of a request to another node.
+const WARMUP_HEADER: HeaderName = HeaderName::from_static("fescuestack-warmup");
+
 /// Header with the [`ReplyNote`] of the response to a call.
 const REPLY_HEADER: HeaderName = HeaderName::from_static("fescuestack-reply");
 
@@ -47,6 +50,17 @@
     /// Rate limit of the target as the sender knows it, in calls per 1,000 s. The target's node may
     /// have been restarted since the target last stated it.
     pub(crate) rate_limit: Option<u64>,
+    /// How targets of the service warm up, in a header of its own. The target's node may have started
+    /// and have no configuration yet.
+    #[serde(skip)]
+    pub(crate) warmup: Option<WarmupRule>,
+}
+
+/// How targets of a service warm up: the rate in calls per 1,000 s and the time in ms.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct WarmupNote {
+    rate: u64,
+    duration: u64,
 }
 
 /// Outcome of a call at the target's node.
@@ -127,11 +141,21 @@
 
     pub(crate) fn write(&self, headers: &mut HeaderMap) {
         write_note(headers, CALL_HEADER, self);
+        if let Some(WarmupRule { duration, rate, .. }) = &self.warmup {
+            let note = WarmupNote { rate: rate.millihertz(), duration: duration.millis() };
+            write_note(headers, WARMUP_HEADER, &note);
+        }
     }
 
     /// Removes the note from the headers of a request and decodes it.
     pub(crate) fn take(headers: &mut HeaderMap) -> Option<CallNote> {
-        take_note(headers, &CALL_HEADER)
+        let warmup = take_note(headers, &WARMUP_HEADER).map(|note: WarmupNote| WarmupRule {
+            duration: ClockSpan::new(note.duration),
+            rate: RateLimit::from_millihertz(note.rate),
+            health_path: "".into(),
+        });
+        let note: CallNote = take_note(headers, &CALL_HEADER)?;
+        Some(CallNote { warmup, ..note })
     }
 }
 
--- a/sidecar/src/report.rs
+++ b/sidecar/src/report.rs
@@ -47,7 +47,8 @@
         "lost_nodes": state.links.unreachable_vms(),
         "calls": state.active_calls(),
         "target": {"running": load.running, "waiting": load.queued.total(),
-            "service_ms": load.service_time.millis()},
+            "service_ms": load.service_time.millis(),
+            "cold_ms": state.local_target.cold_time_left().millis()},
     });
     json_response(&status)
 }
--- a/sidecar/src/run.rs
+++ b/sidecar/src/run.rs
@@ -341,6 +341,7 @@
         let period = if state.local_target.has_waiting() { TICK_PERIOD } else { IDLE_TICK_PERIOD };
         task::sleep(period).await;
         state.local_target.tick();
+        state.local_target.probe_if_wanted();
         let now = state.clock.now();
         if now.since(last_check) >= LINK_CHECK_INTERVAL {
             last_check = now;
@@ -365,6 +366,7 @@
             log::info!(service = settings.service.as_str(),
                 target = settings.target.to_string().as_str(); "settings changed");
             state.settings.store(Arc::new(settings));
+            state.apply_warmup();
         }
     }
 }
--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -1,5 +1,6 @@
 //! The target beside this node: its queue, connections and responses.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -25,6 +26,7 @@
 
 use crate::note::{CallNote, ReplyEnd, ReplyNote};
 use crate::stop::StopSignal;
+use crate::warmth::TargetWarmth;
 
 /// Timeout for a connection to the target, which is on the same VM.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -52,6 +54,10 @@
 /// Status of a response by another target than the one that the request was meant for.
 const WRONG_INSTANCE: StatusCode = StatusCode::MISDIRECTED_REQUEST;
 
+/// Number of idle connections that a target must have closed ahead of time, while none is left, for a
+/// restart to be likely.
+const MIN_CLOSED_EARLY: u32 = 2;
+
 /// Number of idle connections that are kept.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
@@ -65,16 +71,17 @@
 
 /// The target beside this node.
 pub(crate) struct LocalTarget {
-    clock: CallClock,
+    pub(crate) clock: CallClock,
     body_budget: Arc<ByteBudget>,
-    stop: Arc<StopSignal>,
+    pub(crate) stop: Arc<StopSignal>,
     ingress: Mutex<IngressLink>,
-    state: Mutex<LocalTargetState>,
+    pub(crate) state: Mutex<LocalTargetState>,
 }
 
-struct LocalTargetState {
+pub(crate) struct LocalTargetState {
     address: SocketAddr,
-    queue: SlotQueue,
+    pub(crate) queue: SlotQueue,
+    pub(crate) warmth: TargetWarmth,
     /// Id and start time of the target that the platform lists.
     listed: Option<(Arc<str>, u64)>,
     /// Id that the target itself reports, if it differs from the listed one.
@@ -101,6 +108,7 @@
         let state = LocalTargetState {
             address,
             queue: SlotQueue::new(1),
+            warmth: TargetWarmth::new(clock.now()),
             listed: None,
             actual_id: None,
             notice: None,
@@ -136,6 +144,8 @@
                 let is_leaving = state.notice.is_some_and(|notice| notice.is_leaving);
                 state.queue.set_slots(listing.slots);
                 state.queue.set_open(listing.state == TargetState::Ready && !is_leaving);
+                let (warmth, queue) = state.warmth_and_queue();
+                warmth.record_listing(now, listing, queue);
             }
             None if state.listed.is_some() => state.queue.set_open(false),
             None => (),
@@ -172,7 +182,13 @@
 
     /// Refuses queued calls that can no longer be executed in time. Called every few milliseconds.
     pub(crate) fn tick(&self) {
-        lock(&self.state).poll(self.clock.now());
+        let now = self.clock.now();
+        let mut state = lock(&self.state);
+        if state.warmth.has_rule() {
+            let (warmth, queue) = state.warmth_and_queue();
+            warmth.apply(now, queue);
+        }
+        state.poll(now);
     }
 
     /// Executes a call as soon as the queue admits it.
@@ -205,7 +221,7 @@
             headers.insert(EXPECTED_INSTANCE, id);
         }
         let timeout = Duration::from_millis(left.millis()) + RESPONSE_GRACE;
-        let Some(outcome) = within(timeout, self.exchange(note, &request)).await else {
+        let Some(outcome) = within(timeout, self.exchange(&ticket, note, &request)).await else {
             // The response would come too late. Closing the connection cancels the call at the
             // target.
             return self.reply(&note.route, ReplyEnd::Lost, ClockSpan::ZERO);
@@ -242,9 +258,20 @@
     }
 
     /// Whether no connection to the target can be opened.
-    async fn is_down(&self) -> bool {
+    pub(crate) async fn is_down(&self) -> bool {
         let address = lock(&self.state).address;
-        ExchangeConnection::open(address, CRASH_PROBE_TIMEOUT).await.is_err()
+        let is_down = ExchangeConnection::open(address, CRASH_PROBE_TIMEOUT).await.is_err();
+        self.record_connection(!is_down);
+        is_down
+    }
+
+    /// Records whether a connection to the target could be opened. A target that was down is cold when
+    /// it is back.
+    fn record_connection(&self, opened: bool) {
+        let mut state = lock(&self.state);
+        let now = self.clock.now();
+        let (warmth, queue) = state.warmth_and_queue();
+        warmth.record_connection(now, opened, queue);
     }
 
     /// Whether the target is known to have another id than `id`.
@@ -258,7 +285,13 @@
         log::info!(target = &*note.target, actual = actual_id.unwrap_or("unknown");
             "another target has this address");
         if let Some(actual_id) = actual_id {
-            lock(&self.state).actual_id = Some(actual_id.into());
+            let mut state = lock(&self.state);
+            let former = state.actual_id.replace(actual_id.into());
+            if former.as_deref() != Some(actual_id) {
+                let now = self.clock.now();
+                let (warmth, queue) = state.warmth_and_queue();
+                warmth.record_replacement(now, queue);
+            }
         }
     }
 
@@ -294,7 +327,7 @@
 
     /// Waits for a slot. Fails with the reason and the time after which a retry is likely to be
     /// accepted.
-    async fn acquire_slot(
+    pub(crate) async fn acquire_slot(
         self: &Arc<Self>,
         now: ClockTime,
         note: &CallNote,
@@ -317,6 +350,10 @@
             {
                 state.queue.set_rate_limit(Some(RateLimit::from_millihertz(limit)));
             }
+            if let Some(rule) = &note.warmup {
+                let (warmth, queue) = state.warmth_and_queue();
+                warmth.learn_rule(now, rule, queue);
+            }
             match state.queue.arrive(now, call) {
                 AdmissionDecision::Run(ticket) => (ticket, None),
                 AdmissionDecision::Wait(ticket) => (ticket, Some(state.add_waiter(ticket))),
@@ -345,6 +382,7 @@
 
     async fn exchange(
         &self,
+        ticket: &SlotGuard,
         note: &CallNote,
         request: &BufferedRequest,
     ) -> Result<BufferedResponse, ExchangeError> {
@@ -352,12 +390,33 @@
             .headers
             .get(&REQUEST_ID)
             .map(|value| ResponseTag { name: REQUEST_ID, value: value.clone() });
-        let mut connection = self.connection(note.idempotent).await?;
-        lock(&self.state).sent_since_notice += 1;
-        let response = connection.exchange(request, tag.as_ref()).await?;
+        let asked_at = self.clock.now();
+        let response = self.exchange_once(ticket, note.idempotent, request, tag.as_ref()).await?;
         if response.status != WRONG_INSTANCE {
             self.record_notice(note, &response);
+            let mut state = lock(&self.state);
+            let now = self.clock.now();
+            let (warmth, queue) = state.warmth_and_queue();
+            warmth.record_headers(asked_at, now, &response.headers, queue);
         }
+        Ok(response)
+    }
+
+    /// Sends a request on a connection to the target, which is kept for further ones.
+    pub(crate) async fn exchange_once(
+        &self,
+        ticket: &SlotGuard,
+        idempotent: bool,
+        request: &BufferedRequest,
+        tag: Option<&ResponseTag>,
+    ) -> Result<BufferedResponse, ExchangeError> {
+        let mut connection = self.connection(idempotent).await?;
+        {
+            let mut state = lock(&self.state);
+            state.sent_since_notice += 1;
+            state.queue.record_sent(self.clock.now(), ticket.ticket);
+        }
+        let response = connection.exchange(request, tag).await?;
         let mut state = lock(&self.state);
         if state.idle.len() < MAX_IDLE_CONNECTIONS {
             state.idle.push(connection);
@@ -368,14 +427,27 @@
     /// Returns the most recently used idle connection that can be reused, or a new one. Drops idle
     /// connections that are too old or closed.
     async fn connection(&self, idempotent: bool) -> Result<ExchangeConnection, ExchangeError> {
+        let mut closed_early = 0;
         loop {
             let (address, idle) = {
                 let mut state = lock(&self.state);
                 (state.address, state.idle.pop())
             };
             let Some(mut connection) = idle else {
-                let connection = ExchangeConnection::open(address, CONNECT_TIMEOUT).await?;
-                return Ok(connection.with_budget(&self.body_budget));
+                let opened = ExchangeConnection::open(address, CONNECT_TIMEOUT).await;
+                match &opened {
+                    Ok(_) => self.record_connection(true),
+                    Err(ExchangeError::NotSent { source })
+                        if source.kind() == ErrorKind::ConnectionRefused =>
+                    {
+                        self.record_connection(false);
+                    }
+                    Err(_) => (),
+                }
+                if closed_early >= MIN_CLOSED_EARLY {
+                    lock(&self.state).warmth.record_suspicion(self.clock.now());
+                }
+                return Ok(opened?.with_budget(&self.body_budget));
             };
             let advertised =
                 connection.keep_alive_timeout().map(|time| time.saturating_sub(KEEP_ALIVE_MARGIN));
@@ -384,9 +456,13 @@
             } else {
                 MAX_IDLE_NON_IDEMPOTENT
             });
-            if connection.idle_time() < max_idle && connection.is_reusable().await {
+            if connection.idle_time() >= max_idle {
+                continue;
+            }
+            if connection.is_reusable().await {
                 return Ok(connection);
             }
+            closed_early += 1;
         }
     }
 
@@ -450,6 +526,11 @@
 }
 
 impl LocalTargetState {
+    /// Returns what is known of the target's warmth, with the queue that it limits.
+    pub(crate) fn warmth_and_queue(&mut self) -> (&mut TargetWarmth, &mut SlotQueue) {
+        (&mut self.warmth, &mut self.queue)
+    }
+
     fn add_waiter(&mut self, ticket: SlotTicket) -> Receiver<Result<(), ClockSpan>> {
         let (sender, receiver) = async_channel::bounded(1);
         self.waiters.insert(ticket, sender);
@@ -457,7 +538,7 @@
     }
 
     /// Lets the queue decide and notifies the calls that it admits or refuses.
-    fn poll(&mut self, now: ClockTime) {
+    pub(crate) fn poll(&mut self, now: ClockTime) {
         let mut actions = Vec::new();
         self.queue.poll(now, &mut actions);
         for action in actions {
@@ -487,7 +568,7 @@
 }
 
 /// A place in the queue or a slot of the target. It is freed when the call ends or is dropped.
-struct SlotGuard {
+pub(crate) struct SlotGuard {
     local_target: Arc<LocalTarget>,
     ticket: SlotTicket,
     ended: bool,
