--- a/operators/src/metrics.rs
+++ b/operators/src/metrics.rs
@@ -49,6 +49,7 @@
     target_calls: Gauge<u64>,
     target_ends: Counter<u64>,
     held_requests: Counter<u64>,
+    cold_time: Gauge<u64>,
 }
 
 impl NodeMetrics {
@@ -80,6 +81,7 @@
         // Exports them before the first event.
         target_ends.add(0, &[]);
         held_requests.add(0, &[]);
+        let cold_time = meter.u64_gauge("fescuestack_target_cold").with_unit("ms").build();
         let _meter_provider = provider;
         Ok(NodeMetrics {
             registry,
@@ -96,6 +98,7 @@
             target_calls,
             target_ends,
             held_requests,
+            cold_time,
         })
     }
 
@@ -138,6 +141,11 @@
         self.held_requests.add(1, &[]);
     }
 
+    /// Sets the time in ms for which the target of the node stays cold.
+    pub fn record_cold_time(&self, left_ms: u64) {
+        self.cold_time.record(left_ms, &[]);
+    }
+
     /// Adds bytes of control traffic in one direction.
     pub fn record_control_bytes(&self, direction: &'static str, bytes: u64) {
         self.control_bytes.add(bytes, &[KeyValue::new("direction", direction)]);
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -20,13 +20,14 @@
 mod stop;
 mod view;
 mod waits;
+mod warmth;
 
 pub use budget::{RetryAllowance, RetryBudget};
 pub use held::{CrashTracker, EndEvidence, KnownEnd, MAX_REPORTED_REQUESTS, QUARANTINE_DURATION};
 pub use intake::{IngressDecision, IngressLink, LARGE_BODY_BYTES};
 pub use loss::{LatencyBreakdown, LossCause};
 pub use outage::{FailureStep, KnownOutage, OUTAGE_TTL, OutageChange, OutageNotice, OutageTracker};
-pub use pacer::RateLimit;
+pub use pacer::{ColdLimit, RateLimit};
 pub use picker::{Alternatives, PickedTarget, TargetFeedback, TargetPicker};
 pub use plan::{AttemptEnd, CallParams, CallPlan, PlanStep};
 pub use ranks::PriorityCounts;
@@ -40,3 +41,4 @@
 pub use stop::{READINESS_NOTICE_TIME, StopSchedule};
 pub use view::{StorePosition, StoreView, StoredItem, ViewChange};
 pub use waits::CallerWaitEstimator;
+pub use warmth::{ColdCause, ColdTracker, WarmupRule};
--- a/sidecar/src/down.rs
+++ b/sidecar/src/down.rs
@@ -153,7 +153,7 @@
     loop {
         let Some(local_target) = local_target.upgrade() else { return };
         let watch = local_target.outage.clone();
-        let reason = local_target.probe().await.err().map(|err| err.to_string());
+        let reason = local_target.probe_connection().await.err().map(|err| err.to_string());
         let started_ms = local_target.listed_start(&id);
         let (change, notice, delay) = {
             let mut tracker = lock(&watch.tracker);
