Document ends of targets, and refuse uploads to a target that is down

The body of a call to a target that is down is no longer read.

Tests of routing, sidecar, operators and the platform stand-in pass.

--- a/routing/src/held.rs
+++ b/routing/src/held.rs
@@ -27,8 +27,9 @@
 const SHARED_CRASH_LIMIT: usize = 5;
 
 /// Number of other requests that may have been at work at the same ends as a request that is
-/// quarantined for them. More of them point to a cause outside the requests, such as load.
-const MAX_COMPANIONS: usize = 8;
+/// quarantined for them. More of them point to a cause outside the requests: load moves from one
+/// target to the next with its retries. Small targets run about six requests.
+const MAX_COMPANIONS: usize = 2;
 
 /// Reports of an end of the same target within this time are about one end. A target needs several
 /// seconds to restart.
--- a/routing/src/plan.rs
+++ b/routing/src/plan.rs
@@ -12,8 +12,8 @@
 use crate::picker::{Alternatives, PickedTarget, TargetPicker};
 use crate::routes::RequestKind;
 
-/// A request is given up after this many attempts that did not reach a target. An attempt that may
-/// have run resets the count.
+/// A request is given up after this many attempts that nodes refused. An attempt that may have run
+/// resets the count.
 const MAX_REFUSALS: u32 = 4;
 
 /// A request is given up after this many attempts that ended at a node that cannot be reached, or at
--- a/sidecar/src/note.rs
+++ b/sidecar/src/note.rs
@@ -68,12 +68,12 @@
     Rejected,
     /// Not executed: it could not be sent to the target.
     NotSent,
-    /// Not executed: the target is down.
-    Down,
     /// The target may have executed it.
     Lost,
     /// Not executed: the node is stopping and might break it off.
     Stopping,
+    /// Not executed: the target is down.
+    Down,
 }
 
 /// Outcome of a call and load of the target, sent by the target's node. Times are in ms.
--- a/sidecar/src/peer.rs
+++ b/sidecar/src/peer.rs
@@ -102,6 +102,13 @@
             ClockSpan::ZERO,
         ));
     }
+    if state.local_target.outage.is_down() {
+        return reply_response(state.local_target.reply(
+            &note.route,
+            ReplyEnd::Down,
+            ClockSpan::ZERO,
+        ));
+    }
     let incoming_body = match state.local_target.admit_body(&note) {
         Ok(incoming_body) => incoming_body,
         Err((end, retry_after)) => {
