--- a/sidecar/src/crashes.rs
+++ b/sidecar/src/crashes.rs
@@ -109,6 +109,9 @@
     let requests = note.requests(MAX_REPORTED_REQUESTS);
     let evidence = lock(&state.crashes).record_end(now, &outage.target, &requests);
     // The node beside the target has logged the end.
+    if evidence.suspect().is_none() {
+        log::debug!(target = &*outage.target, running = requests.len(); "end of a target reported");
+    }
     let level = if evidence.quarantined > 0 { log::Level::Info } else { log::Level::Debug };
     log_suspect(&outage.target, &evidence, level);
 }
--- a/sidecar/tests/outage.rs
+++ b/sidecar/tests/outage.rs
@@ -2,6 +2,7 @@
 
 mod mesh;
 
+use std::sync::Mutex;
 use std::time::Duration;
 
 use async_std::task;
@@ -9,6 +10,30 @@
 
 use mesh::{Mesh, TestCall, eventually};
 
+/// Keeps the texts of all log lines of the nodes, which run in this process.
+struct LineLog(Mutex<Vec<String>>);
+
+static LINES: LineLog = LineLog(Mutex::new(Vec::new()));
+
+impl log::Log for LineLog {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        self.0.lock().expect("no panic while it is locked").push(record.args().to_string());
+    }
+
+    fn flush(&self) {}
+}
+
+impl LineLog {
+    fn count(&self, text: &str) -> usize {
+        let lines = self.0.lock().expect("no panic while it is locked");
+        lines.iter().filter(|line| line.starts_with(text)).count()
+    }
+}
+
 /// Returns the sum of a node's counters whose line starts with `name` and contains `label`.
 async fn counter(mesh: &Mesh, node: usize, name: &str, label: &str) -> u64 {
     let response = mesh.send_to_ready_port(node, "/metrics").await.expect("a response");
@@ -31,10 +56,12 @@
 }
 
 /// Guards against a target that ends with many calls at work and takes further calls with it: each
-/// node learns of the end at once, sends the target none until it is back, and holds none of the
-/// requests that were at work.
+/// node learns of the end from one message, sends the target none until it is back, and holds none of
+/// the requests that were at work. Also guards against log lines for each of them.
 #[test]
 fn target_that_ends_gets_no_calls_until_it_is_back() {
+    log::set_logger(&LINES).expect("the only logger");
+    log::set_max_level(log::LevelFilter::Debug);
     task::block_on(async {
         let mesh = Mesh::start(&["alpha", "beta", "beta", "gamma"]).await;
         for index in 0..20 {
@@ -62,6 +89,11 @@
             application.set_processing_time(Duration::ZERO);
         }
         assert_eq!(ends(&mesh, 1).await, 1, "one end was recorded several times");
+        assert!(LINES.count("exchange with the target failed") >= 3);
+        eventually("all others get the message", async || {
+            LINES.count("end of a target reported") >= 3
+        })
+        .await;
 
         let (received, before) = (ended.request_count(), down_attempts(&mesh).await);
         for round in 0..3 {
@@ -87,6 +119,9 @@
             .await;
         }
         assert_eq!(ends(&mesh, 1).await, 1);
+        assert_eq!(LINES.count("end of a target reported"), 3, "one message for each other node");
+        assert_eq!(LINES.count("cannot connect to the target"), 1);
+        assert_eq!(LINES.count("request crashed a target"), 0, "one end makes none suspect");
         assert_eq!(counter(&mesh, 0, "fescuestack_held_requests", "").await, 0);
     });
 }
--- a/sidecar/tests/path.rs
+++ b/sidecar/tests/path.rs
@@ -371,6 +371,45 @@
     });
 }
 
+/// Guards against sending a request on that crashes targets, because other requests were at work
+/// there each time.
+#[test]
+fn crashing_request_is_blocked_among_others() {
+    task::block_on(async {
+        let mesh = Mesh::start(&["alpha", "beta", "beta", "beta", "beta"]).await;
+        for node in &mesh.nodes {
+            node.application.set_crash_body("crash");
+            node.application.set_processing_time(Duration::from_millis(300));
+        }
+        let crashing = TestCall::post("x", "/b/pay/", b"crash");
+        let crashes = || {
+            let runs = mesh.nodes.iter().flat_map(|node| node.application.runs());
+            runs.filter(|run| run.request_line.starts_with("POST")).count()
+        };
+        for round in 0..3 {
+            let mut others = Vec::new();
+            for index in 0..12 {
+                let mut connection = mesh.connect(0).await.expect("a node");
+                let call =
+                    TestCall::get(&format!("o{round}-{index}"), &format!("/b/{round}/{index}"));
+                others.push(task::spawn(async move {
+                    connection.exchange(&call.request(), None).await
+                }));
+            }
+            task::sleep(Duration::from_millis(100)).await;
+            assert_eq!(mesh.send(0, &crashing).await.expect("a response").status, 502);
+            for other in others {
+                other.await.expect("each request is answered");
+            }
+        }
+        assert_eq!(crashes(), 3);
+        for node in 0..2 {
+            assert_eq!(mesh.send(node, &crashing).await.expect("a response").status, 503);
+        }
+        assert_eq!(crashes(), 3, "the request was sent to a target after its third crash");
+    });
+}
+
 /// Guards against a node that has started after the crashes and sends the request on: at once, when
 /// the node beside the target still knows of them, and later, when all of those have been replaced.
 #[test]
