Charge a retry that reaches no target once

A retry was charged for each attempt, also if the node or the target was down. A call that waits in the queue of a target that has ended is refused without another connection attempt, and the return is reported for the listed target.

Tests of routing and sidecar pass.

--- a/routing/src/plan.rs
+++ b/routing/src/plan.rs
@@ -143,6 +143,8 @@
     refusals: u32,
     /// Number of attempts that found no node or no target.
     unreached: u32,
+    /// Whether the next retry is charged already, because the last one reached no target.
+    retry_charged: bool,
     /// Whether a node of another data centre has refused the request. That node was selected for
     /// its free capacity, so other nodes are unlikely to have any.
     refused_remotely: bool,
@@ -163,6 +165,7 @@
             deliveries: 0,
             refusals: 0,
             unreached: 0,
+            retry_charged: false,
             refused_remotely: false,
             may_have_run: false,
             answered: false,
@@ -213,6 +216,7 @@
                 self.update_retry_after(retry_after);
             }
         }
+        self.retry_charged &= matches!(end, AttemptEnd::NotSent | AttemptEnd::Down);
         self.last_end = Some(end);
     }
 
@@ -254,9 +258,10 @@
         let choice = picker.pick(now, call, &self.tried);
         let Some(target) = choice else { return self.give_up() };
         // A retry is charged when it is sent, even if the node next to the target then refuses it.
-        if is_retry && !budget.try_spend(self.may_have_run) {
+        if is_retry && !self.retry_charged && !budget.try_spend(self.may_have_run) {
             return self.give_up();
         }
+        self.retry_charged = is_retry;
         if self.last_end.is_none() {
             budget.record_call(allowance);
         }
--- a/routing/tests/outage.rs
+++ b/routing/tests/outage.rs
@@ -262,3 +262,30 @@
         }
     }
 }
+
+/// Guards against retries that use up the budget of the fleet at targets that are down.
+#[test]
+fn retry_that_reaches_no_target_is_charged_once() {
+    let mut picker = TargetPicker::new("here".into(), 1);
+    for host in 1..=8 {
+        picker.insert(NOW, &listing(&format!("t{host}"), host, 1));
+    }
+    let allowance = RetryAllowance::new(0.2, 60.0, 3);
+    let mut budget = RetryBudget::new();
+    // The tokens of one retry of a request that may have run.
+    while !budget.clone().try_spend(true) {
+        budget.record_call(allowance);
+    }
+    let mut plan =
+        CallPlan::new(CallParams { kind: RequestKind::Idempotent, max_attempts: 3, ..call() });
+    let mut next_step = |plan: &mut CallPlan| {
+        plan.next_step(NOW, &mut picker, &mut budget, RetryAllowance::new(0.0, 60.0, 3))
+    };
+    assert!(matches!(next_step(&mut plan), PlanStep::Send { .. }));
+    plan.record_end(AttemptEnd::Lost);
+    for end in [AttemptEnd::Down, AttemptEnd::NotSent, AttemptEnd::Down, AttemptEnd::Lost] {
+        assert!(matches!(next_step(&mut plan), PlanStep::Send { .. }), "before {end:?}");
+        plan.record_end(end);
+    }
+    assert_eq!(next_step(&mut plan), PlanStep::Fail, "a further retry was not charged");
+}
--- a/sidecar/src/down.rs
+++ b/sidecar/src/down.rs
@@ -20,7 +20,8 @@
 /// The target beside the node has ended or is back.
 #[derive(Debug)]
 pub(crate) struct OutageEvent {
-    /// Id of the target for which the failed call was meant.
+    /// Id of the target: at an end, the one for which the failed call was meant, and at a return the
+    /// one that is listed by then, if there is one.
     pub(crate) target: Arc<str>,
     /// Start time of the target as listed, if the listed target has this id.
     pub(crate) started_ms: Option<u64>,
@@ -154,18 +155,24 @@
         let Some(local_target) = local_target.upgrade() else { return };
         let watch = local_target.outage.clone();
         let reason = local_target.probe().await.err().map(|err| err.to_string());
-        let started_ms = local_target.listed_start(&id);
+        let listed = local_target.listed();
         let (change, notice, delay) = {
             let mut tracker = lock(&watch.tracker);
             let change = tracker.record_probe(reason.is_none());
             (change, tracker.notice(), tracker.probe_delay())
         };
         if let Some(change) = change {
-            let requests = match change {
-                OutageChange::Ended => watch.sent_requests(),
-                OutageChange::Back => Vec::new(),
+            let (listed, requests) = match change {
+                OutageChange::Ended => {
+                    (listed.filter(|(listed_id, _)| *listed_id == id), watch.sent_requests())
+                }
+                OutageChange::Back => (listed, Vec::new()),
             };
-            let (target, reason) = (id.clone(), reason.unwrap_or_default());
+            let (target, started_ms) = match listed {
+                Some((target, started_ms)) => (target, Some(started_ms)),
+                None => (id.clone(), None),
+            };
+            let reason = reason.unwrap_or_default();
             watch.report(OutageEvent { target, started_ms, notice, requests, reason });
         }
         watch.probed.notify(usize::MAX);
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -394,14 +394,15 @@
             let wait = ClockSpan::new(reply.retry_after);
             picker.record_refusal(now, &self.target.id, route.priority, wait);
         }
-        picker.record_outage(
-            now,
-            &KnownOutage {
-                target: self.target.id.clone(),
-                started_ms: Some(self.target.started_ms),
-                notice: reply.outage,
-            },
-        );
+        let outage = KnownOutage {
+            target: self.target.id.clone(),
+            started_ms: Some(self.target.started_ms),
+            notice: reply.outage,
+        };
+        if picker.record_outage(now, &outage) {
+            log::debug!(target = &*outage.target, down = outage.notice.is_down;
+                "outage of a target learned from a reply");
+        }
         if reply.target_leaving && picker.record_departure(now, self.target) {
             log::info!(target = &*self.target.id; "target is leaving, as it has stated itself");
         }
--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -199,6 +199,9 @@
             return self.reply(&note.route, ReplyEnd::Down, ClockSpan::ZERO);
         }
         let ticket = match self.acquire_slot(now, note).await {
+            Ok(_) if self.outage.is_down() => {
+                return self.reply(&note.route, ReplyEnd::Down, ClockSpan::ZERO);
+            }
             Ok(ticket) => ticket,
             Err(_) if self.is_leaving() => return self.leaving_reply(note),
             Err((end, retry_after)) => return self.reply(&note.route, end, retry_after),
@@ -258,14 +261,9 @@
         ExchangeConnection::open(address, CRASH_PROBE_TIMEOUT).await.map(drop)
     }
 
-    /// Returns the start time of the listed target if its id is `id`.
-    pub(crate) fn listed_start(&self, id: &str) -> Option<u64> {
-        let state = lock(&self.state);
-        state
-            .listed
-            .as_ref()
-            .filter(|(listed, _)| **listed == *id)
-            .map(|(_, started_ms)| *started_ms)
+    /// Returns the id and the start time of the listed target.
+    pub(crate) fn listed(&self) -> Option<(Arc<str>, u64)> {
+        lock(&self.state).listed.clone()
     }
 
     /// Whether the target is known to have another id than `id`.
