--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -215,6 +215,9 @@
             return self.reply(&note.route, ReplyEnd::Down, ClockSpan::ZERO);
         }
         let ticket = match self.acquire_slot(now, note).await {
+            Ok(_) if self.outage.is_down() => {
+                return self.reply(&note.route, ReplyEnd::Down, ClockSpan::ZERO);
+            }
             Ok(ticket) => ticket,
             Err(_) if self.is_leaving() => return self.leaving_reply(note),
             Err((end, retry_after)) => return self.reply(&note.route, end, retry_after),
@@ -277,19 +280,9 @@
         result
     }
 
-    /// Returns the id of the listed target.
-    pub(crate) fn listed_id(&self) -> Option<Arc<str>> {
-        lock(&self.state).listed.as_ref().map(|(id, _)| id.clone())
-    }
-
-    /// Returns the start time of the listed target if its id is `id`.
-    pub(crate) fn listed_start(&self, id: &str) -> Option<u64> {
-        let state = lock(&self.state);
-        state
-            .listed
-            .as_ref()
-            .filter(|(listed, _)| **listed == *id)
-            .map(|(_, started_ms)| *started_ms)
+    /// Returns the id and the start time of the listed target.
+    pub(crate) fn listed(&self) -> Option<(Arc<str>, u64)> {
+        lock(&self.state).listed.clone()
     }
 
     /// Records whether a connection to the target could be opened. A target that was down is cold when
--- a/sidecar/src/warmth.rs
+++ b/sidecar/src/warmth.rs
@@ -212,7 +212,7 @@
             Some(Ok(response)) => response,
             Some(Err(err)) => {
                 log::info!(reason = err.to_string().as_str(); "health check of the target failed");
-                if let Some(id) = self.listed_id() {
+                if let Some((id, _)) = self.listed() {
                     confirm_outage(self, &id).await;
                 }
                 return false;
