Send nothing to evacuated data centres

Nodes ignored op/evacuate/ZONE in the store, so that 14,086 requests reached evacuated targets on the 65-VM deployment.

TargetPicker leaves out the targets of data centres that the store's content asks to evacuate. The node beside such a target closes its queue and refuses calls of nodes that are behind with ReplyEnd::Evacuated, which counts as an attempt that did not reach a target; the sender avoids the data centre for 1 s. Running calls end. Taken back, the targets count as cold until they state otherwise. An evacuation that a restored store lacks is kept, as nobody has removed it.

The effect on the 65-VM deployment is not measured here.

--- a/operators/src/metrics.rs
+++ b/operators/src/metrics.rs
@@ -48,6 +48,7 @@
     targets: Gauge<u64>,
     target_calls: Gauge<u64>,
     cold_time: Gauge<u64>,
+    evacuated: Gauge<u64>,
 }
 
 impl NodeMetrics {
@@ -74,6 +75,7 @@
         let version = meter.u64_gauge("fescuestack_version").build();
         let targets = meter.u64_gauge("fescuestack_targets").build();
         let target_calls = meter.u64_gauge("fescuestack_target_calls").build();
+        let evacuated = meter.u64_gauge("fescuestack_evacuated").build();
         let cold_time = meter.u64_gauge("fescuestack_target_cold").with_unit("ms").build();
         let _meter_provider = provider;
         Ok(NodeMetrics {
@@ -90,6 +92,7 @@
             targets,
             target_calls,
             cold_time,
+            evacuated,
         })
     }
 
@@ -122,6 +125,11 @@
         self.target_calls.record(waiting.into(), &[KeyValue::new("state", "waiting")]);
     }
 
+    /// Sets the number of evacuated data centres.
+    pub fn record_evacuated(&self, data_centres: usize) {
+        self.evacuated.record(data_centres as u64, &[]);
+    }
+
     /// Sets the time in ms for which the target of the node stays cold.
     pub fn record_cold_time(&self, left_ms: u64) {
         self.cold_time.record(left_ms, &[]);
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -4,6 +4,7 @@
 //! from a seeded generator, so tests can simulate any load or fault deterministically.
 
 mod budget;
+mod evacuation;
 mod held;
 mod intake;
 mod loss;
@@ -22,6 +23,7 @@
 mod warmth;
 
 pub use budget::{RetryAllowance, RetryBudget};
+pub use evacuation::EvacuationSet;
 pub use held::{CrashTracker, KnownCrash, QUARANTINE_DURATION};
 pub use intake::{IngressDecision, IngressLink, LARGE_BODY_BYTES};
 pub use loss::{LatencyBreakdown, LossCause};
--- a/routing/src/picker.rs
+++ b/routing/src/picker.rs
@@ -72,6 +72,14 @@
 /// Lowest share of its usual calls that is offered to a cold target, so that its load gets known.
 const MIN_COLD_SHARE: f64 = 0.05;
 
+/// How long targets count as cold after an evacuation of their data centre, unless they are listed as
+/// cold for longer. The nodes beside them find out meanwhile.
+const EVACUATION_DOUBT: ClockSpan = ClockSpan::new(2_000);
+
+/// How long a data centre is avoided after one of its nodes has refused a call because of an
+/// evacuation. The store's content reaches all nodes within about this time.
+const EVACUATION_HINT_TTL: ClockSpan = ClockSpan::new(1_000);
+
 /// Half-life of the slowdown without reports, so that a slow target is eventually tried again.
 const SLOWDOWN_HALF_LIFE: ClockSpan = ClockSpan::new(3_000);
 
@@ -205,6 +213,11 @@
     /// Start times of the targets that have stated that they are leaving, with the time of the last
     /// statement.
     departures: FxHashMap<Arc<str>, (u64, ClockTime)>,
+    /// Evacuated data centres.
+    evacuated: FxHashSet<Arc<str>>,
+    /// Data centres whose evacuation a node there has reported before the store did, with the time
+    /// until which they are avoided.
+    evacuation_hints: FxHashMap<Arc<str>, ClockTime>,
     /// Calls per second that cold targets accept, for each service where they are limited.
     cold_rates: FxHashMap<Arc<str>, f64>,
     random: Pcg32,
@@ -220,6 +233,8 @@
             route_times: FxHashMap::default(),
             unreachable: FxHashSet::default(),
             departures: FxHashMap::default(),
+            evacuated: FxHashSet::default(),
+            evacuation_hints: FxHashMap::default(),
             cold_rates: FxHashMap::default(),
             random: Pcg32::seed_from_u64(seed),
         }
@@ -296,6 +311,46 @@
         }
     }
 
+    /// Sets whether a data centre is evacuated: its targets are not selected. When that ends, they count
+    /// as cold until their nodes report otherwise. Returns the number of its targets.
+    pub fn set_evacuated(&mut self, now: ClockTime, centre: &Arc<str>, evacuated: bool) -> usize {
+        if evacuated {
+            self.evacuated.insert(centre.clone());
+        } else {
+            self.evacuated.remove(centre);
+            self.evacuation_hints.remove(centre);
+        }
+        let records = self.stats.values_mut().filter(|record| record.entry.data_centre == *centre);
+        let mut count = 0;
+        for record in records {
+            count += 1;
+            if !evacuated {
+                record.warm_from = record.warm_from.max(now + EVACUATION_DOUBT);
+                record.load_reported_at = None;
+            }
+        }
+        count
+    }
+
+    /// Records that the node of a target refused a call because its data centre is evacuated, which this
+    /// node does not know yet or no longer. The other targets there would refuse it, too.
+    pub fn record_evacuation(&mut self, now: ClockTime, id: &str) {
+        if let Some(record) = self.stats.get(id) {
+            let centre = record.entry.data_centre.clone();
+            self.evacuation_hints.insert(centre, now + EVACUATION_HINT_TTL);
+        }
+    }
+
+    /// Returns the number of evacuated data centres.
+    pub fn evacuated_count(&self) -> usize {
+        self.evacuated.len()
+    }
+
+    fn is_evacuated(&self, now: ClockTime, centre: &str) -> bool {
+        self.evacuated.contains(centre)
+            || self.evacuation_hints.get(centre).is_some_and(|until| now < *until)
+    }
+
     /// Returns the VMs of all targets.
     pub fn vms(&self) -> Vec<IpAddr> {
         let mut vms: Vec<_> = self.stats.values().map(|record| record.entry.address.ip()).collect();
@@ -371,7 +426,8 @@
             let reachable = record.is_usable(now)
                 && !record.may_cut_off(now, call.deadline)
                 && !self.unreachable.contains(&record.entry.address.ip())
-                && !self.has_departed(&record.entry);
+                && !self.has_departed(&record.entry)
+                && !self.is_evacuated(now, &record.entry.data_centre);
             reachable.then_some((id, record))
         });
         let cold_rate = self.cold_rates.get(&call.service).copied();
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -369,7 +369,9 @@
             (AttemptEnd::Refused { retry_after }, TargetFeedback::Refused)
         }
         (ReplyEnd::Leaving, _) => (AttemptEnd::Moved, TargetFeedback::Leaving),
-        (ReplyEnd::Stopping, _) => (AttemptEnd::Moved, TargetFeedback::Refused),
+        (ReplyEnd::Stopping | ReplyEnd::Evacuated, _) => {
+            (AttemptEnd::Moved, TargetFeedback::Refused)
+        }
         (ReplyEnd::Gone, _) => (AttemptEnd::Moved, TargetFeedback::Replaced),
         (ReplyEnd::Rejected, _) => (AttemptEnd::Rejected, TargetFeedback::Failed),
         (ReplyEnd::NotSent, _) => (AttemptEnd::NotSent, TargetFeedback::Failed),
@@ -393,6 +395,9 @@
             let wait = ClockSpan::new(reply.retry_after);
             picker.record_refusal(now, &self.target.id, route.priority, wait);
         }
+        if reply.end == ReplyEnd::Evacuated {
+            picker.record_evacuation(now, &self.target.id);
+        }
         if reply.target_leaving && picker.record_departure(now, self.target) {
             log::info!(target = &*self.target.id; "target is leaving, as it has stated itself");
         }
--- a/sidecar/src/follower.rs
+++ b/sidecar/src/follower.rs
@@ -9,11 +9,12 @@
 use fescuestack_core::{ClockSpan, ClockTime};
 use fescuestack_http::{lock, within};
 use fescuestack_platform::{
-    CONFIG_KEY, StoreClient, StoreError, StoreEvent, TARGET_PREFIX, decode_target, target_id,
+    CONFIG_KEY, EVACUATION_PREFIX, StoreClient, StoreError, StoreEvent, TARGET_PREFIX,
+    decode_target, evacuated_data_centre, evacuation_key, target_id,
 };
 use fescuestack_routing::{
-    RetryAllowance, SourceSelector, StorePosition, StoredItem, TargetRegistry, ViewChange,
-    ViewSource,
+    EvacuationSet, RetryAllowance, SourceSelector, StorePosition, StoredItem, TargetRegistry,
+    ViewChange, ViewSource,
 };
 use futures_lite::future;
 use rand::{RngExt, SeedableRng};
@@ -87,6 +88,7 @@
     state: Arc<NodeState>,
     client: StoreClient,
     registry: TargetRegistry,
+    evacuations: EvacuationSet,
     rng: Pcg32,
     /// Time of the last contact with the store or with the followed node.
     last_contact: Option<ClockTime>,
@@ -113,6 +115,7 @@
             ),
             client,
             registry: TargetRegistry::new(),
+            evacuations: EvacuationSet::new(),
             last_contact: None,
             source_selector: SourceSelector::new(own),
             last_sizes_digest: 0,
@@ -315,6 +318,12 @@
             log::info!(era = position.era, revision = position.revision, known_era = known.era,
                 known_revision = known.revision, changes = changes.len();
                 "the store's content is of a new era");
+            let view = lock(&self.state.view);
+            let is_listed = |centre: &str| view.get(&evacuation_key(centre)).is_some();
+            for centre in self.evacuations.record_restore(is_listed) {
+                log::warn!(data_centre = &*centre;
+                    "restored store lacks an evacuation, which is kept");
+            }
         }
         changes
     }
@@ -482,6 +491,12 @@
                 ViewChange::Removed(key) if key.starts_with(TARGET_PREFIX) => {
                     self.remove_target(&key);
                 }
+                ViewChange::Written(key) if key.starts_with(EVACUATION_PREFIX) => {
+                    self.begin_evacuation(&key);
+                }
+                ViewChange::Removed(key) if key.starts_with(EVACUATION_PREFIX) => {
+                    self.end_evacuation(&key);
+                }
                 ViewChange::Written(key) | ViewChange::Removed(key) => {
                     log::debug!(key = &*key; "ignoring unknown key");
                 }
@@ -497,6 +512,25 @@
         }
     }
 
+    fn begin_evacuation(&mut self, key: &str) {
+        let Some(centre) = evacuated_data_centre(key) else { return };
+        if self.evacuations.begin(centre) {
+            let now = self.state.clock.now();
+            let targets = lock(&self.state.routing).picker.set_evacuated(now, &centre.into(), true);
+            log::info!(data_centre = centre, targets = targets; "evacuation has begun");
+        }
+    }
+
+    fn end_evacuation(&mut self, key: &str) {
+        let Some(centre) = evacuated_data_centre(key) else { return };
+        if self.evacuations.end(centre) {
+            let now = self.state.clock.now();
+            let targets =
+                lock(&self.state.routing).picker.set_evacuated(now, &centre.into(), false);
+            log::info!(data_centre = centre, targets = targets; "evacuation has ended");
+        }
+    }
+
     fn apply_target(&mut self, key: &str) {
         let Some(id) = target_id(key) else { return };
         let Some(item) = lock(&self.state.view).get(key).cloned() else { return };
@@ -566,6 +600,8 @@
     fn update_target(&self) {
         let settings = self.state.settings.load();
         let entry = self.registry.find_by_address(settings.target);
+        let is_evacuated = self.evacuations.contains(&settings.data_centre);
+        self.state.local_target.set_evacuated(is_evacuated);
         self.state.local_target.update(settings.target, entry);
         let (ratio, slack) = (settings.retry_budget_ratio, settings.retry_budget_reserve);
         lock(&self.state.routing).allowance =
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -331,10 +331,14 @@
     /// Encodes all metrics in the Prometheus text format.
     pub(crate) fn encode_metrics(&self) -> Result<String, MetricsError> {
         let version = self.routes.load().as_ref().map_or(0, |routes| routes.version);
-        let targets = lock(&self.routing).picker.len();
+        let (targets, evacuated) = {
+            let routing = lock(&self.routing);
+            (routing.picker.len(), routing.picker.evacuated_count())
+        };
         let load = self.local_target.load();
         self.metrics.record_node_state(version, targets, self.store_calls.load(Ordering::Relaxed));
         self.metrics.record_target_queue(load.running, load.queued.total());
+        self.metrics.record_evacuated(evacuated);
         self.metrics.record_cold_time(self.local_target.cold_time_left().millis());
         self.metrics.encode()
     }
--- a/sidecar/src/note.rs
+++ b/sidecar/src/note.rs
@@ -84,6 +84,8 @@
     Lost,
     /// Not executed: the node is stopping and might break it off.
     Stopping,
+    /// Not executed: the target's data centre is evacuated.
+    Evacuated,
 }
 
 /// Outcome of a call and load of the target, sent by the target's node. Times are in ms.
--- a/sidecar/src/peer.rs
+++ b/sidecar/src/peer.rs
@@ -102,6 +102,9 @@
             ClockSpan::ZERO,
         ));
     }
+    if state.local_target.is_evacuated() {
+        return reply_response(state.local_target.evacuated_reply(&note));
+    }
     let incoming_body = match state.local_target.admit_body(&note) {
         Ok(incoming_body) => incoming_body,
         Err((end, retry_after)) => {
--- a/sidecar/src/report.rs
+++ b/sidecar/src/report.rs
@@ -44,6 +44,7 @@
         "source": source,
         "source_age_ms": view_age.map(ClockSpan::millis),
         "targets": lock(&state.routing).picker.len(),
+        "evacuated": lock(&state.routing).picker.evacuated_count(),
         "lost_nodes": state.links.unreachable_vms(),
         "calls": state.active_calls(),
         "target": {"running": load.running, "waiting": load.queued.total(),
--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -82,6 +82,8 @@
     address: SocketAddr,
     pub(crate) queue: SlotQueue,
     pub(crate) warmth: TargetWarmth,
+    /// Whether the target's data centre is evacuated.
+    pub(crate) evacuated: bool,
     /// Id and start time of the target that the platform lists.
     listed: Option<(Arc<str>, u64)>,
     /// Id that the target itself reports, if it differs from the listed one.
@@ -109,6 +111,7 @@
             address,
             queue: SlotQueue::new(1),
             warmth: TargetWarmth::new(clock.now()),
+            evacuated: false,
             listed: None,
             actual_id: None,
             notice: None,
@@ -143,7 +146,9 @@
                 }
                 let is_leaving = state.notice.is_some_and(|notice| notice.is_leaving);
                 state.queue.set_slots(listing.slots);
-                state.queue.set_open(listing.state == TargetState::Ready && !is_leaving);
+                let is_open =
+                    listing.state == TargetState::Ready && !is_leaving && !state.evacuated;
+                state.queue.set_open(is_open);
                 let (warmth, queue) = state.warmth_and_queue();
                 warmth.record_listing(now, listing, queue);
             }
@@ -153,6 +158,21 @@
         state.poll(now);
     }
 
+    /// Sets whether the target's data centre is evacuated. The target then gets no calls, and queued
+    /// ones are refused; running ones end. Followed by an [`update`](Self::update).
+    pub(crate) fn set_evacuated(&self, evacuated: bool) {
+        let now = self.clock.now();
+        let mut state = lock(&self.state);
+        if std::mem::replace(&mut state.evacuated, evacuated) == evacuated {
+            return;
+        }
+        state.queue.set_open(!evacuated);
+        if !evacuated {
+            let (warmth, queue) = state.warmth_and_queue();
+            warmth.record_evacuation_end(now, queue);
+        }
+    }
+
     pub(crate) fn load(&self) -> SlotLoad {
         let ingress_delay = lock(&self.ingress).drain_time();
         SlotLoad { ingress_delay, ..lock(&self.state).queue.load(self.clock.now()) }
@@ -205,9 +225,13 @@
         if !self.stop.allows(deadline) {
             return self.reply(&note.route, ReplyEnd::Stopping, ClockSpan::ZERO);
         }
+        if self.is_evacuated() {
+            return self.evacuated_reply(note);
+        }
         let ticket = match self.acquire_slot(now, note).await {
             Ok(ticket) => ticket,
             Err(_) if self.is_leaving() => return self.leaving_reply(note),
+            Err(_) if self.is_evacuated() => return self.evacuated_reply(note),
             Err((end, retry_after)) => return self.reply(&note.route, end, retry_after),
         };
         let waited = self.clock.now().since(now);
@@ -466,6 +490,11 @@
         }
     }
 
+    /// Whether the target's data centre is evacuated.
+    pub(crate) fn is_evacuated(&self) -> bool {
+        lock(&self.state).evacuated
+    }
+
     /// Whether the target has stated that it is leaving.
     fn is_leaving(&self) -> bool {
         lock(&self.state).notice.is_some_and(|notice| notice.is_leaving)
@@ -477,6 +506,11 @@
         self.reply(&note.route, ReplyEnd::Leaving, ClockSpan::ZERO)
     }
 
+    /// Returns the reply to a call that is refused because of an evacuation.
+    pub(crate) fn evacuated_reply(&self, note: &CallNote) -> TargetReply {
+        self.reply(&note.route, ReplyEnd::Evacuated, ClockSpan::ZERO)
+    }
+
     /// Returns a reply without a response, with the current load of the target and the service time
     /// of `route`.
     pub(crate) fn reply(&self, route: &str, end: ReplyEnd, retry_after: ClockSpan) -> TargetReply {
--- a/sidecar/src/warmth.rs
+++ b/sidecar/src/warmth.rs
@@ -75,6 +75,12 @@
         self.apply(now, queue);
     }
 
+    /// Records that the evacuation of the target's data centre has ended.
+    pub(crate) fn record_evacuation_end(&mut self, now: ClockTime, queue: &mut SlotQueue) {
+        self.tracker.record_doubt(now, ColdCause::EvacuationEnd);
+        self.apply(now, queue);
+    }
+
     /// Records whether a connection to the target could be opened.
     pub(crate) fn record_connection(
         &mut self,
@@ -160,6 +166,9 @@
         let now = self.clock.now();
         let path = {
             let mut state = lock(&self.state);
+            if state.evacuated {
+                return;
+            }
             let tracker = &mut state.warmth.tracker;
             if !tracker.wants_probe(now) || !self.stop.allows(now + PROBE_TIMEOUT) {
                 return;
--- a/sidecar/tests/mesh/mod.rs
+++ b/sidecar/tests/mesh/mod.rs
@@ -86,6 +86,11 @@
     /// Starts a further node, on a VM of its own whose link has `link_mbps` Mbit/s, and lists its
     /// target. Returns at once.
     pub async fn add_node(&mut self, service: &str, link_mbps: f64) {
+        self.add_node_in("here", service, link_mbps).await;
+    }
+
+    /// Like [`Mesh::add_node`], in another data centre.
+    pub async fn add_node_in(&mut self, zone: &'static str, service: &str, link_mbps: f64) {
         let host = self.nodes.len() as u8 + 1;
         let vm = IpAddr::from([127, (std::process::id() % 200) as u8 + 1, self.number, host]);
         let id = format!("t{host}");
@@ -93,7 +98,7 @@
             StandinApplication::start(&id, SocketAddr::new(vm, self.application_port))
                 .await
                 .expect("a loopback address");
-        let record = TargetRecord::new(application.address(), service);
+        let record = TargetRecord::new(application.address(), service).with_zone(zone);
         self.store.put(&target_key(&id), record.value());
         let store = self.store.with_new_address().await.expect("a free port");
         let settings = SettingsEntry {
@@ -111,7 +116,9 @@
             std::process::id(),
             self.number
         ));
-        std::fs::write(&path, settings.value().to_string()).expect("a writable directory");
+        let mut settings = settings.value();
+        settings["self"]["zone"] = json!(zone);
+        std::fs::write(&path, settings.to_string()).expect("a writable directory");
         let (stop, stopping) = async_channel::bounded(1);
         let node = SidecarNode::start(path.clone()).await.expect("free addresses");
         let task = task::spawn(async move {
