--- a/operators/src/metrics.rs
+++ b/operators/src/metrics.rs
@@ -50,6 +50,7 @@
     target_ends: Counter<u64>,
     held_requests: Counter<u64>,
     cold_time: Gauge<u64>,
+    evacuated: Gauge<u64>,
 }
 
 impl NodeMetrics {
@@ -81,6 +82,7 @@
         // Exports them before the first event.
         target_ends.add(0, &[]);
         held_requests.add(0, &[]);
+        let evacuated = meter.u64_gauge("fescuestack_evacuated").build();
         let cold_time = meter.u64_gauge("fescuestack_target_cold").with_unit("ms").build();
         let _meter_provider = provider;
         Ok(NodeMetrics {
@@ -99,6 +101,7 @@
             target_ends,
             held_requests,
             cold_time,
+            evacuated,
         })
     }
 
@@ -141,6 +144,11 @@
         self.held_requests.add(1, &[]);
     }
 
+    /// Sets the number of evacuated data centres.
+    pub fn record_evacuated(&self, data_centres: usize) {
+        self.evacuated.record(data_centres as u64, &[]);
+    }
+
     /// Sets the time in ms for which the target of the node stays cold.
     pub fn record_cold_time(&self, left_ms: u64) {
         self.cold_time.record(left_ms, &[]);
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -4,6 +4,7 @@
 //! from a seeded generator, so tests can simulate any load or fault deterministically.
 
 mod budget;
+mod evacuation;
 mod held;
 mod intake;
 mod loss;
@@ -23,6 +24,7 @@
 mod warmth;
 
 pub use budget::{RetryAllowance, RetryBudget};
+pub use evacuation::EvacuationSet;
 pub use held::{CrashTracker, EndEvidence, KnownEnd, MAX_REPORTED_REQUESTS, QUARANTINE_DURATION};
 pub use intake::{IngressDecision, IngressLink, LARGE_BODY_BYTES};
 pub use loss::{LatencyBreakdown, LossCause};
--- a/sidecar/src/note.rs
+++ b/sidecar/src/note.rs
@@ -88,6 +88,8 @@
     Stopping,
     /// Not executed: the target is down.
     Down,
+    /// Not executed: the target's data centre is evacuated.
+    Evacuated,
 }
 
 /// Outcome of a call and load of the target, sent by the target's node. Times are in ms.
