Count no calls that a target which is down did not get

Attempts to connect to a target that was down used up what it accepts in its first second back. They no longer count. A health check is taken as of its sending, after the connection was opened: opened first, it was older than the return that the connection itself showed, and a second check followed. A check that a full target rejects is repeated, one that is answered without the header is not. Connections that the target announced to close don't count as closed ahead of time.

--- a/http/src/exchange.rs
+++ b/http/src/exchange.rs
@@ -215,6 +215,11 @@
         self.keep_alive_timeout
     }
 
+    /// Whether the last exchange left the connection open, as far as its messages tell.
+    pub fn is_kept_alive(&self) -> bool {
+        self.reusable && self.buffer.is_empty()
+    }
+
     /// Whether another exchange can start: the last one ended well, the connection is open and
     /// nothing arrived since.
     pub async fn is_reusable(&mut self) -> bool {
--- a/routing/src/pacer.rs
+++ b/routing/src/pacer.rs
@@ -156,9 +156,14 @@
         if self.cold.is_none() || started_at == now {
             return;
         }
+        self.record_not_sent(started_at);
+        self.sent.push_back(now);
+    }
+
+    /// Records that a call started at `started_at` is not sent.
+    pub(crate) fn record_not_sent(&mut self, started_at: ClockTime) {
         if let Some(index) = self.sent.iter().position(|at| *at == started_at) {
             self.sent.remove(index);
         }
-        self.sent.push_back(now);
     }
 }
--- a/routing/src/slots.rs
+++ b/routing/src/slots.rs
@@ -243,6 +243,13 @@
         }
     }
 
+    /// Records that a call that was started could not be sent to the target.
+    pub fn record_not_sent(&mut self, ticket: SlotTicket) {
+        if let Some(running) = self.running.get(&ticket) {
+            self.pacer.record_not_sent(running.started);
+        }
+    }
+
     /// Whether calls are queued.
     pub fn has_waiting(&self) -> bool {
         !self.waiting.is_empty()
--- a/routing/src/warmth.rs
+++ b/routing/src/warmth.rs
@@ -254,8 +254,8 @@
         self.probed_at = Some(now);
     }
 
-    /// Records the end of a health check, and whether it has told how long the target stays cold.
-    /// Otherwise it is repeated while the target is in doubt.
+    /// Records the end of a health check, and whether the target has answered. Otherwise it is repeated
+    /// while the target is in doubt.
     pub fn end_probe(&mut self, now: ClockTime, answered: bool) {
         self.probe_running = false;
         if !answered && !self.is_down && self.in_doubt_since.is_some() && self.is_cold(now) {
--- a/routing/tests/warmth.rs
+++ b/routing/tests/warmth.rs
@@ -287,6 +287,45 @@
     assert!((1..=8).contains(&count), "{count} calls");
 }
 
+/// Guards against a target that is back after a crash and gets nothing, since the attempts to connect
+/// to it while it was down count.
+#[test]
+fn calls_that_were_not_sent_do_not_count() {
+    let mut queue = SlotQueue::new(9);
+    queue.set_cold_limit(START, Some(ColdLimit { calls_per_second: 18, until: after(6_000) }));
+    let mut sent = 0;
+    for now in (2_000..3_000).step_by(20) {
+        let time = after(now);
+        let call = QueuedCall {
+            route: "r".into(),
+            priority: 0,
+            soft_deadline: time + ClockSpan::new(5_000),
+            deadline: time + ClockSpan::new(5_000),
+            max_wait: ClockSpan::ZERO,
+        };
+        let mut started = match queue.arrive(time, call) {
+            AdmissionDecision::Run(ticket) => vec![ticket],
+            _ => Vec::new(),
+        };
+        let mut actions = Vec::new();
+        queue.poll(time, &mut actions);
+        started.extend(actions.into_iter().filter_map(|action| match action {
+            SlotAction::Run(ticket) => Some(ticket),
+            SlotAction::Refuse { .. } => None,
+        }));
+        for ticket in started {
+            if now < 2_500 {
+                queue.record_not_sent(ticket);
+            } else {
+                sent += 1;
+            }
+            queue.finish(time, ticket, CallEnd::Aborted);
+        }
+    }
+    // Half of 18, or one less where the half-second begins between two calls.
+    assert!((8..=18).contains(&sent), "{sent} calls in half a second");
+}
+
 /// Guards against all nodes rushing to listed cold targets, which look idle as long as nothing is
 /// reported of them, and against cold targets that get nothing.
 #[test]
--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -260,6 +260,7 @@
             Err(ExchangeError::NotSent { source }) => {
                 log::info!(target = &*note.target, reason = source.to_string().as_str();
                     "cannot connect to the target");
+                lock(&self.state).queue.record_not_sent(ticket.ticket);
                 (ReplyEnd::NotSent, None)
             }
             Err(err) => {
@@ -414,8 +415,8 @@
             .headers
             .get(&REQUEST_ID)
             .map(|value| ResponseTag { name: REQUEST_ID, value: value.clone() });
-        let asked_at = self.clock.now();
-        let response = self.exchange_once(ticket, note.idempotent, request, tag.as_ref()).await?;
+        let (asked_at, response) =
+            self.exchange_once(ticket, note.idempotent, request, tag.as_ref()).await?;
         if response.status != WRONG_INSTANCE {
             self.record_notice(note, &response);
             let mut state = lock(&self.state);
@@ -426,26 +427,28 @@
         Ok(response)
     }
 
-    /// Sends a request on a connection to the target, which is kept for further ones.
+    /// Sends a request on a connection to the target, which is kept for further ones. Returns the time
+    /// of sending and the response.
     pub(crate) async fn exchange_once(
         &self,
         ticket: &SlotGuard,
         idempotent: bool,
         request: &BufferedRequest,
         tag: Option<&ResponseTag>,
-    ) -> Result<BufferedResponse, ExchangeError> {
+    ) -> Result<(ClockTime, BufferedResponse), ExchangeError> {
         let mut connection = self.connection(idempotent).await?;
+        let sent_at = self.clock.now();
         {
             let mut state = lock(&self.state);
             state.sent_since_notice += 1;
-            state.queue.record_sent(self.clock.now(), ticket.ticket);
+            state.queue.record_sent(sent_at, ticket.ticket);
         }
         let response = connection.exchange(request, tag).await?;
         let mut state = lock(&self.state);
         if state.idle.len() < MAX_IDLE_CONNECTIONS {
             state.idle.push(connection);
         }
-        Ok(response)
+        Ok((sent_at, response))
     }
 
     /// Returns the most recently used idle connection that can be reused, or a new one. Drops idle
@@ -483,10 +486,11 @@
             if connection.idle_time() >= max_idle {
                 continue;
             }
+            let was_kept_alive = connection.is_kept_alive();
             if connection.is_reusable().await {
                 return Ok(connection);
             }
-            closed_early += 1;
+            closed_early += u32::from(was_kept_alive);
         }
     }
 
--- a/sidecar/src/warmth.rs
+++ b/sidecar/src/warmth.rs
@@ -7,6 +7,7 @@
 use fescuestack_core::{ClockSpan, ClockTime};
 use fescuestack_http::{BufferedRequest, ExchangeError, lock, within};
 use fescuestack_platform::decode_cold_time;
+use fescuestack_platform::headers::NOT_EXECUTED;
 use fescuestack_routing::{ColdCause, ColdTracker, SlotQueue, TargetListing, WarmupRule};
 use http::header::HOST;
 use http::{HeaderMap, HeaderValue, Method};
@@ -178,14 +179,14 @@
         };
         let local_target = self.clone();
         async_std::task::spawn(async move {
-            let stated = local_target.probe(&path).await;
+            let answered = local_target.probe(&path).await;
             let now = local_target.clock.now();
-            lock(&local_target.state).warmth.tracker.end_probe(now, stated);
+            lock(&local_target.state).warmth.tracker.end_probe(now, answered);
         });
     }
 
-    /// Asks the target for how long it stays cold, in a slot like any call. Returns whether it stated
-    /// that.
+    /// Asks the target for how long it stays cold, in a slot like any call. Returns whether it has
+    /// answered.
     async fn probe(self: &Arc<Self>, path: &str) -> bool {
         let timeout = PROBE_TIMEOUT.millis();
         let note = CallNote {
@@ -213,11 +214,10 @@
             headers,
             body: Bytes::new(),
         };
-        let asked_at = self.clock.now();
         let timeout = Duration::from_millis(timeout);
         let result = within(timeout, self.exchange_once(&ticket, true, &request, None)).await;
-        let response = match result {
-            Some(Ok(response)) => response,
+        let (asked_at, response) = match result {
+            Some(Ok(answer)) => answer,
             Some(Err(err)) => {
                 log::info!(reason = err.to_string().as_str(); "health check of the target failed");
                 if !matches!(err, ExchangeError::NotSent { .. }) {
@@ -237,6 +237,6 @@
         log::info!(status = response.status.as_u16(), stated = stated,
             left_ms = warmth.time_left(now).millis(); "health check of the target");
         state.poll(now);
-        stated
+        stated || !response.headers.contains_key(&NOT_EXECUTED)
     }
 }
