Treat calls of runs with the priority of their run

A run passes on the time that it has left, and the node took that for the remaining time of a caller that had been refused before: such a call missed its soft deadline on arrival, and was queued behind all others and refused early.

The node beside a target now knows the deadlines of its runs and learns from them which routes runs call (routing/src/calls.rs). A call of a run has the priority of the run and counts as new. At a queue, calls of runs alternate with calls of clients that are as urgent, and get one start in eight ahead of more urgent ones (routing/src/slots.rs). Where no run calls, all decisions are as before.

--- a/operators/src/metrics.rs
+++ b/operators/src/metrics.rs
@@ -43,6 +43,7 @@
     installed_versions: Counter<u64>,
     dropped_records: Counter<u64>,
     attempts: Counter<u64>,
+    run_calls: Counter<u64>,
     store_calls: Gauge<u64>,
     version: Gauge<u64>,
     targets: Gauge<u64>,
@@ -69,6 +70,7 @@
         let installed_versions = meter.u64_counter("fescuestack_versions_installed").build();
         let dropped_records = meter.u64_counter("fescuestack_records_dropped").build();
         let attempts = meter.u64_counter("fescuestack_attempts").build();
+        let run_calls = meter.u64_counter("fescuestack_run_calls").build();
         let store_calls = meter.u64_gauge("fescuestack_store_calls").build();
         let version = meter.u64_gauge("fescuestack_version").build();
         let targets = meter.u64_gauge("fescuestack_targets").build();
@@ -83,6 +85,7 @@
             installed_versions,
             dropped_records,
             attempts,
+            run_calls,
             store_calls,
             version,
             targets,
@@ -105,6 +108,13 @@
         self.attempts.add(1, &[service, KeyValue::new("end", end)]);
     }
 
+    /// Counts a call to `route` that a run of `run_route` made, by its result.
+    pub fn record_run_call(&self, run_route: &str, route: &str, end: &'static str) {
+        let run_route = KeyValue::new("run_route", run_route.to_owned());
+        let route = KeyValue::new("route", route.to_owned());
+        self.run_calls.add(1, &[run_route, route, KeyValue::new("end", end)]);
+    }
+
     /// Sets the active version, the number of known targets and the number of calls made to the store of the
     /// platform so far.
     pub fn record_node_state(&self, version: u64, targets: usize, store_calls: u64) {
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -4,6 +4,7 @@
 //! from a seeded generator, so tests can simulate any load or fault deterministically.
 
 mod budget;
+mod calls;
 mod held;
 mod intake;
 mod loss;
@@ -21,6 +22,7 @@
 mod waits;
 
 pub use budget::{RetryAllowance, RetryBudget};
+pub use calls::{CallNeed, CallProfile, CallingRun, RunId};
 pub use held::{CrashTracker, KnownCrash, QUARANTINE_DURATION};
 pub use intake::{IngressDecision, IngressLink, LARGE_BODY_BYTES};
 pub use loss::{LatencyBreakdown, LossCause};
@@ -33,7 +35,7 @@
 pub use routes::{ClientLimits, RequestKind, RouteRule, RouteTable, ServiceRule, WeightedService};
 pub use silence::{LINK_CHECK_INTERVAL, LinkHealth, LinkMonitor, LinkTimeouts};
 pub use slots::{
-    AdmissionDecision, CallEnd, QueuedCall, SlotAction, SlotLoad, SlotQueue, SlotTicket,
+    AdmissionDecision, CallEnd, CallOrigin, QueuedCall, SlotAction, SlotLoad, SlotQueue, SlotTicket,
 };
 pub use stop::{READINESS_NOTICE_TIME, StopSchedule};
 pub use view::{StorePosition, StoreView, StoredItem, ViewChange};
--- a/routing/src/slots.rs
+++ b/routing/src/slots.rs
@@ -6,6 +6,7 @@
 //! three times the capacity. Accepted calls then still meet their soft deadline, and refused
 //! callers are told immediately when to retry.
 
+use std::cmp::Ordering;
 use std::sync::Arc;
 
 use fescuestack_core::{ClockSpan, ClockTime};
@@ -59,6 +60,13 @@
 /// Half-life of the average of a route after that time.
 const ROUTE_TIME_HALF_LIFE: ClockSpan = ClockSpan::new(1_000);
 
+/// Starts of clients' calls between two calls of runs that are as urgent. The run already occupies a slot elsewhere, but clients keep half of the starts.
+const EQUAL_STARTS: u32 = 1;
+
+/// The same ahead of calls that are more urgent. One start in eight keeps runs from being starved of
+/// their calls, and costs the more urgent calls little.
+const URGENT_STARTS: u32 = 7;
+
 /// Identifies a call at its target's node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct SlotTicket(u64);
@@ -78,6 +86,15 @@
     pub max_wait: ClockSpan,
 }
 
+/// Who makes a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallOrigin {
+    /// A client.
+    Client,
+    /// A run at another target, which occupies a slot until the call ends.
+    Run,
+}
+
 /// Decision on a call that arrives.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AdmissionDecision {
@@ -152,6 +169,7 @@
     /// Service time in ms that is assumed if the route has not been measured.
     default_ms: f64,
     call: QueuedCall,
+    origin: CallOrigin,
 }
 
 #[derive(Debug)]
@@ -182,6 +200,7 @@
     last_ticket: u64,
     usage: ClassUsage,
     pacer: CallPacer,
+    run_precedence: RunPrecedence,
 }
 
 impl SlotQueue {
@@ -197,6 +216,7 @@
             last_ticket: 0,
             usage: ClassUsage::default(),
             pacer: CallPacer::default(),
+            run_precedence: RunPrecedence::default(),
         }
     }
 
@@ -258,8 +278,19 @@
         self.route_times.get(route).map(|time| ClockSpan::new(time.mean_ms as u64))
     }
 
-    /// Decides on a call that arrives.
+    /// Decides on a call of a client.
     pub fn arrive(&mut self, now: ClockTime, call: QueuedCall) -> AdmissionDecision {
+        self.arrive_from(now, call, CallOrigin::Client)
+    }
+
+    /// Decides on a call that arrives. Calls of runs start before calls of clients that are as
+    /// urgent or less, up to a bounded share of the starts.
+    pub fn arrive_from(
+        &mut self,
+        now: ClockTime,
+        call: QueuedCall,
+        origin: CallOrigin,
+    ) -> AdmissionDecision {
         if !self.accepting {
             return AdmissionDecision::Refuse { retry_after: RETRY_AFTER_MIN };
         }
@@ -271,7 +302,7 @@
             }
             return AdmissionDecision::Run(self.start(now, &call, default_ms));
         }
-        let waiting = WaitingCall { ticket: self.next_ticket(), default_ms, call };
+        let waiting = WaitingCall { ticket: self.next_ticket(), default_ms, call, origin };
         let wait_ms = self.expected_wait(now, &waiting);
         if now + millis(wait_ms + service_ms) > latest_end(&waiting.call) {
             return AdmissionDecision::Refuse { retry_after: self.retry_after(wait_ms) };
@@ -315,6 +346,7 @@
             && let Some(index) = self.next_waiting(now)
         {
             let waiting = self.waiting.swap_remove(index);
+            self.run_precedence.record_start(waiting.origin);
             let class = self.class(now, &waiting.call, waiting.default_ms);
             self.pacer.record_start(now);
             self.running.insert(
@@ -340,14 +372,23 @@
         waiting.sort_by_key(|waiting| self.sort_key(now, waiting));
         let free_in_ms = self.next_free_slot(now);
         let mut ahead_ms = 0.0;
+        let mut run_ahead_ms = 0.0;
         for call in waiting {
             let service_ms = self.service_time(now, &call.call.route, call.default_ms);
             let class = self.class(now, &call.call, call.default_ms);
-            let wait_ms = self.wait_after(now, class, ahead_ms, free_in_ms);
+            let same_origin_ms = match call.origin {
+                CallOrigin::Client => ahead_ms - run_ahead_ms,
+                CallOrigin::Run => run_ahead_ms,
+            };
+            let ahead = TimeAhead { all_ms: ahead_ms, same_origin_ms };
+            let wait_ms = self.shared_wait(now, class, call.origin, ahead, free_in_ms);
             if self.accepting
                 && now + millis(wait_ms + service_ms * MIN_START_FRACTION) <= latest_end(&call.call)
             {
                 ahead_ms += service_ms;
+                if call.origin == CallOrigin::Run {
+                    run_ahead_ms += service_ms;
+                }
                 self.waiting.push(call);
             } else {
                 let retry_after = self.retry_after(wait_ms);
@@ -358,7 +399,18 @@
 
     /// Returns the index of the queued call to start next.
     fn next_waiting(&self, now: ClockTime) -> Option<usize> {
-        (0..self.waiting.len()).min_by_key(|index| self.sort_key(now, &self.waiting[*index]))
+        let first = |origin| {
+            (0..self.waiting.len())
+                .filter(|index| self.waiting[*index].origin == origin)
+                .min_by_key(|index| self.sort_key(now, &self.waiting[*index]))
+        };
+        let (run_call, client_call) = (first(CallOrigin::Run), first(CallOrigin::Client));
+        let (Some(run_index), Some(client_index)) = (run_call, client_call) else {
+            return run_call.or(client_call);
+        };
+        let priority = |index: usize| self.waiting[index].call.priority;
+        let precedes = self.run_precedence.allows(priority(run_index), priority(client_index));
+        Some(if precedes { run_index } else { client_index })
     }
 
     /// Sort key of the queue: by class, then by soft deadline, then by arrival.
@@ -412,21 +464,55 @@
     fn expected_wait(&self, now: ClockTime, call: &WaitingCall) -> f64 {
         let free_in_ms = self.next_free_slot(now);
         let class = self.class(now, &call.call, call.default_ms);
-        let wait_ms = self.wait_after(now, class, self.time_ahead(now, class, call), free_in_ms);
+        let ahead = self.time_ahead(now, class, call);
+        let wait_ms = self.shared_wait(now, class, call.origin, ahead, free_in_ms);
         let start_class = self.class(now + millis(wait_ms), &call.call, call.default_ms);
         if start_class == class {
             return wait_ms;
         }
-        self.wait_after(now, start_class, self.time_ahead(now, start_class, call), free_in_ms)
+        let ahead = self.time_ahead(now, start_class, call);
+        self.shared_wait(now, start_class, call.origin, ahead, free_in_ms)
     }
 
-    /// Service time in ms of the queued calls that run before a call of `class`.
-    fn time_ahead(&self, now: ClockTime, class: CallClass, call: &WaitingCall) -> f64 {
+    /// Service time of the queued calls that run before a call of `class`.
+    fn time_ahead(&self, now: ClockTime, class: CallClass, call: &WaitingCall) -> TimeAhead {
         let sort_key = (class, call.call.soft_deadline, call.ticket);
-        let ahead_ms = self.waiting.iter().filter(|waiting| self.sort_key(now, waiting) < sort_key);
-        ahead_ms
-            .map(|waiting| self.service_time(now, &waiting.call.route, waiting.default_ms))
-            .sum()
+        let mut ahead = TimeAhead { all_ms: 0.0, same_origin_ms: 0.0 };
+        for waiting in self.waiting.iter().filter(|waiting| self.sort_key(now, waiting) < sort_key)
+        {
+            let service_ms = self.service_time(now, &waiting.call.route, waiting.default_ms);
+            ahead.all_ms += service_ms;
+            if waiting.origin == call.origin {
+                ahead.same_origin_ms += service_ms;
+            }
+        }
+        ahead
+    }
+
+    /// Expected time in ms until a call starts. While calls of clients and of runs wait, each of them
+    /// is sure of a share of the starts.
+    fn shared_wait(
+        &self,
+        now: ClockTime,
+        class: CallClass,
+        origin: CallOrigin,
+        ahead: TimeAhead,
+        free_in_ms: f64,
+    ) -> f64 {
+        let wait_ms = self.wait_after(now, class, ahead.all_ms, free_in_ms);
+        let mut others = self.waiting.iter().filter(|waiting| waiting.origin != origin).peekable();
+        if others.peek().is_none() {
+            return wait_ms;
+        }
+        let is_most_urgent = others.all(|waiting| waiting.call.priority >= class.priority);
+        let share = RunPrecedence::share(origin, is_most_urgent);
+        let ahead_ms = ahead.same_origin_ms;
+        let in_share_ms = match origin {
+            _ if share == 0.0 => return wait_ms,
+            CallOrigin::Client => self.wait_after(now, class, ahead_ms / share, free_in_ms / share),
+            CallOrigin::Run => (ahead_ms / self.usable_slots() + free_in_ms) / share,
+        };
+        wait_ms.min(in_share_ms)
     }
 
     /// Expected time in ms until a call of `class` starts, if queued calls of `ahead_ms` run before
@@ -476,6 +562,56 @@
     }
 }
 
+/// Bounds the starts that calls of runs get ahead of calls of clients, so that neither starves the
+/// other.
+#[derive(Debug)]
+struct RunPrecedence {
+    /// Queued calls of clients that have started since the last queued call of a run.
+    client_starts: u32,
+}
+
+impl Default for RunPrecedence {
+    fn default() -> RunPrecedence {
+        RunPrecedence { client_starts: URGENT_STARTS }
+    }
+}
+
+impl RunPrecedence {
+    /// Whether a call of a run starts before a client's call.
+    fn allows(&self, run_priority: u8, client_priority: u8) -> bool {
+        match run_priority.cmp(&client_priority) {
+            Ordering::Less => true,
+            Ordering::Equal => self.client_starts >= EQUAL_STARTS,
+            Ordering::Greater => self.client_starts >= URGENT_STARTS,
+        }
+    }
+
+    /// Records the start of a queued call.
+    fn record_start(&mut self, origin: CallOrigin) {
+        self.client_starts = match origin {
+            CallOrigin::Client => self.client_starts.saturating_add(1),
+            CallOrigin::Run => 0,
+        };
+    }
+
+    /// Share of the starts that calls of an origin get at least while calls of the other one wait.
+    fn share(origin: CallOrigin, is_most_urgent: bool) -> f64 {
+        match (origin, is_most_urgent) {
+            (_, true) => 1.0 / f64::from(1 + EQUAL_STARTS),
+            (CallOrigin::Run, false) => 1.0 / f64::from(1 + URGENT_STARTS),
+            (CallOrigin::Client, false) => 0.0,
+        }
+    }
+}
+
+/// Service time in ms of the queued calls that run before another one.
+#[derive(Debug, Clone, Copy)]
+struct TimeAhead {
+    all_ms: f64,
+    /// The same of calls with the origin of that call alone.
+    same_origin_ms: f64,
+}
+
 /// Recent slot usage of each class.
 #[derive(Debug, Default)]
 struct ClassUsage {
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -9,8 +9,8 @@
 };
 use fescuestack_platform::headers::{CALLER_SERVICE, DEADLINE_MS, EXPECTED_INSTANCE, REQUEST_ID};
 use fescuestack_routing::{
-    AttemptEnd, CallParams, CallPlan, LatencyBreakdown, LossCause, PickedTarget, PlanStep,
-    RateLimit, RouteRule, TargetFeedback,
+    AttemptEnd, CallParams, CallPlan, CallingRun, LatencyBreakdown, LossCause, PickedTarget,
+    PlanStep, RateLimit, RouteRule, TargetFeedback,
 };
 use futures_lite::future;
 use http::header::{CONNECTION, HOST, RETRY_AFTER};
@@ -76,6 +76,8 @@
     /// How the time of the last attempt was spent.
     pub(crate) times: LatencyBreakdown,
     pub(crate) route: Option<Arc<RouteRule>>,
+    /// The run of this VM's target that made the request.
+    pub(crate) run: Option<CallingRun>,
     pub(crate) service: Option<Arc<str>>,
     pub(crate) version: u64,
     /// Targets of all attempts with their outcomes.
@@ -95,6 +97,11 @@
     let outcome = handle_request(&state, request, arrived, &mut watch, &mut trace).await;
     let fault = outcome.as_ref().err().copied();
     record_decisions(&state, id.as_ref(), arrived, fault, &trace);
+    if let (Some(run), Some(route)) = (&trace.run, &trace.route) {
+        state.local_target.record_run_call(run, &route.name, arrived);
+        let end = fault.map_or("answered", EntryFault::label);
+        state.metrics.record_run_call(&run.route, &route.name, end);
+    }
     let mut response = match outcome {
         Ok(response) => {
             trace.times.total = state.clock.now().since(arrived).millis();
@@ -140,7 +147,12 @@
     trace.route = Some(route.clone());
     trace.service = Some(service.clone());
     let client_time_left = client_timeout(&parts.headers);
+    trace.run = client_time_left
+        .and_then(|left| state.local_target.calling_run(&route.name, arrived + left));
+    // A run calls with the time that it has left itself, which does not mean that the call has been
+    // refused before.
     let waited = client_time_left
+        .filter(|_| trace.run.is_none())
         .map(|left| lock(&state.routing).waits.estimate(&route.name, left))
         .unwrap_or_default();
     let left = client_time_left.map_or(route.timeout, |left| left.min(route.timeout));
@@ -166,11 +178,13 @@
     parts.headers.insert(CALLER_SERVICE, caller.map_err(|_| EntryFault::Invalid)?);
     let request = forwarded_request(parts, body);
     let fingerprint = fingerprint(&request);
-    let call = EntryCall { route: route.clone(), deadline, fingerprint, request };
+    let priority = trace.run.as_ref().map_or(route.priority, |run| run.priority);
+    let from_run = trace.run.is_some();
+    let call = EntryCall { route: route.clone(), from_run, deadline, fingerprint, request };
     let plan = CallPlan::new(CallParams {
         service,
         route: route.name.clone(),
-        priority: route.priority,
+        priority,
         kind: route.kind,
         max_attempts: route.max_attempts,
         arrived,
@@ -231,6 +245,8 @@
 /// A request that is sent to targets.
 struct EntryCall {
     route: Arc<RouteRule>,
+    /// Whether a run makes the call.
+    from_run: bool,
     deadline: ClockTime,
     fingerprint: RequestFingerprint,
     request: BufferedRequest,
@@ -270,7 +286,7 @@
                     routing.picker_and_budget(&progress.plan.call().service.clone());
                 let step = progress.plan.next_step(state.clock.now(), picker, budget, allowance);
                 if let PlanStep::Send { target, .. } = &step {
-                    picker.record_sent(&target.id, self.route.priority);
+                    picker.record_sent(&target.id, progress.plan.call().priority);
                 }
                 step
             };
@@ -291,7 +307,8 @@
             let (end, latest) = self.attempt(state, progress, &target, wait_limit).await;
             progress.attempt_running = false;
             log::debug!(request = self.request_id(), target = &*target.id, crosses = target.is_remote,
-                route = &*self.route.name, priority = self.route.priority,
+                route = &*self.route.name, priority = progress.plan.call().priority,
+                from_run = self.from_run,
                 bytes = self.request.body.len(),
                 answer_bytes = latest.as_ref().map_or(0, |response| response.body.len()),
                 end = format!("{end:?}").as_str();
@@ -315,13 +332,14 @@
             target: target.id.clone(),
             slots: target.slots,
             route: self.route.name.clone(),
-            rank: self.route.priority,
+            rank: progress.plan.call().priority,
             idempotent: self.route.kind.is_idempotent(),
             left: self.deadline.since(now).millis(),
             aim_left: progress.plan.call().soft_deadline.since(now).millis(),
             wait_limit: wait_limit.millis(),
             body_bytes: self.request.body.len() as u64,
             rate_limit: target.rate_limit.map(RateLimit::millihertz),
+            from_run: self.from_run,
         };
         let (reply, response) = if state.is_own_vm(target.vm) {
             let reply = run_local(state, &note, self.request.clone()).await;
@@ -335,7 +353,7 @@
                 }
             }
         };
-        guard.report(&self.route, &reply);
+        guard.report(progress.plan.call(), &reply);
         progress.trace.times.queued = reply.waited;
         let (end, feedback) = attempt_end(&reply, response.as_ref());
         guard.feedback = feedback;
@@ -383,14 +401,14 @@
 }
 
 impl AttemptGuard<'_> {
-    fn report(&self, route: &RouteRule, reply: &ReplyNote) {
+    fn report(&self, call: &CallParams, reply: &ReplyNote) {
         let now = self.state.clock.now();
         let picker = &mut lock(&self.state.routing).picker;
-        picker.record_load(now, &self.target.id, &route.name, reply.load());
+        picker.record_load(now, &self.target.id, &call.route, reply.load());
         picker.record_stop(now, &self.target.id, reply.stops_in.map(ClockSpan::new));
         if reply.end == ReplyEnd::Refused {
             let wait = ClockSpan::new(reply.retry_after);
-            picker.record_refusal(now, &self.target.id, route.priority, wait);
+            picker.record_refusal(now, &self.target.id, call.priority, wait);
         }
         if reply.target_leaving && picker.record_departure(now, self.target) {
             log::info!(target = &*self.target.id; "target is leaving, as it has stated itself");
@@ -501,6 +519,7 @@
         version = trace.version,
         route = trace.route.as_ref().map_or("", |route| &*route.name),
         priority = trace.route.as_ref().map_or(0, |route| route.priority),
+        run_route = trace.run.as_ref().map_or("", |run| &*run.route),
         service = trace.service.as_deref().unwrap_or(""),
         attempts = attempts.as_str();
         "request not served"
--- a/sidecar/src/note.rs
+++ b/sidecar/src/note.rs
@@ -47,6 +47,8 @@
     /// Rate limit of the target as the sender knows it, in calls per 1,000 s. The target's node may
     /// have been restarted since the target last stated it.
     pub(crate) rate_limit: Option<u64>,
+    /// Whether a run makes the call.
+    pub(crate) from_run: bool,
 }
 
 /// Outcome of a call at the target's node.
--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -15,8 +15,9 @@
 };
 use fescuestack_platform::{decode_rate_limit, states_departure};
 use fescuestack_routing::{
-    AdmissionDecision, CallEnd, IngressDecision, IngressLink, QueuedCall, RateLimit, SlotAction,
-    SlotLoad, SlotQueue, SlotTicket, TargetListing, TargetNotice, TargetState,
+    AdmissionDecision, CallEnd, CallOrigin, CallProfile, CallingRun, IngressDecision, IngressLink,
+    QueuedCall, RateLimit, RunId, SlotAction, SlotLoad, SlotQueue, SlotTicket, TargetListing,
+    TargetNotice, TargetState,
 };
 use futures_lite::future;
 use http::header::CONTENT_ENCODING;
@@ -75,6 +76,8 @@
 struct LocalTargetState {
     address: SocketAddr,
     queue: SlotQueue,
+    /// Calls that the target's runs make.
+    calls: CallProfile,
     /// Id and start time of the target that the platform lists.
     listed: Option<(Arc<str>, u64)>,
     /// Id that the target itself reports, if it differs from the listed one.
@@ -101,6 +104,7 @@
         let state = LocalTargetState {
             address,
             queue: SlotQueue::new(1),
+            calls: CallProfile::new(),
             listed: None,
             actual_id: None,
             notice: None,
@@ -165,6 +169,18 @@
         }
     }
 
+    /// Returns the run of this target that makes a request, as far as is known. The request arrived
+    /// from this VM and expires at `deadline`.
+    pub(crate) fn calling_run(&self, route: &Arc<str>, deadline: ClockTime) -> Option<CallingRun> {
+        lock(&self.state).calls.record_arrival(self.clock.now(), route, deadline)
+    }
+
+    /// Records the end of a call that `run` made at `arrived`.
+    pub(crate) fn record_run_call(&self, run: &CallingRun, route: &Arc<str>, arrived: ClockTime) {
+        let now = self.clock.now();
+        lock(&self.state).calls.record_call_time(now, run, route, now.since(arrived));
+    }
+
     /// Whether calls wait in the queue.
     pub(crate) fn has_waiting(&self) -> bool {
         lock(&self.state).queue.has_waiting()
@@ -189,7 +205,7 @@
         if !self.stop.allows(deadline) {
             return self.reply(&note.route, ReplyEnd::Stopping, ClockSpan::ZERO);
         }
-        let ticket = match self.acquire_slot(now, note).await {
+        let mut ticket = match self.acquire_slot(now, note).await {
             Ok(ticket) => ticket,
             Err(_) if self.is_leaving() => return self.leaving_reply(note),
             Err((end, retry_after)) => return self.reply(&note.route, end, retry_after),
@@ -204,6 +220,7 @@
         if let Ok(id) = HeaderValue::from_str(&note.target) {
             headers.insert(EXPECTED_INSTANCE, id);
         }
+        ticket.begin_run(note, deadline);
         let timeout = Duration::from_millis(left.millis()) + RESPONSE_GRACE;
         let Some(outcome) = within(timeout, self.exchange(note, &request)).await else {
             // The response would come too late. Closing the connection cancels the call at the
@@ -317,7 +334,8 @@
             {
                 state.queue.set_rate_limit(Some(RateLimit::from_millihertz(limit)));
             }
-            match state.queue.arrive(now, call) {
+            let origin = if note.from_run { CallOrigin::Run } else { CallOrigin::Client };
+            match state.queue.arrive_from(now, call, origin) {
                 AdmissionDecision::Run(ticket) => (ticket, None),
                 AdmissionDecision::Wait(ticket) => (ticket, Some(state.add_waiter(ticket))),
                 AdmissionDecision::Busy => return Err((ReplyEnd::Busy, ClockSpan::ZERO)),
@@ -326,7 +344,7 @@
                 }
             }
         };
-        let guard = SlotGuard { local_target: self.clone(), ticket, ended: false };
+        let guard = SlotGuard { local_target: self.clone(), ticket, run: None, ended: false };
         if let Some(waiter) = waiter {
             // The sender stays in `waiters` until it has sent the result, so the channel does not
             // close earlier.
@@ -490,10 +508,18 @@
 struct SlotGuard {
     local_target: Arc<LocalTarget>,
     ticket: SlotTicket,
+    run: Option<RunId>,
     ended: bool,
 }
 
 impl SlotGuard {
+    /// Records that the target starts to run the call.
+    fn begin_run(&mut self, note: &CallNote, deadline: ClockTime) {
+        let now = self.local_target.clock.now();
+        let calls = &mut lock(&self.local_target.state).calls;
+        self.run = Some(calls.begin_run(now, &note.route, note.rank, deadline));
+    }
+
     fn end(mut self, end: CallEnd) {
         self.free(end);
     }
@@ -505,6 +531,9 @@
         let now = self.local_target.clock.now();
         let mut state = lock(&self.local_target.state);
         state.waiters.remove(&self.ticket);
+        if let Some(run) = self.run.take() {
+            state.calls.end_run(run);
+        }
         state.queue.finish(now, self.ticket, end);
         state.queue.cancel(self.ticket);
         state.poll(now);
