Refuse requests whose runs' calls would be refused

The node beside the calling target limits the requests of a route that the target may hold while calls of the route's runs are refused (routing/src/gate.rs): the limit falls by a factor at refusals and rises as calls are served, one request always passes, and without refusals it expires. Refused requests have not run and are told when to retry. Calls of runs are refused in the same way, so that a shortage at the end of a chain reaches its start.

--- a/operators/src/metrics.rs
+++ b/operators/src/metrics.rs
@@ -44,6 +44,7 @@
     dropped_records: Counter<u64>,
     attempts: Counter<u64>,
     run_calls: Counter<u64>,
+    door_refusals: Counter<u64>,
     store_calls: Gauge<u64>,
     version: Gauge<u64>,
     targets: Gauge<u64>,
@@ -71,6 +72,10 @@
         let dropped_records = meter.u64_counter("fescuestack_records_dropped").build();
         let attempts = meter.u64_counter("fescuestack_attempts").build();
         let run_calls = meter.u64_counter("fescuestack_run_calls").build();
+        let door_refusals = meter.u64_counter("fescuestack_door_refusals").build();
+        // Counters are exported from their first event on, which may never come for these.
+        run_calls.add(0, &[]);
+        door_refusals.add(0, &[]);
         let store_calls = meter.u64_gauge("fescuestack_store_calls").build();
         let version = meter.u64_gauge("fescuestack_version").build();
         let targets = meter.u64_gauge("fescuestack_targets").build();
@@ -86,6 +91,7 @@
             dropped_records,
             attempts,
             run_calls,
+            door_refusals,
             store_calls,
             version,
             targets,
@@ -115,6 +121,14 @@
         self.run_calls.add(1, &[run_route, route, KeyValue::new("end", end)]);
     }
 
+    /// Counts a request for `service` that was refused before it was queued or run, by its priority
+    /// and the reason.
+    pub fn record_door_refusal(&self, service: &str, priority: u8, reason: &'static str) {
+        let service = KeyValue::new("service", service.to_owned());
+        let priority = KeyValue::new("priority", i64::from(priority));
+        self.door_refusals.add(1, &[service, priority, KeyValue::new("reason", reason)]);
+    }
+
     /// Sets the active version, the number of known targets and the number of calls made to the store of the
     /// platform so far.
     pub fn record_node_state(&self, version: u64, targets: usize, store_calls: u64) {
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod budget;
 mod calls;
+mod gate;
 mod held;
 mod intake;
 mod loss;
@@ -23,6 +24,7 @@
 
 pub use budget::{RetryAllowance, RetryBudget};
 pub use calls::{CallNeed, CallProfile, CallingRun, RunId};
+pub use gate::RunGate;
 pub use held::{CrashTracker, KnownCrash, QUARANTINE_DURATION};
 pub use intake::{IngressDecision, IngressLink, LARGE_BODY_BYTES};
 pub use loss::{LatencyBreakdown, LossCause};
--- a/routing/src/slots.rs
+++ b/routing/src/slots.rs
@@ -225,6 +225,11 @@
         self.slots = slots.max(1);
     }
 
+    /// Returns the number of slots.
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
     /// Resets the queue for a new target at the same address. Calls running at the old one no
     /// longer count.
     pub fn reset(&mut self, slots: u32) {
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -23,6 +23,7 @@
 use crate::note::{CallNote, ReplyEnd, ReplyNote};
 use crate::peer::{MEMORY_FULL_RETRY_AFTER, fingerprint, run_local, send_call};
 use crate::report::record_decisions;
+use crate::target::RunCallEnd;
 
 /// When a client should retry while the node has no configuration.
 const NOT_READY_RETRY_AFTER: ClockSpan = ClockSpan::new(300);
@@ -98,9 +99,10 @@
     let fault = outcome.as_ref().err().copied();
     record_decisions(&state, id.as_ref(), arrived, fault, &trace);
     if let (Some(run), Some(route)) = (&trace.run, &trace.route) {
-        state.local_target.record_run_call(run, &route.name, arrived);
-        let end = fault.map_or("answered", EntryFault::label);
-        state.metrics.record_run_call(&run.route, &route.name, end);
+        let end = run_call_end(&outcome, &trace);
+        state.local_target.record_run_call(run, &route.name, arrived, end);
+        let label = fault.map_or("answered", EntryFault::label);
+        state.metrics.record_run_call(&run.route, &route.name, label);
     }
     let mut response = match outcome {
         Ok(response) => {
@@ -354,6 +356,10 @@
             }
         };
         guard.report(progress.plan.call(), &reply);
+        if reply.short_of_calls {
+            let call = progress.plan.call();
+            state.metrics.record_door_refusal(&call.service, call.priority, "calls");
+        }
         progress.trace.times.queued = reply.waited;
         let (end, feedback) = attempt_end(&reply, response.as_ref());
         guard.feedback = feedback;
@@ -462,6 +468,19 @@
     response
 }
 
+/// Determines what the end of a call tells the run that made it.
+fn run_call_end(outcome: &Result<BufferedResponse, EntryFault>, trace: &EntryTrace) -> RunCallEnd {
+    match outcome {
+        Ok(response) if response.status.is_server_error() => RunCallEnd::Other,
+        Ok(_) => RunCallEnd::Answered,
+        Err(fault @ EntryFault::NotRun { .. }) => match fault_cause(*fault, trace) {
+            LossCause::QueueFull | LossCause::TargetRejected => RunCallEnd::Refused,
+            _ => RunCallEnd::Other,
+        },
+        Err(_) => RunCallEnd::Other,
+    }
+}
+
 fn fault_cause(fault: EntryFault, trace: &EntryTrace) -> LossCause {
     match fault {
         EntryFault::Invalid | EntryFault::NoRoute | EntryFault::TooLong | EntryFault::BodyLate => {
--- a/sidecar/src/note.rs
+++ b/sidecar/src/note.rs
@@ -101,6 +101,8 @@
     pub(crate) target_leaving: bool,
     /// After a refusal, the time after which a retry is likely to be accepted.
     pub(crate) retry_after: u64,
+    /// Whether the call was refused because calls of its run would be refused.
+    pub(crate) short_of_calls: bool,
     /// If the node is stopping, the time for which it still runs calls.
     pub(crate) stops_in: Option<u64>,
 }
--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -16,8 +16,8 @@
 use fescuestack_platform::{decode_rate_limit, states_departure};
 use fescuestack_routing::{
     AdmissionDecision, CallEnd, CallOrigin, CallProfile, CallingRun, IngressDecision, IngressLink,
-    QueuedCall, RateLimit, RunId, SlotAction, SlotLoad, SlotQueue, SlotTicket, TargetListing,
-    TargetNotice, TargetState,
+    QueuedCall, RateLimit, RunGate, RunId, SlotAction, SlotLoad, SlotQueue, SlotTicket,
+    TargetListing, TargetNotice, TargetState,
 };
 use futures_lite::future;
 use http::header::CONTENT_ENCODING;
@@ -56,6 +56,16 @@
 /// Number of idle connections that are kept.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
+/// How a call that a run of the target made has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RunCallEnd {
+    Answered,
+    /// Its service had no room for it.
+    Refused,
+    /// It failed for another reason.
+    Other,
+}
+
 /// Result of a call at the target.
 #[derive(Debug)]
 pub(crate) struct TargetReply {
@@ -78,6 +88,8 @@
     queue: SlotQueue,
     /// Calls that the target's runs make.
     calls: CallProfile,
+    /// Limits the runs whose calls are refused.
+    gate: RunGate,
     /// Id and start time of the target that the platform lists.
     listed: Option<(Arc<str>, u64)>,
     /// Id that the target itself reports, if it differs from the listed one.
@@ -105,6 +117,7 @@
             address,
             queue: SlotQueue::new(1),
             calls: CallProfile::new(),
+            gate: RunGate::new(),
             listed: None,
             actual_id: None,
             notice: None,
@@ -176,9 +189,36 @@
     }
 
     /// Records the end of a call that `run` made at `arrived`.
-    pub(crate) fn record_run_call(&self, run: &CallingRun, route: &Arc<str>, arrived: ClockTime) {
+    pub(crate) fn record_run_call(
+        &self,
+        run: &CallingRun,
+        route: &Arc<str>,
+        arrived: ClockTime,
+        end: RunCallEnd,
+    ) {
         let now = self.clock.now();
-        lock(&self.state).calls.record_call_time(now, run, route, now.since(arrived));
+        let mut state = lock(&self.state);
+        state.calls.record_call_time(now, run, route, now.since(arrived));
+        let known = state.gate.limit(&run.route);
+        match end {
+            RunCallEnd::Answered => {
+                let slots = state.queue.slots();
+                state.gate.record_served(&run.route, slots);
+            }
+            RunCallEnd::Refused => {
+                state.gate.record_refused(now, &run.route);
+            }
+            RunCallEnd::Other => (),
+        }
+        let limit = state.gate.limit(&run.route);
+        if known.is_some() != limit.is_some() {
+            let needs = state.calls.needs(&run.route);
+            let need = needs.iter().find(|need| need.route == *route);
+            log::info!(route = &*run.route, called = &**route, limit = limit,
+                calls_per_run = need.map_or(0.0, |need| need.calls_per_run),
+                call_ms = need.map_or(0.0, |need| need.call_time_ms);
+                "limit of runs whose calls are refused changed");
+        }
     }
 
     /// Whether calls wait in the queue.
@@ -205,6 +245,14 @@
         if !self.stop.allows(deadline) {
             return self.reply(&note.route, ReplyEnd::Stopping, ClockSpan::ZERO);
         }
+        let _gate_pass = match self.pass_gate(now, &note.route) {
+            Ok(gate_pass) => gate_pass,
+            Err(retry_after) => {
+                let mut reply = self.reply(&note.route, ReplyEnd::Refused, retry_after);
+                reply.note.short_of_calls = true;
+                return reply;
+            }
+        };
         let mut ticket = match self.acquire_slot(now, note).await {
             Ok(ticket) => ticket,
             Err(_) if self.is_leaving() => return self.leaving_reply(note),
@@ -258,6 +306,19 @@
         TargetReply { response, ..reply }
     }
 
+    /// Admits a call as far as calls of runs of its route are served. Fails with the time after which
+    /// a retry is likely to be admitted.
+    fn pass_gate(
+        self: &Arc<Self>,
+        now: ClockTime,
+        route: &Arc<str>,
+    ) -> Result<GatePass, ClockSpan> {
+        let mut state = lock(&self.state);
+        let run_time = state.queue.route_time(route);
+        state.gate.admit(now, route, run_time)?;
+        Ok(GatePass { local_target: self.clone(), route: route.clone() })
+    }
+
     /// Whether no connection to the target can be opened.
     async fn is_down(&self) -> bool {
         let address = lock(&self.state).address;
@@ -437,6 +498,7 @@
             crashed: false,
             target_leaving: self.is_leaving(),
             retry_after: retry_after.millis(),
+            short_of_calls: false,
             stops_in: self.stop.time_left().map(ClockSpan::millis),
         };
         TargetReply { note, response: None }
@@ -504,6 +566,18 @@
     }
 }
 
+/// A call that the gate of its route has admitted, until it ends or is dropped.
+struct GatePass {
+    local_target: Arc<LocalTarget>,
+    route: Arc<str>,
+}
+
+impl Drop for GatePass {
+    fn drop(&mut self) {
+        lock(&self.local_target.state).gate.release(&self.route);
+    }
+}
+
 /// A place in the queue or a slot of the target. It is freed when the call ends or is dropped.
 struct SlotGuard {
     local_target: Arc<LocalTarget>,
