Refuse requests without a chance where they arrive

Callers who came back were refused again.

Requests pass if a target has reported a free slot or if their caller has waited. Callers that come back before the time that they were told are refused until then (routing/src/repeats.rs); they are told from others by their deadline. The body is read before, so that the refusal reaches the caller. Calls of runs are not refused here.

--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -15,6 +15,8 @@
 mod ranks;
 mod readers;
 mod registry;
+mod repeats;
+mod room;
 mod routes;
 mod silence;
 mod slots;
@@ -34,6 +36,8 @@
 pub use ranks::PriorityCounts;
 pub use readers::{SourceSelector, ViewSource, VmSizes, is_small_vm};
 pub use registry::{TargetListing, TargetNotice, TargetRegistry, TargetState};
+pub use repeats::RepeatGuard;
+pub use room::RoomEstimator;
 pub use routes::{ClientLimits, RequestKind, RouteRule, RouteTable, ServiceRule, WeightedService};
 pub use silence::{LINK_CHECK_INTERVAL, LinkHealth, LinkMonitor, LinkTimeouts};
 pub use slots::{
--- a/routing/src/picker.rs
+++ b/routing/src/picker.rs
@@ -50,6 +50,9 @@
 /// Time after which a load report is outdated.
 const REPORT_TTL: ClockSpan = ClockSpan::new(1_500);
 
+/// Time for which a reported free slot counts as free. Other nodes fill it within a few calls.
+const FREE_SLOT_TTL: ClockSpan = ClockSpan::new(250);
+
 /// Service time in ms that is assumed before the first report.
 const DEFAULT_SERVICE_MS: f64 = 150.0;
 
@@ -391,6 +394,22 @@
         known.is_none_or(|(started_ms, _)| started_ms != target.started_ms)
     }
 
+    /// Whether a target of a service has recently reported a free slot and an empty queue, and has got
+    /// fewer calls from this node since than it has free slots.
+    pub fn has_free_slot(&self, now: ClockTime, service: &str) -> bool {
+        let Some(targets) = self.services.get(service) else { return false };
+        targets.local.iter().chain(&targets.remote).any(|id| {
+            self.stats.get(id).is_some_and(|record| {
+                record.is_usable(now)
+                    && !self.unreachable.contains(&record.entry.address.ip())
+                    && record.load_reported_at.is_some_and(|at| now.since(at) < FREE_SLOT_TTL)
+                    && record.load_report.queued.total() == 0
+                    && record.load_report.running + record.sent_since_report.total()
+                        < record.entry.slots
+            })
+        })
+    }
+
     /// Records that a call was sent.
     pub fn record_sent(&mut self, id: &str, priority: u8) {
         if let Some(record) = self.stats.get_mut(id) {
--- a/routing/src/routes.rs
+++ b/routing/src/routes.rs
@@ -140,13 +140,15 @@
     pub limits: ClientLimits,
     services: FxHashMap<Arc<str>, ServiceRule>,
     hosts: FxHashMap<Box<str>, FxHashMap<Box<str>, Arc<RouteRule>>>,
+    /// Most and least urgent priority of the routes of each service.
+    priorities: FxHashMap<Arc<str>, (u8, u8)>,
 }
 
 impl RouteTable {
     /// Creates a table without routes.
     pub fn new(version: u64, limits: ClientLimits) -> RouteTable {
-        let (services, hosts) = Default::default();
-        RouteTable { version, limits, services, hosts }
+        let (services, hosts, priorities) = Default::default();
+        RouteTable { version, limits, services, hosts, priorities }
     }
 
     /// Adds a service.
@@ -157,6 +159,11 @@
 
     /// Adds a route of `host`.
     pub fn with_route(mut self, host: &str, rule: RouteRule) -> RouteTable {
+        for part in &rule.split {
+            let known = (rule.priority, rule.priority);
+            let range = self.priorities.entry(part.service.clone()).or_insert(known);
+            *range = (range.0.min(rule.priority), range.1.max(rule.priority));
+        }
         let routes = self.hosts.entry(host.to_ascii_lowercase().into()).or_default();
         routes.insert(rule.prefix.clone(), Arc::new(rule));
         self
@@ -177,6 +184,11 @@
         self.services.get(name)
     }
 
+    /// Whether routes of different priority go to a service.
+    pub fn has_competing_routes(&self, service: &str) -> bool {
+        self.priorities.get(service).is_some_and(|(most, least)| most < least)
+    }
+
     /// Returns all services, sorted by name.
     pub fn services(&self) -> Vec<(&str, &ServiceRule)> {
         let mut services: Vec<_> =
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -19,7 +19,7 @@
 
 use crate::crashes::CRASHING_RETRY_AFTER;
 use crate::message::{FullResponse, empty_response, forwarded_request, full_response};
-use crate::node::NodeState;
+use crate::node::{DoorCaller, NodeState};
 use crate::note::{CallNote, ReplyEnd, ReplyNote};
 use crate::peer::{MEMORY_FULL_RETRY_AFTER, fingerprint, run_local, send_call};
 use crate::report::record_decisions;
@@ -79,6 +79,8 @@
     pub(crate) route: Option<Arc<RouteRule>>,
     /// The run of this VM's target that made the request.
     pub(crate) run: Option<CallingRun>,
+    /// The caller, if the request competes with those of other priorities.
+    pub(crate) door_caller: Option<DoorCaller>,
     pub(crate) service: Option<Arc<str>>,
     pub(crate) version: u64,
     /// Targets of all attempts with their outcomes.
@@ -104,6 +106,7 @@
         let label = fault.map_or("answered", EntryFault::label);
         state.metrics.record_run_call(&run.route, &route.name, label);
     }
+    record_shortage(&state, fault, &trace);
     let mut response = match outcome {
         Ok(response) => {
             trace.times.total = state.clock.now().since(arrived).millis();
@@ -175,6 +178,19 @@
         Some(Err(CollectError::ReadFailed { .. })) => return Err(EntryFault::Invalid),
         None => return Err(EntryFault::BodyLate),
     };
+    // A call of a run is not refused here, since that would waste the run. The body has been read, since
+    // a connection that is closed with an unread body may lose the response.
+    if trace.run.is_none() && routes.has_competing_routes(&service) {
+        let caller = DoorCaller::new(&parts, arrived + client_time_left.unwrap_or(left));
+        trace.door_caller = Some(caller);
+        let (class, has_waited) = ((&service, route.priority), !waited.is_zero());
+        let passed = lock(&state.routing).pass_door(state.clock.now(), class, caller, has_waited);
+        if let Err((reason, retry_after)) = passed {
+            trace.cause = Some(LossCause::QueueFull);
+            state.metrics.record_door_refusal(&service, route.priority, reason);
+            return Err(EntryFault::NotRun { retry_after });
+        }
+    }
     parts.headers.remove(&EXPECTED_INSTANCE);
     let caller = HeaderValue::from_str(&state.settings.load().service);
     parts.headers.insert(CALLER_SERVICE, caller.map_err(|_| EntryFault::Invalid)?);
@@ -468,6 +484,20 @@
     response
 }
 
+/// Records that the targets of a service had no room for a request that competes with others.
+fn record_shortage(state: &NodeState, fault: Option<EntryFault>, trace: &EntryTrace) {
+    let Some(fault @ EntryFault::NotRun { retry_after }) = fault else { return };
+    let (Some(caller), Some(service), Some(route)) =
+        (trace.door_caller, &trace.service, &trace.route)
+    else {
+        return;
+    };
+    if !trace.attempts.is_empty() && fault_cause(fault, trace) == LossCause::QueueFull {
+        let class = (service, route.priority);
+        lock(&state.routing).record_shortage(state.clock.now(), class, caller, retry_after);
+    }
+}
+
 /// Determines what the end of a call tells the run that made it.
 fn run_call_end(outcome: &Result<BufferedResponse, EntryFault>, trace: &EntryTrace) -> RunCallEnd {
     match outcome {
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -14,9 +14,11 @@
 use fescuestack_operators::{MetricsError, NodeMetrics, RecentCalls};
 use fescuestack_platform::{SidecarSettings, decode_config};
 use fescuestack_routing::{
-    CallerWaitEstimator, CrashTracker, RetryAllowance, RetryBudget, RouteTable, StorePosition,
-    StoreView, TargetPicker, VmSizes, is_small_vm,
+    CallerWaitEstimator, CrashTracker, RepeatGuard, RetryAllowance, RetryBudget, RoomEstimator,
+    RouteTable, StorePosition, StoreView, TargetPicker, VmSizes, is_small_vm,
 };
+use http::header::HOST;
+use http::request::Parts;
 use http_body_util::Full;
 use rustc_hash::{FxHashMap, FxHasher};
 
@@ -95,15 +97,71 @@
     pub(crate) body: Full<Bytes>,
 }
 
+/// Caller of a request that competes with requests of other priorities.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct DoorCaller {
+    /// Hash of the request, which is the same when the caller repeats it.
+    pub(crate) request: u64,
+    /// Time until which the caller waits, over all of its attempts.
+    pub(crate) deadline: ClockTime,
+}
+
+impl DoorCaller {
+    pub(crate) fn new(parts: &Parts, deadline: ClockTime) -> DoorCaller {
+        let mut hasher = FxHasher::default();
+        (parts.headers.get(HOST), &parts.method, &parts.uri).hash(&mut hasher);
+        DoorCaller { request: hasher.finish(), deadline }
+    }
+}
+
 /// State on which the choice of targets is based.
 pub(crate) struct RoutingState {
     pub(crate) picker: TargetPicker,
     pub(crate) allowance: RetryAllowance,
     pub(crate) waits: CallerWaitEstimator,
+    room: RoomEstimator,
+    repeats: RepeatGuard,
     budgets: FxHashMap<Arc<str>, RetryBudget>,
 }
 
 impl RoutingState {
+    /// Decides whether a request is refused because calls as urgent have no chance at `service`, or
+    /// because its caller has come back too early. Fails with the reason and the time after which the
+    /// caller should retry.
+    pub(crate) fn pass_door(
+        &mut self,
+        now: ClockTime,
+        (service, priority): (&Arc<str>, u8),
+        caller: DoorCaller,
+        has_waited: bool,
+    ) -> Result<(), (&'static str, ClockSpan)> {
+        let picker = &self.picker;
+        let has_free_slot = || picker.has_free_slot(now, service);
+        let early = self.repeats.time_left(now, caller.request, caller.deadline);
+        if let Some(retry_after) = early.filter(|_| !has_free_slot()) {
+            return Err(("early", retry_after));
+        }
+        let random = rand::random();
+        let class = (service, priority);
+        let admitted = self.room.admit(now, class, has_waited, random, has_free_slot);
+        admitted.map_err(|retry_after| {
+            self.repeats.record_refused(now, caller.request, caller.deadline, retry_after);
+            ("priority", retry_after)
+        })
+    }
+
+    /// Records that the targets of a service had no room for a request that had passed.
+    pub(crate) fn record_shortage(
+        &mut self,
+        now: ClockTime,
+        class: (&Arc<str>, u8),
+        caller: DoorCaller,
+        retry_after: ClockSpan,
+    ) {
+        self.room.record_refused(now, class, retry_after);
+        self.repeats.record_refused(now, caller.request, caller.deadline, retry_after);
+    }
+
     /// Returns the picker and the retry budget of a service.
     pub(crate) fn picker_and_budget(
         &mut self,
@@ -129,6 +187,8 @@
             picker,
             allowance,
             waits: CallerWaitEstimator::default(),
+            room: RoomEstimator::new(),
+            repeats: RepeatGuard::new(),
             budgets: FxHashMap::default(),
         };
         let body_budget = ByteBudget::new((settings.memory_bytes / BODY_MEMORY_DIVISOR) as usize);
