Recognize calls of runs with a limit of their own

A target may give its calls less time than its run has, so that their deadlines do not agree with that of the run. Calls with the longest time of their route are now learned from apart: the agreement of the others shows that runs make them, and those at the limit are attributed to a current run of the route that calls them most.

A call that has less than half of its route's soft timeout left is refused at any load, so that its refusal no longer lowers the limit of runs. Refused callers are remembered by the fingerprint of the whole request, with the body: callers with equal timeouts post different bodies to one path.

--- a/routing/src/calls.rs
+++ b/routing/src/calls.rs
@@ -5,7 +5,8 @@
 //! expires at the deadline of the run. The node knows the deadlines of all runs of its target, and
 //! learns which routes are called by runs from how often the deadlines agree. Agreement by chance is
 //! estimated from deadlines that are shifted, so that routes of clients are not mistaken even if many
-//! runs are in progress.
+//! runs are in progress. A target may limit its calls to less time than the run has. Calls with the
+//! longest time of their route are therefore learned from separately: only the others have to agree.
 
 use std::sync::Arc;
 
@@ -23,9 +24,15 @@
 /// tolerance, and short compared with the deadlines of clients.
 const CHANCE_SHIFT: ClockSpan = ClockSpan::new(120);
 
-/// Weight of the latest arrival in the agreement of a route. Routes are learned within about forty
+/// Weight of the latest arrival in the agreement of a route. Routes are learned within about twenty
 /// calls.
-const AGREEMENT_WEIGHT: f64 = 0.02;
+const AGREEMENT_WEIGHT: f64 = 0.04;
+
+/// Largest difference to the longest time of a route's calls with which a call counts as limited to it.
+const LIMIT_TOLERANCE: ClockSpan = ClockSpan::new(3);
+
+/// Fraction of the difference by which the longest time of a route's calls falls with each shorter one.
+const LIMIT_DECAY: f64 = 0.002;
 
 /// Agreement beyond chance from which a route counts as called by runs. Routes of clients have 0,
 /// routes that only runs call have 1 less the calls that are delayed.
@@ -81,24 +88,56 @@
     deadline: ClockTime,
 }
 
-/// How often the deadlines of a route's calls agree with those of runs.
+/// What is known of the calls of a route.
 #[derive(Debug)]
+struct RouteCalls {
+    /// Longest time in ms that calls of the route have.
+    limit_ms: f64,
+    /// Agreement of the calls that have this time, and of the others.
+    limited: RouteAgreement,
+    unlimited: RouteAgreement,
+    seen_at: ClockTime,
+}
+
+impl RouteCalls {
+    fn new(now: ClockTime) -> RouteCalls {
+        let (limited, unlimited) = Default::default();
+        RouteCalls { limit_ms: 0.0, limited, unlimited, seen_at: now }
+    }
+
+    /// Returns whether a call with `left` to its deadline is limited to the longest time.
+    fn record_time(&mut self, now: ClockTime, left: ClockSpan) -> bool {
+        self.seen_at = now;
+        let left_ms = left.millis() as f64;
+        if left_ms >= self.limit_ms {
+            self.limit_ms = left_ms;
+        }
+        let is_limited = left_ms + LIMIT_TOLERANCE.millis() as f64 >= self.limit_ms;
+        self.limit_ms -= (self.limit_ms - left_ms) * LIMIT_DECAY;
+        is_limited
+    }
+
+    fn are_of_runs(&self) -> bool {
+        self.limited.is_beyond_chance() || self.unlimited.is_beyond_chance()
+    }
+}
+
+/// How often the deadlines of a route's calls agree with those of runs.
+#[derive(Debug, Default)]
 struct RouteAgreement {
     /// Share of calls that agree.
     agreeing: f64,
     /// Share of calls that agree by chance.
     by_chance: f64,
-    seen_at: ClockTime,
 }
 
 impl RouteAgreement {
-    fn record(&mut self, now: ClockTime, agrees: bool, chance: f64) {
+    fn record(&mut self, agrees: bool, chance: f64) {
         self.agreeing += (f64::from(u8::from(agrees)) - self.agreeing) * AGREEMENT_WEIGHT;
         self.by_chance += (chance - self.by_chance) * AGREEMENT_WEIGHT;
-        self.seen_at = now;
     }
 
-    fn is_called_by_runs(&self) -> bool {
+    fn is_beyond_chance(&self) -> bool {
         let telling = 1.0 - self.by_chance;
         telling >= MIN_TELLING_SHARE && self.agreeing - self.by_chance >= MIN_AGREEMENT * telling
     }
@@ -150,7 +189,7 @@
 #[derive(Debug, Default)]
 pub struct CallProfile {
     active: Vec<ActiveRun>,
-    agreements: FxHashMap<Arc<str>, RouteAgreement>,
+    arrivals: FxHashMap<Arc<str>, RouteCalls>,
     routes: FxHashMap<Arc<str>, RunningRoute>,
     last_run: u64,
 }
@@ -191,24 +230,26 @@
         route: &Arc<str>,
         deadline: ClockTime,
     ) -> Option<CallingRun> {
-        if self.active.is_empty() && !self.agreements.contains_key(route) {
+        if self.active.is_empty() && !self.arrivals.contains_key(route) {
             return None;
         }
-        let run = self.agreeing_run(deadline);
-        let calling =
-            run.map(|run| CallingRun { route: run.route.clone(), priority: run.priority });
+        let calling_run =
+            |run: &ActiveRun| CallingRun { route: run.route.clone(), priority: run.priority };
+        let agreeing = self.agreeing_run(deadline).map(calling_run);
+        let limited_run = self.outlasting_run(route, deadline).map(calling_run);
         let shifted = [deadline + CHANCE_SHIFT, deadline - CHANCE_SHIFT];
         let by_chance = shifted.iter().filter(|at| self.agreeing_run(**at).is_some()).count();
-        if !self.agreements.contains_key(route) {
-            remove_oldest(&mut self.agreements, |agreement| agreement.seen_at);
+        if !self.arrivals.contains_key(route) {
+            remove_oldest(&mut self.arrivals, |calls| calls.seen_at);
         }
-        let agreement = self.agreements.entry(route.clone()).or_insert(RouteAgreement {
-            agreeing: 0.0,
-            by_chance: 0.0,
-            seen_at: now,
-        });
-        agreement.record(now, calling.is_some(), by_chance as f64 / shifted.len() as f64);
-        let calling = calling.filter(|_| agreement.is_called_by_runs())?;
+        let calls = self.arrivals.entry(route.clone()).or_insert_with(|| RouteCalls::new(now));
+        let is_limited = calls.record_time(now, deadline.since(now));
+        let agreement = if is_limited { &mut calls.limited } else { &mut calls.unlimited };
+        agreement.record(agreeing.is_some(), by_chance as f64 / shifted.len() as f64);
+        if !calls.are_of_runs() {
+            return None;
+        }
+        let calling = agreeing.or(limited_run.filter(|_| is_limited))?;
         self.running_route(now, &calling.route).called(route).calls += 1.0;
         Some(calling)
     }
@@ -250,6 +291,20 @@
         })
     }
 
+    /// Returns a run that does not end before a call of `called`, of the route that calls it most.
+    fn outlasting_run(&self, called: &Arc<str>, deadline: ClockTime) -> Option<&ActiveRun> {
+        let calls = |run: &ActiveRun| {
+            let routes = self.routes.get(&run.route).map_or(&[][..], |running| &running.called);
+            routes.iter().find(|known| known.route == *called).map_or(0.0, |known| known.calls)
+        };
+        let outlasting = self.active.iter().filter(|run| run.deadline >= deadline);
+        outlasting
+            .map(|run| (calls(run), run))
+            .filter(|(calls, _)| *calls > 0.0)
+            .max_by(|(a, _), (b, _)| a.total_cmp(b))
+            .map(|(_, run)| run)
+    }
+
     fn running_route(&mut self, now: ClockTime, route: &Arc<str>) -> &mut RunningRoute {
         if !self.routes.contains_key(route) {
             remove_oldest(&mut self.routes, |running| running.updated_at);
--- a/routing/src/repeats.rs
+++ b/routing/src/repeats.rs
@@ -4,7 +4,7 @@
 //! more often than those who wait as they are told. A caller that repeats a request has the same
 //! deadline as before, by which it is told from other callers with the same request.
 
-use fescuestack_core::{ClockSpan, ClockTime};
+use fescuestack_core::{ClockSpan, ClockTime, RequestFingerprint};
 use rustc_hash::FxHashMap;
 
 /// Largest difference between the deadlines of two attempts of a caller. Attempts take different
@@ -30,8 +30,8 @@
 /// Remembers refused callers until they may come back.
 #[derive(Debug, Default)]
 pub struct RepeatGuard {
-    /// Refused callers by the hash of their request.
-    callers: FxHashMap<u64, RefusedCaller>,
+    /// Refused callers by their request.
+    callers: FxHashMap<RequestFingerprint, RefusedCaller>,
 }
 
 impl RepeatGuard {
@@ -44,7 +44,7 @@
     pub fn record_refused(
         &mut self,
         now: ClockTime,
-        request: u64,
+        request: RequestFingerprint,
         deadline: ClockTime,
         retry_after: ClockSpan,
     ) {
@@ -65,7 +65,7 @@
     pub fn time_left(
         &self,
         now: ClockTime,
-        request: u64,
+        request: RequestFingerprint,
         deadline: ClockTime,
     ) -> Option<ClockSpan> {
         let caller = self.callers.get(&request).filter(|caller| {
--- a/routing/tests/calls.rs
+++ b/routing/tests/calls.rs
@@ -23,8 +23,9 @@
 }
 
 /// Plays 20 seconds of a target with `runs` concurrent runs of 380 ms, each of which makes two calls,
-/// while clients on the same VM send requests to the same routes as the runs' clients.
-fn attribute(runs: u64) -> Attribution {
+/// while clients on the same VM send requests of their own. The target gives its calls `limit` ms at
+/// most.
+fn attribute(runs: u64, limit: u64) -> Attribution {
     let (search, rates, check): (Arc<str>, Arc<str>, Arc<str>) =
         ("search".into(), "rates".into(), "check".into());
     let mut random = Pcg32::seed_from_u64(7);
@@ -42,11 +43,14 @@
             let deadline = now + 1_200 + random.random_range(0..800);
             let id = profile.begin_run(time, &search, 2, ClockTime::new(deadline));
             active.push((now + 380, id));
-            calls.extend([(now + 50, deadline), (now + 50, deadline)]);
+            let limited = deadline.min(now + 50 + limit);
+            calls.extend([(now + 50, limited), (now + 50, limited)]);
         }
         for (_, deadline) in calls.extract_if(.., |(at, _)| *at <= now) {
-            let deadline = ClockTime::new(deadline + random.random_range(0..12));
-            let run = profile.record_arrival(time, &rates, deadline);
+            // The node measures the time that is left from when the call arrives.
+            let delay = ClockSpan::new(random.random_range(0..12));
+            let deadline = ClockTime::new(deadline) + delay;
+            let run = profile.record_arrival(time + delay, &rates, deadline);
             assert!(run.as_ref().is_none_or(|run| run.priority == 2 && run.route == search));
             seen_calls += 1;
             if seen_calls <= LEARNING_CALLS {
@@ -73,7 +77,20 @@
 #[test]
 fn calls_of_runs_are_told_from_those_of_clients() {
     for runs in [1, 5, 18] {
-        let result = attribute(runs);
+        let result = attribute(runs, 5_000);
+        let (calls, found) = result.run_calls;
+        assert!(f64::from(found) > 0.8 * f64::from(calls), "{runs} runs: {result:?}");
+        let (calls, found) = result.client_calls;
+        assert!(f64::from(found) < 0.02 * f64::from(calls), "{runs} runs: {result:?}");
+    }
+}
+
+/// Guards against calls of runs that are not recognized because the target gives them less time than
+/// the run has.
+#[test]
+fn calls_with_a_limit_of_their_own_are_recognized() {
+    for runs in [5, 18] {
+        let result = attribute(runs, 1_500);
         let (calls, found) = result.run_calls;
         assert!(f64::from(found) > 0.8 * f64::from(calls), "{runs} runs: {result:?}");
         let (calls, found) = result.client_calls;
--- a/routing/tests/room.rs
+++ b/routing/tests/room.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use fescuestack_core::{ClockSpan, ClockTime};
+use fescuestack_core::{ClockSpan, ClockTime, RequestFingerprint};
 use fescuestack_routing::{
     AdmissionDecision, CallEnd, CallerWaitEstimator, QueuedCall, RepeatGuard, RoomEstimator,
     SlotAction, SlotQueue, SlotTicket,
@@ -105,7 +105,7 @@
         let deadline = ClockTime::new(caller.deadline);
         self.repeats[caller.node].record_refused(
             ClockTime::new(now),
-            caller.started,
+            RequestFingerprint::from_number(caller.started),
             deadline,
             retry_after,
         );
@@ -136,7 +136,8 @@
             let queue = &self.queues[target];
             let free = || queue.running() < SLOTS as usize && !queue.has_waiting();
             let deadline = ClockTime::new(caller.deadline);
-            let early = self.repeats[caller.node].time_left(time, caller.started, deadline);
+            let request = RequestFingerprint::from_number(caller.started);
+            let early = self.repeats[caller.node].time_left(time, request, deadline);
             if let Some(retry_after) = early
                 && !free()
             {
@@ -319,11 +320,19 @@
 fn only_early_callers_are_recognized() {
     let mut guard = RepeatGuard::new();
     let at = |ms| ClockTime::new(ms);
-    guard.record_refused(at(1_000), 7, at(2_200), ClockSpan::new(2_000));
-    assert!(guard.time_left(at(1_050), 7, at(2_205)).is_some(), "the caller has come back at once");
-    assert_eq!(guard.time_left(at(1_050), 7, at(2_500)), None, "another caller");
-    assert_eq!(guard.time_left(at(1_050), 8, at(2_200)), None, "another request");
-    assert_eq!(guard.time_left(at(1_400), 7, at(2_200)), None, "a third of the time has passed");
+    let (request, other) = (RequestFingerprint::from_number(7), RequestFingerprint::from_number(8));
+    guard.record_refused(at(1_000), request, at(2_200), ClockSpan::new(2_000));
+    assert!(
+        guard.time_left(at(1_050), request, at(2_205)).is_some(),
+        "the caller has come back at once"
+    );
+    assert_eq!(guard.time_left(at(1_050), request, at(2_500)), None, "another caller");
+    assert_eq!(guard.time_left(at(1_050), other, at(2_200)), None, "another request");
+    assert_eq!(
+        guard.time_left(at(1_400), request, at(2_200)),
+        None,
+        "a third of the time has passed"
+    );
 }
 
 /// Guards against a door that shuts out a priority completely, or that refuses requests although
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -28,6 +28,10 @@
 /// When a client should retry while the node has no configuration.
 const NOT_READY_RETRY_AFTER: ClockSpan = ClockSpan::new(300);
 
+/// Divisor of the soft timeout of a route that gives the time in which its calls can be answered.
+/// Operators usually set soft timeouts to a few times the service time.
+const MIN_CALL_TIME_DIVISOR: u64 = 2;
+
 /// How long to wait for a response after the deadline. One that is already on its way is still
 /// delivered.
 const RESPONSE_GRACE: Duration = Duration::from_millis(60);
@@ -79,6 +83,8 @@
     pub(crate) route: Option<Arc<RouteRule>>,
     /// The run of this VM's target that made the request.
     pub(crate) run: Option<CallingRun>,
+    /// Whether the time that was left on arrival was enough for an ordinary request of its route.
+    pub(crate) had_time: bool,
     /// The caller, if the request competes with those of other priorities.
     pub(crate) door_caller: Option<DoorCaller>,
     pub(crate) service: Option<Arc<str>>,
@@ -152,6 +158,8 @@
     trace.route = Some(route.clone());
     trace.service = Some(service.clone());
     let client_time_left = client_timeout(&parts.headers);
+    trace.had_time = client_time_left
+        .is_some_and(|left| left.millis() >= route.soft_timeout.millis() / MIN_CALL_TIME_DIVISOR);
     trace.run = client_time_left
         .and_then(|left| state.local_target.calling_run(&route.name, arrived + left));
     // A run calls with the time that it has left itself, which does not mean that the call has been
@@ -178,10 +186,16 @@
         Some(Err(CollectError::ReadFailed { .. })) => return Err(EntryFault::Invalid),
         None => return Err(EntryFault::BodyLate),
     };
+    parts.headers.remove(&EXPECTED_INSTANCE);
+    let caller = HeaderValue::from_str(&state.settings.load().service);
+    parts.headers.insert(CALLER_SERVICE, caller.map_err(|_| EntryFault::Invalid)?);
+    let request = forwarded_request(parts, body);
+    let fingerprint = fingerprint(&request);
     // A call of a run is not refused here, since that would waste the run. The body has been read, since
     // a connection that is closed with an unread body may lose the response.
     if trace.run.is_none() && routes.has_competing_routes(&service) {
-        let caller = DoorCaller::new(&parts, arrived + client_time_left.unwrap_or(left));
+        let deadline = arrived + client_time_left.unwrap_or(left);
+        let caller = DoorCaller { request: fingerprint, deadline };
         trace.door_caller = Some(caller);
         let (class, has_waited) = ((&service, route.priority), !waited.is_zero());
         let passed = lock(&state.routing).pass_door(state.clock.now(), class, caller, has_waited);
@@ -191,11 +205,6 @@
             return Err(EntryFault::NotRun { retry_after });
         }
     }
-    parts.headers.remove(&EXPECTED_INSTANCE);
-    let caller = HeaderValue::from_str(&state.settings.load().service);
-    parts.headers.insert(CALLER_SERVICE, caller.map_err(|_| EntryFault::Invalid)?);
-    let request = forwarded_request(parts, body);
-    let fingerprint = fingerprint(&request);
     let priority = trace.run.as_ref().map_or(route.priority, |run| run.priority);
     let from_run = trace.run.is_some();
     let call = EntryCall { route: route.clone(), from_run, deadline, fingerprint, request };
@@ -503,10 +512,13 @@
     match outcome {
         Ok(response) if response.status.is_server_error() => RunCallEnd::Other,
         Ok(_) => RunCallEnd::Answered,
-        Err(fault @ EntryFault::NotRun { .. }) => match fault_cause(*fault, trace) {
-            LossCause::QueueFull | LossCause::TargetRejected => RunCallEnd::Refused,
-            _ => RunCallEnd::Other,
-        },
+        // A call with too little time left is refused at any load.
+        Err(fault @ EntryFault::NotRun { .. }) if trace.had_time => {
+            match fault_cause(*fault, trace) {
+                LossCause::QueueFull | LossCause::TargetRejected => RunCallEnd::Refused,
+                _ => RunCallEnd::Other,
+            }
+        }
         Err(_) => RunCallEnd::Other,
     }
 }
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -9,7 +9,7 @@
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
 use event_listener::Event;
-use fescuestack_core::{ClockSpan, ClockTime};
+use fescuestack_core::{ClockSpan, ClockTime, RequestFingerprint};
 use fescuestack_http::{ByteBudget, CallClock, lock};
 use fescuestack_operators::{MetricsError, NodeMetrics, RecentCalls};
 use fescuestack_platform::{SidecarSettings, decode_config};
@@ -17,8 +17,6 @@
     CallerWaitEstimator, CrashTracker, RepeatGuard, RetryAllowance, RetryBudget, RoomEstimator,
     RouteTable, StorePosition, StoreView, TargetPicker, VmSizes, is_small_vm,
 };
-use http::header::HOST;
-use http::request::Parts;
 use http_body_util::Full;
 use rustc_hash::{FxHashMap, FxHasher};
 
@@ -101,19 +99,11 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct DoorCaller {
     /// Hash of the request, which is the same when the caller repeats it.
-    pub(crate) request: u64,
+    pub(crate) request: RequestFingerprint,
     /// Time until which the caller waits, over all of its attempts.
     pub(crate) deadline: ClockTime,
 }
 
-impl DoorCaller {
-    pub(crate) fn new(parts: &Parts, deadline: ClockTime) -> DoorCaller {
-        let mut hasher = FxHasher::default();
-        (parts.headers.get(HOST), &parts.method, &parts.uri).hash(&mut hasher);
-        DoorCaller { request: hasher.finish(), deadline }
-    }
-}
-
 /// State on which the choice of targets is based.
 pub(crate) struct RoutingState {
     pub(crate) picker: TargetPicker,
