--- a/routing/src/warmth.rs
+++ b/routing/src/warmth.rs
@@ -203,6 +203,10 @@
         if is_replaced {
             self.record_doubt(now, ColdCause::Replacement);
         }
+        if self.is_down {
+            // The target lives, so that it is asked before calls wait for it.
+            self.probe_at = Some(now);
+        }
         let was_cold = self.is_cold(now);
         let describes_present = now.since(self.evidence_at) >= LISTING_AGE;
         if describes_present {
--- a/routing/tests/warmth.rs
+++ b/routing/tests/warmth.rs
@@ -58,6 +58,24 @@
     }
 }
 
+/// Guards against a node that has started before its target, and takes it as cold from the first call on
+/// although it has been running for long.
+#[test]
+fn listed_target_that_was_down_is_checked_before_the_first_call() {
+    let mut tracker = tracker();
+    tracker.begin_probe(after(10));
+    tracker.record_down(after(20));
+    tracker.end_probe(after(20), false);
+    assert!(!tracker.wants_probe(after(400)), "checked while nothing was known of it");
+    tracker.record_listing(after(500), &listing(1, 1, 0));
+    assert!(tracker.wants_probe(after(500)));
+    tracker.begin_probe(after(500));
+    tracker.record_connected(after(505));
+    tracker.record_statement(after(505), after(510), ClockSpan::ZERO);
+    tracker.end_probe(after(510), true);
+    assert_eq!(tracker.cause(after(510)), None);
+}
+
 /// Guards against limits in deployments whose configuration states none.
 #[test]
 fn target_without_rule_is_never_cold() {
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -9,8 +9,8 @@
 };
 use fescuestack_platform::headers::{CALLER_SERVICE, DEADLINE_MS, EXPECTED_INSTANCE, REQUEST_ID};
 use fescuestack_routing::{
-    AttemptEnd, CallParams, CallPlan, KnownOutage, LatencyBreakdown, LossCause, PickedTarget,
-    PlanStep, RateLimit, RouteRule, TargetFeedback,
+    AttemptEnd, CallParams, CallPlan, CallingRun, KnownOutage, LatencyBreakdown, LossCause,
+    PickedTarget, PlanStep, RateLimit, RouteRule, TargetFeedback,
 };
 use futures_lite::future;
 use http::header::{CONNECTION, HOST, RETRY_AFTER};
@@ -19,14 +19,19 @@
 
 use crate::crashes::CRASHING_RETRY_AFTER;
 use crate::message::{FullResponse, empty_response, forwarded_request, full_response};
-use crate::node::NodeState;
+use crate::node::{DoorCaller, NodeState};
 use crate::note::{CallNote, ReplyEnd, ReplyNote};
 use crate::peer::{MEMORY_FULL_RETRY_AFTER, fingerprint, run_local, send_call};
 use crate::report::record_decisions;
+use crate::target::RunCallEnd;
 
 /// When a client should retry while the node has no configuration.
 const NOT_READY_RETRY_AFTER: ClockSpan = ClockSpan::new(300);
 
+/// Divisor of the soft timeout of a route that gives the time in which its calls can be answered.
+/// Operators usually set soft timeouts to a few times the service time.
+const MIN_CALL_TIME_DIVISOR: u64 = 2;
+
 /// How long to wait for a response after the deadline. One that is already on its way is still
 /// delivered.
 const RESPONSE_GRACE: Duration = Duration::from_millis(60);
@@ -76,6 +81,12 @@
     /// How the time of the last attempt was spent.
     pub(crate) times: LatencyBreakdown,
     pub(crate) route: Option<Arc<RouteRule>>,
+    /// The run of this VM's target that made the request.
+    pub(crate) run: Option<CallingRun>,
+    /// Whether the time that was left on arrival was enough for an ordinary request of its route.
+    pub(crate) had_time: bool,
+    /// The caller, if the request competes with those of other priorities.
+    pub(crate) door_caller: Option<DoorCaller>,
     pub(crate) service: Option<Arc<str>>,
     pub(crate) version: u64,
     /// Targets of all attempts with their outcomes.
@@ -95,6 +106,13 @@
     let outcome = handle_request(&state, request, arrived, &mut watch, &mut trace).await;
     let fault = outcome.as_ref().err().copied();
     record_decisions(&state, id.as_ref(), arrived, fault, &trace);
+    if let (Some(run), Some(route)) = (&trace.run, &trace.route) {
+        let end = run_call_end(&outcome, &trace);
+        state.local_target.record_run_call(run, &route.name, arrived, end);
+        let label = fault.map_or("answered", EntryFault::label);
+        state.metrics.record_run_call(&run.route, &route.name, label);
+    }
+    record_shortage(&state, fault, &trace);
     let mut response = match outcome {
         Ok(response) => {
             trace.times.total = state.clock.now().since(arrived).millis();
@@ -140,7 +158,14 @@
     trace.route = Some(route.clone());
     trace.service = Some(service.clone());
     let client_time_left = client_timeout(&parts.headers);
+    trace.had_time = client_time_left
+        .is_some_and(|left| left.millis() >= route.soft_timeout.millis() / MIN_CALL_TIME_DIVISOR);
+    trace.run = client_time_left
+        .and_then(|left| state.local_target.calling_run(&route.name, arrived + left));
+    // A run calls with the time that it has left itself, which does not mean that the call has been
+    // refused before.
     let waited = client_time_left
+        .filter(|_| trace.run.is_none())
         .map(|left| lock(&state.routing).waits.estimate(&route.name, left))
         .unwrap_or_default();
     let left = client_time_left.map_or(route.timeout, |left| left.min(route.timeout));
@@ -166,11 +191,27 @@
     parts.headers.insert(CALLER_SERVICE, caller.map_err(|_| EntryFault::Invalid)?);
     let request = forwarded_request(parts, body);
     let fingerprint = fingerprint(&request);
-    let call = EntryCall { route: route.clone(), deadline, fingerprint, request };
+    // A call of a run is not refused here, since that would waste the run. The body has been read, since
+    // a connection that is closed with an unread body may lose the response.
+    if trace.run.is_none() && routes.has_competing_routes(&service) {
+        let deadline = arrived + client_time_left.unwrap_or(left);
+        let caller = DoorCaller { request: fingerprint, deadline };
+        trace.door_caller = Some(caller);
+        let (class, has_waited) = ((&service, route.priority), !waited.is_zero());
+        let passed = lock(&state.routing).pass_door(state.clock.now(), class, caller, has_waited);
+        if let Err((reason, retry_after)) = passed {
+            trace.cause = Some(LossCause::QueueFull);
+            state.metrics.record_door_refusal(&service, route.priority, reason);
+            return Err(EntryFault::NotRun { retry_after });
+        }
+    }
+    let priority = trace.run.as_ref().map_or(route.priority, |run| run.priority);
+    let from_run = trace.run.is_some();
+    let call = EntryCall { route: route.clone(), from_run, deadline, fingerprint, request };
     let plan = CallPlan::new(CallParams {
         service,
         route: route.name.clone(),
-        priority: route.priority,
+        priority,
         kind: route.kind,
         max_attempts: route.max_attempts,
         arrived,
@@ -231,6 +272,8 @@
 /// A request that is sent to targets.
 struct EntryCall {
     route: Arc<RouteRule>,
+    /// Whether a run makes the call.
+    from_run: bool,
     deadline: ClockTime,
     fingerprint: RequestFingerprint,
     request: BufferedRequest,
@@ -271,7 +314,7 @@
                     routing.picker_and_budget(&progress.plan.call().service.clone());
                 let step = progress.plan.next_step(state.clock.now(), picker, budget, allowance);
                 if let PlanStep::Send { target, .. } = &step {
-                    picker.record_sent(&target.id, self.route.priority);
+                    picker.record_sent(&target.id, progress.plan.call().priority);
                 }
                 step
             };
@@ -292,7 +335,8 @@
             let (end, latest) = self.attempt(state, progress, &target, wait_limit).await;
             progress.attempt_running = false;
             log::debug!(request = self.request_id(), target = &*target.id, crosses = target.is_remote,
-                route = &*self.route.name, priority = self.route.priority,
+                route = &*self.route.name, priority = progress.plan.call().priority,
+                from_run = self.from_run,
                 bytes = self.request.body.len(),
                 answer_bytes = latest.as_ref().map_or(0, |response| response.body.len()),
                 end = format!("{end:?}").as_str();
@@ -316,7 +360,7 @@
             target: target.id.clone(),
             slots: target.slots,
             route: self.route.name.clone(),
-            rank: self.route.priority,
+            rank: progress.plan.call().priority,
             idempotent: self.route.kind.is_idempotent(),
             left: self.deadline.since(now).millis(),
             aim_left: progress.plan.call().soft_deadline.since(now).millis(),
@@ -324,6 +368,7 @@
             body_bytes: self.request.body.len() as u64,
             rate_limit: target.rate_limit.map(RateLimit::millihertz),
             warmup: state.warmup_rule(&progress.plan.call().service),
+            from_run: self.from_run,
         };
         let (reply, response) = if state.is_own_vm(target.vm) {
             let reply = run_local(state, &note, self.request.clone()).await;
@@ -337,7 +382,11 @@
                 }
             }
         };
-        guard.report(&self.route, &reply);
+        guard.report(progress.plan.call(), &reply);
+        if reply.short_of_calls {
+            let call = progress.plan.call();
+            state.metrics.record_door_refusal(&call.service, call.priority, "calls");
+        }
         progress.trace.times.queued = reply.waited;
         let (end, feedback) = attempt_end(&reply, response.as_ref());
         guard.feedback = feedback;
@@ -388,14 +437,14 @@
 }
 
 impl AttemptGuard<'_> {
-    fn report(&self, route: &RouteRule, reply: &ReplyNote) {
+    fn report(&self, call: &CallParams, reply: &ReplyNote) {
         let now = self.state.clock.now();
         let picker = &mut lock(&self.state.routing).picker;
-        picker.record_load(now, &self.target.id, &route.name, reply.load());
+        picker.record_load(now, &self.target.id, &call.route, reply.load());
         picker.record_stop(now, &self.target.id, reply.stops_in.map(ClockSpan::new));
         if reply.end == ReplyEnd::Refused {
             let wait = ClockSpan::new(reply.retry_after);
-            picker.record_refusal(now, &self.target.id, route.priority, wait);
+            picker.record_refusal(now, &self.target.id, call.priority, wait);
         }
         let outage = KnownOutage {
             target: self.target.id.clone(),
@@ -461,6 +510,36 @@
     response
 }
 
+/// Records that the targets of a service had no room for a request that competes with others.
+fn record_shortage(state: &NodeState, fault: Option<EntryFault>, trace: &EntryTrace) {
+    let Some(fault @ EntryFault::NotRun { retry_after }) = fault else { return };
+    let (Some(caller), Some(service), Some(route)) =
+        (trace.door_caller, &trace.service, &trace.route)
+    else {
+        return;
+    };
+    if !trace.attempts.is_empty() && fault_cause(fault, trace) == LossCause::QueueFull {
+        let class = (service, route.priority);
+        lock(&state.routing).record_shortage(state.clock.now(), class, caller, retry_after);
+    }
+}
+
+/// Determines what the end of a call tells the run that made it.
+fn run_call_end(outcome: &Result<BufferedResponse, EntryFault>, trace: &EntryTrace) -> RunCallEnd {
+    match outcome {
+        Ok(response) if response.status.is_server_error() => RunCallEnd::Other,
+        Ok(_) => RunCallEnd::Answered,
+        // A call with too little time left is refused at any load.
+        Err(fault @ EntryFault::NotRun { .. }) if trace.had_time => {
+            match fault_cause(*fault, trace) {
+                LossCause::QueueFull | LossCause::TargetRejected => RunCallEnd::Refused,
+                _ => RunCallEnd::Other,
+            }
+        }
+        Err(_) => RunCallEnd::Other,
+    }
+}
+
 fn fault_cause(fault: EntryFault, trace: &EntryTrace) -> LossCause {
     match fault {
         EntryFault::Invalid | EntryFault::NoRoute | EntryFault::TooLong | EntryFault::BodyLate => {
@@ -518,6 +597,7 @@
         version = trace.version,
         route = trace.route.as_ref().map_or("", |route| &*route.name),
         priority = trace.route.as_ref().map_or(0, |route| route.priority),
+        run_route = trace.run.as_ref().map_or("", |run| &*run.route),
         service = trace.service.as_deref().unwrap_or(""),
         attempts = attempts.as_str();
         "request not served"
--- a/sidecar/src/note.rs
+++ b/sidecar/src/note.rs
@@ -52,6 +52,8 @@
     /// Rate limit of the target as the sender knows it, in calls per 1,000 s. The target's node may
     /// have been restarted since the target last stated it.
     pub(crate) rate_limit: Option<u64>,
+    /// Whether a run makes the call.
+    pub(crate) from_run: bool,
     /// How targets of the service warm up, in a header of its own. The target's node may have started
     /// and have no configuration yet.
     #[serde(skip)]
@@ -119,6 +121,8 @@
     pub(crate) target_leaving: bool,
     /// After a refusal, the time after which a retry is likely to be accepted.
     pub(crate) retry_after: u64,
+    /// Whether the call was refused because calls of its run would be refused.
+    pub(crate) short_of_calls: bool,
     /// If the node is stopping, the time for which it still runs calls.
     pub(crate) stops_in: Option<u64>,
 }
--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -16,8 +16,9 @@
 };
 use fescuestack_platform::{decode_rate_limit, states_departure};
 use fescuestack_routing::{
-    AdmissionDecision, CallEnd, IngressDecision, IngressLink, QueuedCall, RateLimit, SlotAction,
-    SlotLoad, SlotQueue, SlotTicket, TargetListing, TargetNotice, TargetState,
+    AdmissionDecision, CallEnd, CallOrigin, CallProfile, CallingRun, IngressDecision, IngressLink,
+    QueuedCall, RateLimit, RunGate, RunId, SlotAction, SlotLoad, SlotQueue, SlotTicket,
+    TargetListing, TargetNotice, TargetState,
 };
 use futures_lite::future;
 use http::header::CONTENT_ENCODING;
@@ -62,6 +63,16 @@
 /// Number of idle connections that are kept.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
+/// How a call that a run of the target made has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RunCallEnd {
+    Answered,
+    /// Its service had no room for it.
+    Refused,
+    /// It failed for another reason.
+    Other,
+}
+
 /// Result of a call at the target.
 #[derive(Debug)]
 pub(crate) struct TargetReply {
@@ -86,6 +97,10 @@
     pub(crate) warmth: TargetWarmth,
     /// Whether the target's data centre is evacuated.
     pub(crate) evacuated: bool,
+    /// Calls that the target's runs make.
+    calls: CallProfile,
+    /// Limits the runs whose calls are refused.
+    gate: RunGate,
     /// Id and start time of the target that the platform lists.
     listed: Option<(Arc<str>, u64)>,
     /// Id that the target itself reports, if it differs from the listed one.
@@ -114,6 +129,8 @@
             queue: SlotQueue::new(1),
             warmth: TargetWarmth::new(clock.now()),
             evacuated: false,
+            calls: CallProfile::new(),
+            gate: RunGate::new(),
             listed: None,
             actual_id: None,
             notice: None,
@@ -200,6 +217,45 @@
         }
     }
 
+    /// Returns the run of this target that makes a request, as far as is known. The request arrived
+    /// from this VM and expires at `deadline`.
+    pub(crate) fn calling_run(&self, route: &Arc<str>, deadline: ClockTime) -> Option<CallingRun> {
+        lock(&self.state).calls.record_arrival(self.clock.now(), route, deadline)
+    }
+
+    /// Records the end of a call that `run` made at `arrived`.
+    pub(crate) fn record_run_call(
+        &self,
+        run: &CallingRun,
+        route: &Arc<str>,
+        arrived: ClockTime,
+        end: RunCallEnd,
+    ) {
+        let now = self.clock.now();
+        let mut state = lock(&self.state);
+        state.calls.record_call_time(now, run, route, now.since(arrived));
+        let known = state.gate.limit(&run.route);
+        match end {
+            RunCallEnd::Answered => {
+                let slots = state.queue.slots();
+                state.gate.record_served(&run.route, slots);
+            }
+            RunCallEnd::Refused => {
+                state.gate.record_refused(now, &run.route);
+            }
+            RunCallEnd::Other => (),
+        }
+        let limit = state.gate.limit(&run.route);
+        if known.is_some() != limit.is_some() {
+            let needs = state.calls.needs(&run.route);
+            let need = needs.iter().find(|need| need.route == *route);
+            log::info!(route = &*run.route, called = &**route, limit = limit,
+                calls_per_run = need.map_or(0.0, |need| need.calls_per_run),
+                call_ms = need.map_or(0.0, |need| need.call_time_ms);
+                "limit of runs whose calls are refused changed");
+        }
+    }
+
     /// Whether calls wait in the queue.
     pub(crate) fn has_waiting(&self) -> bool {
         lock(&self.state).queue.has_waiting()
@@ -237,7 +293,15 @@
         if self.is_evacuated() {
             return self.evacuated_reply(note);
         }
-        let ticket = match self.acquire_slot(now, note).await {
+        let _gate_pass = match self.pass_gate(now, &note.route) {
+            Ok(gate_pass) => gate_pass,
+            Err(retry_after) => {
+                let mut reply = self.reply(&note.route, ReplyEnd::Refused, retry_after);
+                reply.note.short_of_calls = true;
+                return reply;
+            }
+        };
+        let mut ticket = match self.acquire_slot(now, note).await {
             Ok(_) if self.outage.is_down() => {
                 return self.reply(&note.route, ReplyEnd::Down, ClockSpan::ZERO);
             }
@@ -256,6 +320,7 @@
         if let Ok(id) = HeaderValue::from_str(&note.target) {
             headers.insert(EXPECTED_INSTANCE, id);
         }
+        ticket.begin_run(note, deadline);
         let timeout = Duration::from_millis(left.millis()) + RESPONSE_GRACE;
         let run = self.outage.prepare_run(fingerprint);
         let Some(outcome) = within(timeout, self.exchange(&ticket, note, &request, &run)).await
@@ -297,6 +362,19 @@
         TargetReply { response, ..reply }
     }
 
+    /// Admits a call as far as calls of runs of its route are served. Fails with the time after which
+    /// a retry is likely to be admitted.
+    fn pass_gate(
+        self: &Arc<Self>,
+        now: ClockTime,
+        route: &Arc<str>,
+    ) -> Result<GatePass, ClockSpan> {
+        let mut state = lock(&self.state);
+        let run_time = state.queue.route_time(route);
+        state.gate.admit(now, route, run_time)?;
+        Ok(GatePass { local_target: self.clone(), route: route.clone() })
+    }
+
     /// Opens a connection to the target and closes it.
     pub(crate) async fn probe_connection(&self) -> Result<(), ExchangeError> {
         let address = lock(&self.state).address;
@@ -399,7 +477,8 @@
                 let (warmth, queue) = state.warmth_and_queue();
                 warmth.learn_rule(now, rule, queue);
             }
-            match state.queue.arrive(now, call) {
+            let origin = if note.from_run { CallOrigin::Run } else { CallOrigin::Client };
+            match state.queue.arrive_from(now, call, origin) {
                 AdmissionDecision::Run(ticket) => (ticket, None),
                 AdmissionDecision::Wait(ticket) => (ticket, Some(state.add_waiter(ticket))),
                 AdmissionDecision::Busy => return Err((ReplyEnd::Busy, ClockSpan::ZERO)),
@@ -408,7 +487,7 @@
                 }
             }
         };
-        let guard = SlotGuard { local_target: self.clone(), ticket, ended: false };
+        let guard = SlotGuard { local_target: self.clone(), ticket, run: None, ended: false };
         if let Some(waiter) = waiter {
             // The sender stays in `waiters` until it has sent the result, so the channel does not
             // close earlier.
@@ -562,6 +641,7 @@
             outage: self.outage.notice(),
             target_leaving: self.is_leaving(),
             retry_after: retry_after.millis(),
+            short_of_calls: false,
             stops_in: self.stop.time_left().map(ClockSpan::millis),
         };
         TargetReply { note, response: None }
@@ -634,14 +714,34 @@
     }
 }
 
+/// A call that the gate of its route has admitted, until it ends or is dropped.
+struct GatePass {
+    local_target: Arc<LocalTarget>,
+    route: Arc<str>,
+}
+
+impl Drop for GatePass {
+    fn drop(&mut self) {
+        lock(&self.local_target.state).gate.release(&self.route);
+    }
+}
+
 /// A place in the queue or a slot of the target. It is freed when the call ends or is dropped.
 pub(crate) struct SlotGuard {
     local_target: Arc<LocalTarget>,
     ticket: SlotTicket,
+    run: Option<RunId>,
     ended: bool,
 }
 
 impl SlotGuard {
+    /// Records that the target starts to run the call.
+    fn begin_run(&mut self, note: &CallNote, deadline: ClockTime) {
+        let now = self.local_target.clock.now();
+        let calls = &mut lock(&self.local_target.state).calls;
+        self.run = Some(calls.begin_run(now, &note.route, note.rank, deadline));
+    }
+
     fn end(mut self, end: CallEnd) {
         self.free(end);
     }
@@ -653,6 +753,9 @@
         let now = self.local_target.clock.now();
         let mut state = lock(&self.local_target.state);
         state.waiters.remove(&self.ticket);
+        if let Some(run) = self.run.take() {
+            state.calls.end_run(run);
+        }
         state.queue.finish(now, self.ticket, end);
         state.queue.cancel(self.ticket);
         state.poll(now);
--- a/sidecar/src/warmth.rs
+++ b/sidecar/src/warmth.rs
@@ -128,6 +128,12 @@
         }
     }
 
+    /// Records that a request sent at `asked_at` found the target warm.
+    fn record_warm(&mut self, asked_at: ClockTime, now: ClockTime, queue: &mut SlotQueue) {
+        self.tracker.record_statement(asked_at, now, ClockSpan::ZERO);
+        self.apply(now, queue);
+    }
+
     /// Sets the limit of the queue, and logs a change.
     pub(crate) fn apply(&mut self, now: ClockTime, queue: &mut SlotQueue) {
         queue.set_cold_limit(now, self.tracker.limit(now, self.factor));
@@ -202,6 +208,7 @@
             body_bytes: 0,
             rate_limit: None,
             warmup: None,
+            from_run: false,
         };
         let Ok(ticket) = self.acquire_slot(self.clock.now(), &note).await else {
             log::info!("no slot for a health check of the target");
@@ -234,7 +241,12 @@
         let mut state = lock(&self.state);
         let now = self.clock.now();
         let (warmth, queue) = state.warmth_and_queue();
-        let stated = warmth.record_headers(asked_at, now, &response.headers, queue);
+        let mut stated = warmth.record_headers(asked_at, now, &response.headers, queue);
+        if !stated && response.status.is_success() && warmth.has_rule() {
+            // A healthy target that is warm states no time.
+            warmth.record_warm(asked_at, now, queue);
+            stated = true;
+        }
         log::info!(status = response.status.as_u16(), stated = stated,
             left_ms = warmth.time_left(now).millis(); "health check of the target");
         state.poll(now);
