--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -4,6 +4,9 @@
 //! from a seeded generator, so tests can simulate any load or fault deterministically.
 
 mod budget;
+mod calls;
+mod evacuation;
+mod gate;
 mod held;
 mod intake;
 mod loss;
@@ -14,6 +17,8 @@
 mod ranks;
 mod readers;
 mod registry;
+mod repeats;
+mod room;
 mod routes;
 mod silence;
 mod slots;
@@ -23,6 +28,9 @@
 mod warmth;
 
 pub use budget::{RetryAllowance, RetryBudget};
+pub use calls::{CallNeed, CallProfile, CallingRun, RunId};
+pub use evacuation::EvacuationSet;
+pub use gate::RunGate;
 pub use held::{CrashTracker, EndEvidence, KnownEnd, MAX_REPORTED_REQUESTS, QUARANTINE_DURATION};
 pub use intake::{IngressDecision, IngressLink, LARGE_BODY_BYTES};
 pub use loss::{LatencyBreakdown, LossCause};
@@ -33,10 +41,12 @@
 pub use ranks::PriorityCounts;
 pub use readers::{SourceSelector, ViewSource, VmSizes, is_small_vm};
 pub use registry::{TargetListing, TargetNotice, TargetRegistry, TargetState};
+pub use repeats::RepeatGuard;
+pub use room::RoomEstimator;
 pub use routes::{ClientLimits, RequestKind, RouteRule, RouteTable, ServiceRule, WeightedService};
 pub use silence::{LINK_CHECK_INTERVAL, LinkHealth, LinkMonitor, LinkTimeouts};
 pub use slots::{
-    AdmissionDecision, CallEnd, QueuedCall, SlotAction, SlotLoad, SlotQueue, SlotTicket,
+    AdmissionDecision, CallEnd, CallOrigin, QueuedCall, SlotAction, SlotLoad, SlotQueue, SlotTicket,
 };
 pub use stop::{READINESS_NOTICE_TIME, StopSchedule};
 pub use view::{StorePosition, StoreView, StoredItem, ViewChange};
--- a/routing/src/warmth.rs
+++ b/routing/src/warmth.rs
@@ -203,6 +203,10 @@
         if is_replaced {
             self.record_doubt(now, ColdCause::Replacement);
         }
+        if self.is_down {
+            // The target lives, so that it is asked before calls wait for it.
+            self.probe_at = Some(now);
+        }
         let was_cold = self.is_cold(now);
         let describes_present = now.since(self.evidence_at) >= LISTING_AGE;
         if describes_present {
@@ -254,8 +258,8 @@
         self.probed_at = Some(now);
     }
 
-    /// Records the end of a health check, and whether it has told how long the target stays cold.
-    /// Otherwise it is repeated while the target is in doubt.
+    /// Records the end of a health check, and whether the target has answered. Otherwise it is repeated
+    /// while the target is in doubt.
     pub fn end_probe(&mut self, now: ClockTime, answered: bool) {
         self.probe_running = false;
         if !answered && !self.is_down && self.in_doubt_since.is_some() && self.is_cold(now) {
--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -16,8 +16,9 @@
 };
 use fescuestack_platform::{decode_rate_limit, states_departure};
 use fescuestack_routing::{
-    AdmissionDecision, CallEnd, IngressDecision, IngressLink, QueuedCall, RateLimit, SlotAction,
-    SlotLoad, SlotQueue, SlotTicket, TargetListing, TargetNotice, TargetState,
+    AdmissionDecision, CallEnd, CallOrigin, CallProfile, CallingRun, IngressDecision, IngressLink,
+    QueuedCall, RateLimit, RunGate, RunId, SlotAction, SlotLoad, SlotQueue, SlotTicket,
+    TargetListing, TargetNotice, TargetState,
 };
 use futures_lite::future;
 use http::header::CONTENT_ENCODING;
@@ -62,6 +63,16 @@
 /// Number of idle connections that are kept.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
+/// How a call that a run of the target made has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RunCallEnd {
+    Answered,
+    /// Its service had no room for it.
+    Refused,
+    /// It failed for another reason.
+    Other,
+}
+
 /// Result of a call at the target.
 #[derive(Debug)]
 pub(crate) struct TargetReply {
@@ -84,6 +95,12 @@
     address: SocketAddr,
     pub(crate) queue: SlotQueue,
     pub(crate) warmth: TargetWarmth,
+    /// Whether the target's data centre is evacuated.
+    pub(crate) evacuated: bool,
+    /// Calls that the target's runs make.
+    calls: CallProfile,
+    /// Limits the runs whose calls are refused.
+    gate: RunGate,
     /// Id and start time of the target that the platform lists.
     listed: Option<(Arc<str>, u64)>,
     /// Id that the target itself reports, if it differs from the listed one.
@@ -111,6 +128,9 @@
             address,
             queue: SlotQueue::new(1),
             warmth: TargetWarmth::new(clock.now()),
+            evacuated: false,
+            calls: CallProfile::new(),
+            gate: RunGate::new(),
             listed: None,
             actual_id: None,
             notice: None,
@@ -148,7 +168,9 @@
                 }
                 let is_leaving = state.notice.is_some_and(|notice| notice.is_leaving);
                 state.queue.set_slots(listing.slots);
-                state.queue.set_open(listing.state == TargetState::Ready && !is_leaving);
+                let is_open =
+                    listing.state == TargetState::Ready && !is_leaving && !state.evacuated;
+                state.queue.set_open(is_open);
                 let (warmth, queue) = state.warmth_and_queue();
                 warmth.record_listing(now, listing, queue);
             }
@@ -158,6 +180,21 @@
         state.poll(now);
     }
 
+    /// Sets whether the target's data centre is evacuated. The target then gets no calls, and queued
+    /// ones are refused; running ones end. Followed by an [`update`](Self::update).
+    pub(crate) fn set_evacuated(&self, evacuated: bool) {
+        let now = self.clock.now();
+        let mut state = lock(&self.state);
+        if std::mem::replace(&mut state.evacuated, evacuated) == evacuated {
+            return;
+        }
+        state.queue.set_open(!evacuated);
+        if !evacuated {
+            let (warmth, queue) = state.warmth_and_queue();
+            warmth.record_evacuation_end(now, queue);
+        }
+    }
+
     pub(crate) fn load(&self) -> SlotLoad {
         let ingress_delay = lock(&self.ingress).drain_time();
         SlotLoad { ingress_delay, ..lock(&self.state).queue.load(self.clock.now()) }
@@ -180,6 +217,45 @@
         }
     }
 
+    /// Returns the run of this target that makes a request, as far as is known. The request arrived
+    /// from this VM and expires at `deadline`.
+    pub(crate) fn calling_run(&self, route: &Arc<str>, deadline: ClockTime) -> Option<CallingRun> {
+        lock(&self.state).calls.record_arrival(self.clock.now(), route, deadline)
+    }
+
+    /// Records the end of a call that `run` made at `arrived`.
+    pub(crate) fn record_run_call(
+        &self,
+        run: &CallingRun,
+        route: &Arc<str>,
+        arrived: ClockTime,
+        end: RunCallEnd,
+    ) {
+        let now = self.clock.now();
+        let mut state = lock(&self.state);
+        state.calls.record_call_time(now, run, route, now.since(arrived));
+        let known = state.gate.limit(&run.route);
+        match end {
+            RunCallEnd::Answered => {
+                let slots = state.queue.slots();
+                state.gate.record_served(&run.route, slots);
+            }
+            RunCallEnd::Refused => {
+                state.gate.record_refused(now, &run.route);
+            }
+            RunCallEnd::Other => (),
+        }
+        let limit = state.gate.limit(&run.route);
+        if known.is_some() != limit.is_some() {
+            let needs = state.calls.needs(&run.route);
+            let need = needs.iter().find(|need| need.route == *route);
+            log::info!(route = &*run.route, called = &**route, limit = limit,
+                calls_per_run = need.map_or(0.0, |need| need.calls_per_run),
+                call_ms = need.map_or(0.0, |need| need.call_time_ms);
+                "limit of runs whose calls are refused changed");
+        }
+    }
+
     /// Whether calls wait in the queue.
     pub(crate) fn has_waiting(&self) -> bool {
         lock(&self.state).queue.has_waiting()
@@ -214,9 +290,24 @@
         if self.outage.is_down() {
             return self.reply(&note.route, ReplyEnd::Down, ClockSpan::ZERO);
         }
-        let ticket = match self.acquire_slot(now, note).await {
+        if self.is_evacuated() {
+            return self.evacuated_reply(note);
+        }
+        let _gate_pass = match self.pass_gate(now, &note.route) {
+            Ok(gate_pass) => gate_pass,
+            Err(retry_after) => {
+                let mut reply = self.reply(&note.route, ReplyEnd::Refused, retry_after);
+                reply.note.short_of_calls = true;
+                return reply;
+            }
+        };
+        let mut ticket = match self.acquire_slot(now, note).await {
+            Ok(_) if self.outage.is_down() => {
+                return self.reply(&note.route, ReplyEnd::Down, ClockSpan::ZERO);
+            }
             Ok(ticket) => ticket,
             Err(_) if self.is_leaving() => return self.leaving_reply(note),
+            Err(_) if self.is_evacuated() => return self.evacuated_reply(note),
             Err((end, retry_after)) => return self.reply(&note.route, end, retry_after),
         };
         let waited = self.clock.now().since(now);
@@ -229,6 +320,7 @@
         if let Ok(id) = HeaderValue::from_str(&note.target) {
             headers.insert(EXPECTED_INSTANCE, id);
         }
+        ticket.begin_run(note, deadline);
         let timeout = Duration::from_millis(left.millis()) + RESPONSE_GRACE;
         let run = self.outage.prepare_run(fingerprint);
         let Some(outcome) = within(timeout, self.exchange(&ticket, note, &request, &run)).await
@@ -249,6 +341,7 @@
             Err(ExchangeError::NotSent { source }) => {
                 log::info!(target = &*note.target, reason = source.to_string().as_str();
                     "cannot connect to the target");
+                lock(&self.state).queue.record_not_sent(ticket.ticket);
                 (ReplyEnd::NotSent, None)
             }
             Err(err) => {
@@ -269,6 +362,19 @@
         TargetReply { response, ..reply }
     }
 
+    /// Admits a call as far as calls of runs of its route are served. Fails with the time after which
+    /// a retry is likely to be admitted.
+    fn pass_gate(
+        self: &Arc<Self>,
+        now: ClockTime,
+        route: &Arc<str>,
+    ) -> Result<GatePass, ClockSpan> {
+        let mut state = lock(&self.state);
+        let run_time = state.queue.route_time(route);
+        state.gate.admit(now, route, run_time)?;
+        Ok(GatePass { local_target: self.clone(), route: route.clone() })
+    }
+
     /// Opens a connection to the target and closes it.
     pub(crate) async fn probe_connection(&self) -> Result<(), ExchangeError> {
         let address = lock(&self.state).address;
@@ -277,19 +383,9 @@
         result
     }
 
-    /// Returns the id of the listed target.
-    pub(crate) fn listed_id(&self) -> Option<Arc<str>> {
-        lock(&self.state).listed.as_ref().map(|(id, _)| id.clone())
-    }
-
-    /// Returns the start time of the listed target if its id is `id`.
-    pub(crate) fn listed_start(&self, id: &str) -> Option<u64> {
-        let state = lock(&self.state);
-        state
-            .listed
-            .as_ref()
-            .filter(|(listed, _)| **listed == *id)
-            .map(|(_, started_ms)| *started_ms)
+    /// Returns the id and the start time of the listed target.
+    pub(crate) fn listed(&self) -> Option<(Arc<str>, u64)> {
+        lock(&self.state).listed.clone()
     }
 
     /// Records whether a connection to the target could be opened. A target that was down is cold when
@@ -381,7 +477,8 @@
                 let (warmth, queue) = state.warmth_and_queue();
                 warmth.learn_rule(now, rule, queue);
             }
-            match state.queue.arrive(now, call) {
+            let origin = if note.from_run { CallOrigin::Run } else { CallOrigin::Client };
+            match state.queue.arrive_from(now, call, origin) {
                 AdmissionDecision::Run(ticket) => (ticket, None),
                 AdmissionDecision::Wait(ticket) => (ticket, Some(state.add_waiter(ticket))),
                 AdmissionDecision::Busy => return Err((ReplyEnd::Busy, ClockSpan::ZERO)),
@@ -390,7 +487,7 @@
                 }
             }
         };
-        let guard = SlotGuard { local_target: self.clone(), ticket, ended: false };
+        let guard = SlotGuard { local_target: self.clone(), ticket, run: None, ended: false };
         if let Some(waiter) = waiter {
             // The sender stays in `waiters` until it has sent the result, so the channel does not
             // close earlier.
@@ -422,8 +519,7 @@
             .headers
             .get(&REQUEST_ID)
             .map(|value| ResponseTag { name: REQUEST_ID, value: value.clone() });
-        let asked_at = self.clock.now();
-        let response =
+        let (asked_at, response) =
             self.exchange_once(ticket, note.idempotent, request, tag.as_ref(), Some(run)).await?;
         if response.status != WRONG_INSTANCE {
             self.record_notice(note, &response);
@@ -435,7 +531,8 @@
         Ok(response)
     }
 
-    /// Sends a request on a connection to the target, which is kept for further ones.
+    /// Sends a request on a connection to the target, which is kept for further ones. Returns the time
+    /// of sending and the response.
     pub(crate) async fn exchange_once(
         &self,
         ticket: &SlotGuard,
@@ -443,22 +540,23 @@
         request: &BufferedRequest,
         tag: Option<&ResponseTag>,
         run: Option<&SentRun>,
-    ) -> Result<BufferedResponse, ExchangeError> {
+    ) -> Result<(ClockTime, BufferedResponse), ExchangeError> {
         let mut connection = self.connection(idempotent).await?;
         if let Some(run) = run {
             run.start();
         }
+        let sent_at = self.clock.now();
         {
             let mut state = lock(&self.state);
             state.sent_since_notice += 1;
-            state.queue.record_sent(self.clock.now(), ticket.ticket);
+            state.queue.record_sent(sent_at, ticket.ticket);
         }
         let response = connection.exchange(request, tag).await?;
         let mut state = lock(&self.state);
         if state.idle.len() < MAX_IDLE_CONNECTIONS {
             state.idle.push(connection);
         }
-        Ok(response)
+        Ok((sent_at, response))
     }
 
     /// Returns the most recently used idle connection that can be reused, or a new one. Drops idle
@@ -496,13 +594,19 @@
             if connection.idle_time() >= max_idle {
                 continue;
             }
+            let was_kept_alive = connection.is_kept_alive();
             if connection.is_reusable().await {
                 return Ok(connection);
             }
-            closed_early += 1;
+            closed_early += u32::from(was_kept_alive);
         }
     }
 
+    /// Whether the target's data centre is evacuated.
+    pub(crate) fn is_evacuated(&self) -> bool {
+        lock(&self.state).evacuated
+    }
+
     /// Whether the target has stated that it is leaving.
     fn is_leaving(&self) -> bool {
         lock(&self.state).notice.is_some_and(|notice| notice.is_leaving)
@@ -514,6 +618,11 @@
         self.reply(&note.route, ReplyEnd::Leaving, ClockSpan::ZERO)
     }
 
+    /// Returns the reply to a call that is refused because of an evacuation.
+    pub(crate) fn evacuated_reply(&self, note: &CallNote) -> TargetReply {
+        self.reply(&note.route, ReplyEnd::Evacuated, ClockSpan::ZERO)
+    }
+
     /// Returns a reply without a response, with the current load of the target and the service time
     /// of `route`.
     pub(crate) fn reply(&self, route: &str, end: ReplyEnd, retry_after: ClockSpan) -> TargetReply {
@@ -532,6 +641,7 @@
             outage: self.outage.notice(),
             target_leaving: self.is_leaving(),
             retry_after: retry_after.millis(),
+            short_of_calls: false,
             stops_in: self.stop.time_left().map(ClockSpan::millis),
         };
         TargetReply { note, response: None }
@@ -604,14 +714,34 @@
     }
 }
 
+/// A call that the gate of its route has admitted, until it ends or is dropped.
+struct GatePass {
+    local_target: Arc<LocalTarget>,
+    route: Arc<str>,
+}
+
+impl Drop for GatePass {
+    fn drop(&mut self) {
+        lock(&self.local_target.state).gate.release(&self.route);
+    }
+}
+
 /// A place in the queue or a slot of the target. It is freed when the call ends or is dropped.
 pub(crate) struct SlotGuard {
     local_target: Arc<LocalTarget>,
     ticket: SlotTicket,
+    run: Option<RunId>,
     ended: bool,
 }
 
 impl SlotGuard {
+    /// Records that the target starts to run the call.
+    fn begin_run(&mut self, note: &CallNote, deadline: ClockTime) {
+        let now = self.local_target.clock.now();
+        let calls = &mut lock(&self.local_target.state).calls;
+        self.run = Some(calls.begin_run(now, &note.route, note.rank, deadline));
+    }
+
     fn end(mut self, end: CallEnd) {
         self.free(end);
     }
@@ -623,6 +753,9 @@
         let now = self.local_target.clock.now();
         let mut state = lock(&self.local_target.state);
         state.waiters.remove(&self.ticket);
+        if let Some(run) = self.run.take() {
+            state.calls.end_run(run);
+        }
         state.queue.finish(now, self.ticket, end);
         state.queue.cancel(self.ticket);
         state.poll(now);
--- a/sidecar/src/warmth.rs
+++ b/sidecar/src/warmth.rs
@@ -7,6 +7,7 @@
 use fescuestack_core::{ClockSpan, ClockTime};
 use fescuestack_http::{BufferedRequest, lock, within};
 use fescuestack_platform::decode_cold_time;
+use fescuestack_platform::headers::NOT_EXECUTED;
 use fescuestack_routing::{ColdCause, ColdTracker, SlotQueue, TargetListing, WarmupRule};
 use http::header::HOST;
 use http::{HeaderMap, HeaderValue, Method};
@@ -76,6 +77,12 @@
         self.apply(now, queue);
     }
 
+    /// Records that the evacuation of the target's data centre has ended.
+    pub(crate) fn record_evacuation_end(&mut self, now: ClockTime, queue: &mut SlotQueue) {
+        self.tracker.record_doubt(now, ColdCause::EvacuationEnd);
+        self.apply(now, queue);
+    }
+
     /// Records whether a connection to the target could be opened.
     pub(crate) fn record_connection(
         &mut self,
@@ -121,6 +128,12 @@
         }
     }
 
+    /// Records that a request sent at `asked_at` found the target warm.
+    fn record_warm(&mut self, asked_at: ClockTime, now: ClockTime, queue: &mut SlotQueue) {
+        self.tracker.record_statement(asked_at, now, ClockSpan::ZERO);
+        self.apply(now, queue);
+    }
+
     /// Sets the limit of the queue, and logs a change.
     pub(crate) fn apply(&mut self, now: ClockTime, queue: &mut SlotQueue) {
         queue.set_cold_limit(now, self.tracker.limit(now, self.factor));
@@ -161,6 +174,9 @@
         let now = self.clock.now();
         let path = {
             let mut state = lock(&self.state);
+            if state.evacuated {
+                return;
+            }
             let tracker = &mut state.warmth.tracker;
             if !tracker.wants_probe(now) || !self.stop.allows(now + PROBE_TIMEOUT) {
                 return;
@@ -170,14 +186,14 @@
         };
         let local_target = self.clone();
         async_std::task::spawn(async move {
-            let stated = local_target.probe(&path).await;
+            let answered = local_target.probe(&path).await;
             let now = local_target.clock.now();
-            lock(&local_target.state).warmth.tracker.end_probe(now, stated);
+            lock(&local_target.state).warmth.tracker.end_probe(now, answered);
         });
     }
 
-    /// Asks the target for how long it stays cold, in a slot like any call. Returns whether it stated
-    /// that.
+    /// Asks the target for how long it stays cold, in a slot like any call. Returns whether it has
+    /// answered.
     async fn probe(self: &Arc<Self>, path: &str) -> bool {
         let timeout = PROBE_TIMEOUT.millis();
         let note = CallNote {
@@ -192,6 +208,7 @@
             body_bytes: 0,
             rate_limit: None,
             warmup: None,
+            from_run: false,
         };
         let Ok(ticket) = self.acquire_slot(self.clock.now(), &note).await else {
             log::info!("no slot for a health check of the target");
@@ -205,14 +222,13 @@
             headers,
             body: Bytes::new(),
         };
-        let asked_at = self.clock.now();
         let timeout = Duration::from_millis(timeout);
         let result = within(timeout, self.exchange_once(&ticket, true, &request, None, None)).await;
-        let response = match result {
-            Some(Ok(response)) => response,
+        let (asked_at, response) = match result {
+            Some(Ok(answer)) => answer,
             Some(Err(err)) => {
                 log::info!(reason = err.to_string().as_str(); "health check of the target failed");
-                if let Some(id) = self.listed_id() {
+                if let Some((id, _)) = self.listed() {
                     confirm_outage(self, &id).await;
                 }
                 return false;
@@ -225,10 +241,15 @@
         let mut state = lock(&self.state);
         let now = self.clock.now();
         let (warmth, queue) = state.warmth_and_queue();
-        let stated = warmth.record_headers(asked_at, now, &response.headers, queue);
+        let mut stated = warmth.record_headers(asked_at, now, &response.headers, queue);
+        if !stated && response.status.is_success() && warmth.has_rule() {
+            // A healthy target that is warm states no time.
+            warmth.record_warm(asked_at, now, queue);
+            stated = true;
+        }
         log::info!(status = response.status.as_u16(), stated = stated,
             left_ms = warmth.time_left(now).millis(); "health check of the target");
         state.poll(now);
-        stated
+        stated || !response.headers.contains_key(&NOT_EXECUTED)
     }
 }
