--- a/fescuestack/tests/node_process/mod.rs
+++ b/fescuestack/tests/node_process/mod.rs
@@ -48,6 +48,14 @@
         peak.expect("the peak of the resident memory")
     }
 
+    /// Returns the number of sockets that the running process has open.
+    pub fn open_sockets(&self) -> u64 {
+        let id = self.process.as_ref().expect("a started process").id();
+        let descriptors = std::fs::read_dir(format!("/proc/{id}/fd")).expect("a process");
+        let targets = descriptors.filter_map(|entry| std::fs::read_link(entry.ok()?.path()).ok());
+        targets.filter(|target| target.to_string_lossy().starts_with("socket:")).count() as u64
+    }
+
     /// Whether the process was never started or has exited.
     pub fn has_ended(&mut self) -> bool {
         self.process
