Limit the memory, descriptors and pace of clients

Nothing bounded connections, and the ready port had no limits at all.

Change: one account for all that is held for peers, from the first byte; its size follows from the settings' memory. routing/src/memory.rs decides without I/O who is granted, waits or is refused, which connections are closed, and who is too slow; sidecar/src/connections.rs and http/src/meter.rs carry it out. Quotas of connections by kind follow from max_fds. Times for heads and least rates for bodies and answers are in the policy (clients). Early refusals linger. The crowd tests use another VM address each, because a listener once met a socket of an earlier test (AddrInUse); crowds and bounds are unchanged.

--- a/fescuestack/tests/crowds.rs
+++ b/fescuestack/tests/crowds.rs
@@ -9,6 +9,7 @@
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{IpAddr, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -16,7 +17,7 @@
 use async_std::task;
 use fescuestack_platform_standin::{
     CONFIG_KEY, READY_PATH, RouteEntry, SettingsEntry, StandinApplication, StandinStore,
-    TargetRecord, config_value, free_ports, target_key,
+    TargetRecord, config_value_with_limit, free_ports, target_key,
 };
 use socket2::{Domain, Socket, Type};
 
@@ -57,6 +58,9 @@
 /// Receive buffer of clients that take no answers, in bytes.
 const SMALL_RECEIVE_BUFFER: usize = 4096;
 
+/// Last octet of the next VM's address.
+static NEXT_VM: AtomicU8 = AtomicU8::new(1);
+
 /// One crowd runs at a time.
 static TURN: Mutex<()> = Mutex::new(());
 
@@ -186,7 +190,14 @@
 
 impl CrowdedNode {
     fn start(crowd: &Crowd) -> CrowdedNode {
-        let vm = IpAddr::from([127, (std::process::id() % 200) as u8 + 4, 246, 1]);
+        CrowdedNode::start_with(crowd, MEMORY_MB, MAX_BODY_BYTES)
+    }
+
+    /// Starts the node on a VM with `memory_mb`, for bodies of up to `max_body_bytes`.
+    fn start_with(crowd: &Crowd, memory_mb: u64, max_body_bytes: usize) -> CrowdedNode {
+        // Another address for each test, so that sockets of earlier ones are not in the way.
+        let number = NEXT_VM.fetch_add(1, Ordering::Relaxed);
+        let vm = IpAddr::from([127, (std::process::id() % 200) as u8 + 4, 246, number]);
         let [application_port, ports @ ..] = free_ports::<4>().expect("free ports");
         let (store, application) = task::block_on(async {
             let store = StandinStore::start().await.expect("a free port");
@@ -197,7 +208,7 @@
         application.set_response_bytes(crowd.answer_bytes);
         let timeout = Duration::from_secs(30);
         let route = RouteEntry { prefix: "/a/", route_type: "safe", service: "alpha", timeout };
-        store.put(CONFIG_KEY, config_value(1, HOST, &[route]));
+        store.put(CONFIG_KEY, config_value_with_limit(1, HOST, &[route], max_body_bytes));
         let target = application.address();
         store.put(&target_key("t1"), TargetRecord::new(target, "alpha").value());
         let settings = SettingsEntry {
@@ -207,7 +218,7 @@
             target,
             store: store.address(),
             link_mbps: 1_000.0,
-            memory_mb: MEMORY_MB,
+            memory_mb,
             grace_s: 4,
         };
         let mut settings = settings.value();
@@ -369,6 +380,39 @@
     assert!(sockets <= socket_bound, "{sockets} sockets of {socket_bound}");
 }
 
+/// Longest body that the users' configurations allow, in bytes.
+const LONGEST_BODY_BYTES: usize = 64 << 20;
+
+/// Sends an upload of the longest body to a node on a VM with `memory_mb`, and returns the status of
+/// the answer. The body is sent only if `sends_body` is set.
+fn upload_longest_body(memory_mb: u64, sends_body: bool) -> Option<u16> {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut crowded = CrowdedNode::start_with(&Crowd::default(), memory_mb, LONGEST_BODY_BYTES);
+    let mut stream = TcpStream::connect(crowded.address(Door::Clients)).expect("a node");
+    stream.set_read_timeout(Some(HANG_TIME)).expect("a timeout");
+    let sent = if sends_body { LONGEST_BODY_BYTES } else { 0 };
+    stream.write_all(&upload("/a/", LONGEST_BODY_BYTES, sent)).expect("the node reads");
+    let mut answer = [0; 512];
+    let count = stream.read(&mut answer).expect("an answer");
+    let peak = crowded.node.peak_memory_kb();
+    eprintln!("body of {LONGEST_BODY_BYTES} bytes with {memory_mb} MB: {peak} KB");
+    assert!(!crowded.node.has_ended(), "the node has ended");
+    assert!(peak <= memory_mb * 1024, "{peak} KB");
+    String::from_utf8_lossy(&answer[..count]).split(' ').nth(1)?.parse().ok()
+}
+
+/// Guards against limits that refuse a single body of legal size on the smallest VM in use.
+#[test]
+fn longest_body_is_served_in_calm() {
+    assert_eq!(upload_longest_body(160, true), Some(200));
+}
+
+/// Guards against receiving a body for which the VM never has the memory before it is refused.
+#[test]
+fn body_beyond_the_memory_is_refused_by_its_length() {
+    assert_eq!(upload_longest_body(MEMORY_MB, false), Some(503));
+}
+
 /// The table of crowds: each entry becomes a test. The doc comment says what the crowd does that
 /// could end the process.
 macro_rules! crowds {
--- a/http/src/budget.rs
+++ b/http/src/budget.rs
@@ -11,21 +11,43 @@
 use hyper::body::Body;
 use snafu::Snafu;
 
-/// Messages up to this length don't count against the budget, so that ordinary calls still succeed
-/// while long messages have exhausted it.
-const UNCOUNTED_BYTES: usize = 64 * 1024;
+/// Messages up to this length count against the budget but are not limited by it, so that ordinary
+/// calls still succeed while long messages have exhausted it.
+const SHORT_BYTES: usize = 64 * 1024;
 
-/// Limits the total number of bytes that the messages of a process hold.
+/// Limits the total number of bytes that the messages and connections of a process hold.
 #[derive(Debug)]
 pub struct ByteBudget {
     limit: usize,
+    /// Limit for messages that grow without a stated length.
+    long_limit: usize,
     used: AtomicUsize,
 }
 
 impl ByteBudget {
     /// Creates a budget of `limit` bytes.
     pub fn new(limit: usize) -> Arc<ByteBudget> {
-        Arc::new(ByteBudget { limit, used: AtomicUsize::new(0) })
+        ByteBudget::with_long_limit(limit, limit)
+    }
+
+    /// Like [`ByteBudget::new`]. Long messages that are received into a [`ByteReservation`] are
+    /// accepted while less than `long_limit` bytes are in use, because they are copied while they
+    /// grow.
+    pub fn with_long_limit(limit: usize, long_limit: usize) -> Arc<ByteBudget> {
+        Arc::new(ByteBudget { limit, long_limit, used: AtomicUsize::new(0) })
+    }
+
+    /// Whether `bytes` more fit the budget.
+    pub fn has_room(&self, bytes: usize) -> bool {
+        self.used().saturating_add(bytes) <= self.limit
+    }
+
+    pub(crate) fn add(&self, bytes: usize) {
+        self.used.fetch_add(bytes, Ordering::AcqRel);
+    }
+
+    pub(crate) fn subtract(&self, bytes: usize) {
+        self.used.fetch_sub(bytes, Ordering::AcqRel);
     }
 
     /// Returns the number of reserved bytes.
@@ -50,11 +72,10 @@
     /// Grows the reservation to the `length` bytes that the message has now. Returns whether the
     /// budget allows this; the bytes are reserved in either case.
     pub fn try_grow_to(&mut self, length: usize) -> bool {
-        let bytes = if length > UNCOUNTED_BYTES { length } else { 0 };
-        let additional = bytes.saturating_sub(self.bytes);
+        let additional = length.saturating_sub(self.bytes);
         let used = self.budget.used.fetch_add(additional, Ordering::AcqRel) + additional;
         self.bytes += additional;
-        additional == 0 || used <= self.budget.limit
+        additional == 0 || length <= SHORT_BYTES || used <= self.budget.long_limit
     }
 
     /// Converts a complete message to `Bytes` that keep the reservation until they are dropped.
@@ -70,11 +91,11 @@
 }
 
 /// The bytes of a message together with their reservation.
-struct ReservedBytes(Vec<u8>, #[expect(dead_code, reason = "held for its drop")] ByteReservation);
+struct ReservedBytes<B>(B, #[expect(dead_code, reason = "held for its drop")] ByteReservation);
 
-impl AsRef<[u8]> for ReservedBytes {
+impl<B: AsRef<[u8]>> AsRef<[u8]> for ReservedBytes<B> {
     fn as_ref(&self) -> &[u8] {
-        &self.0
+        self.0.as_ref()
     }
 }
 
@@ -87,6 +108,9 @@
     /// The budget of the process is exhausted.
     #[snafu(display("the memory budget for bodies is exhausted"))]
     BudgetExhausted,
+    /// The connection was closed to free its memory or its descriptor.
+    #[snafu(display("the connection was closed"))]
+    Evicted,
     /// Reading the body failed.
     #[snafu(display("reading the body failed: {reason}"))]
     ReadFailed {
@@ -117,8 +141,8 @@
         if !reservation.try_grow_to(bytes.len() + data.len()) {
             return Err(CollectError::BudgetExhausted);
         }
-        if bytes.is_empty() && body.is_end_stream() && data.len() <= UNCOUNTED_BYTES {
-            return Ok(data);
+        if bytes.is_empty() && body.is_end_stream() && data.len() <= SHORT_BYTES {
+            return Ok(Bytes::from_owner(ReservedBytes(data, reservation)));
         }
         bytes.extend_from_slice(&data);
     }
--- a/http/src/exchange.rs
+++ b/http/src/exchange.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use async_std::net::TcpStream;
+use async_std::net::{TcpListener, TcpStream};
 use bytes::Bytes;
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWriteExt, future};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
@@ -171,6 +171,11 @@
     socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
 }
 
+/// Sets the receive buffer of the connections that a listener accepts, in bytes.
+pub fn set_receive_buffer(listener: &TcpListener, bytes: usize) -> io::Result<()> {
+    SockRef::from(listener).set_recv_buffer_size(bytes)
+}
+
 impl ExchangeConnection {
     /// Connects to `address` within `limit`.
     pub async fn open(
--- a/http/src/runtime.rs
+++ b/http/src/runtime.rs
@@ -14,14 +14,22 @@
 use hyper::rt::{Executor, ReadBufCursor, Sleep, Timer};
 
 use crate::body::lock;
+use crate::coarse_timer::CoarseSleep;
+use crate::meter::ConnectionMeter;
 use crate::read_turn::ReadTurn;
 
 /// Maximum number of bytes per read from a socket.
 const READ_CHUNK_BYTES: usize = 16 * 1024;
 
 /// Maximum number of bytes read ahead while a request is served. If a client sends more, its close
-/// is no longer detected.
-const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
+/// is no longer detected. The longest head fits.
+const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
+
+/// Number of bytes that are read ahead even if the memory budget is exhausted.
+const MIN_READ_AHEAD_BYTES: usize = 4 * 1024;
+
+/// How long a connection that must not read waits before it checks the memory budget again.
+const READ_PAUSE: Duration = Duration::from_millis(20);
 
 /// Spawns the tasks of `hyper` on `async-std`.
 #[derive(Debug, Clone, Copy, Default)]
@@ -110,6 +118,9 @@
     /// Whether the last write blocked.
     write_blocked: bool,
     turn: ReadTurn,
+    meter: Option<Arc<ConnectionMeter>>,
+    /// Runs while the connection must not read.
+    pause: Option<CoarseSleep>,
 }
 
 /// Detects that the client closes its connection while a request is served.
@@ -117,6 +128,7 @@
 pub struct CloseWatch {
     stream: TcpStream,
     read_ahead: Arc<Mutex<ReadAhead>>,
+    meter: Option<Arc<ConnectionMeter>>,
 }
 
 impl HyperStream {
@@ -128,15 +140,45 @@
             activity: PeerActivity::default(),
             write_blocked: false,
             turn: ReadTurn::default(),
+            meter: None,
+            pause: None,
         }
     }
 
+    /// Counts the memory and the progress of the connection with `meter`, and stops to read while
+    /// the budget is exhausted.
+    pub fn with_meter(mut self, meter: Arc<ConnectionMeter>) -> HyperStream {
+        self.meter = Some(meter);
+        self
+    }
+
     /// Returns the activity counter of the peer.
     pub fn activity(&self) -> PeerActivity {
         self.activity.clone()
     }
 
-    fn record_write(&mut self, written: &Poll<io::Result<usize>>) {
+    /// Waits until the memory budget allows reading, or fails if the connection does not wait.
+    fn poll_memory(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let Some(meter) = &self.meter else { return Poll::Ready(Ok(())) };
+        while !meter.reserve_read() {
+            if meter.fails_without_room() {
+                return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
+            }
+            let pause = self.pause.get_or_insert_with(|| CoarseSleep::new(READ_PAUSE));
+            ready!(Pin::new(pause).poll(cx));
+            self.pause = None;
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    fn record_write(&mut self, written: &Poll<io::Result<usize>>, length: usize) {
+        if let Some(meter) = &self.meter {
+            match written {
+                Poll::Pending => meter.record_blocked_write(length),
+                Poll::Ready(Ok(count)) => meter.record_written(*count),
+                Poll::Ready(Err(_)) => (),
+            }
+        }
         match written {
             Poll::Pending => self.write_blocked = true,
             Poll::Ready(Ok(_)) if self.write_blocked => {
@@ -149,7 +191,8 @@
 
     /// Returns a watch that detects when the peer closes the connection.
     pub fn watch(&self) -> CloseWatch {
-        CloseWatch { stream: self.stream.clone(), read_ahead: self.read_ahead.clone() }
+        let (stream, read_ahead) = (self.stream.clone(), self.read_ahead.clone());
+        CloseWatch { stream, read_ahead, meter: self.meter.clone() }
     }
 }
 
@@ -166,13 +209,22 @@
             if read_ahead.eof {
                 return Poll::Ready(());
             }
-            if read_ahead.bytes.len() >= MAX_READ_AHEAD_BYTES {
+            let limit = match &self.meter {
+                Some(meter) if !meter.may_read_ahead() => MIN_READ_AHEAD_BYTES,
+                _ => MAX_READ_AHEAD_BYTES,
+            };
+            if read_ahead.bytes.len() >= limit {
                 return Poll::Pending;
             }
             let mut buffer = [0; 4096];
             match ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buffer)) {
                 Ok(0) | Err(_) => read_ahead.eof = true,
-                Ok(count) => read_ahead.bytes.extend_from_slice(&buffer[..count]),
+                Ok(count) => {
+                    read_ahead.bytes.extend_from_slice(&buffer[..count]);
+                    if let Some(meter) = &self.meter {
+                        meter.record_read_ahead(read_ahead.bytes.capacity());
+                    }
+                }
             }
         }
     }
@@ -187,20 +239,33 @@
         let this = &mut *self;
         let mut read_ahead = lock(&this.read_ahead);
         if !read_ahead.bytes.is_empty() {
-            let count = read_ahead.bytes.len().min(target.remaining());
+            let max_read = this.meter.as_ref().map_or(usize::MAX, |meter| meter.max_read_bytes());
+            let count = read_ahead.bytes.len().min(target.remaining()).min(max_read);
             target.put_slice(&read_ahead.bytes[..count]);
             read_ahead.bytes.drain(..count);
+            if read_ahead.bytes.is_empty() {
+                read_ahead.bytes = Vec::new();
+            }
+            if let Some(meter) = &this.meter {
+                meter.record_read_ahead(read_ahead.bytes.capacity());
+                meter.record_read(count);
+            }
             return Poll::Ready(Ok(()));
         }
         if read_ahead.eof {
             return Poll::Ready(Ok(()));
         }
         drop(read_ahead);
+        ready!(this.poll_memory(cx))?;
         let mut buffer = [0; READ_CHUNK_BYTES];
-        let limit = target.remaining().min(READ_CHUNK_BYTES);
+        let max_read = this.meter.as_ref().map_or(usize::MAX, |meter| meter.max_read_bytes());
+        let limit = target.remaining().min(READ_CHUNK_BYTES).min(max_read);
         let (stream, out) = (&mut this.stream, &mut buffer[..limit]);
         let count = ready!(this.turn.poll_read(cx, |cx| Pin::new(stream).poll_read(cx, out)))?;
         target.put_slice(&buffer[..count]);
+        if let Some(meter) = &this.meter {
+            meter.record_read(count);
+        }
         if count > 0 {
             this.activity.record();
         }
@@ -215,7 +280,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
-        self.record_write(&written);
+        self.record_write(&written, bytes.len());
         written
     }
 
@@ -237,7 +302,7 @@
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bytes);
-        self.record_write(&written);
+        self.record_write(&written, bytes.iter().map(|part| part.len()).sum());
         written
     }
 }
--- a/operators/src/metrics.rs
+++ b/operators/src/metrics.rs
@@ -47,6 +47,9 @@
     version: Gauge<u64>,
     targets: Gauge<u64>,
     target_calls: Gauge<u64>,
+    held_bytes: Gauge<u64>,
+    open_connections: Gauge<u64>,
+    closed_connections: Gauge<u64>,
 }
 
 impl NodeMetrics {
@@ -73,6 +76,9 @@
         let version = meter.u64_gauge("fescuestack_version").build();
         let targets = meter.u64_gauge("fescuestack_targets").build();
         let target_calls = meter.u64_gauge("fescuestack_target_calls").build();
+        let held_bytes = meter.u64_gauge("fescuestack_held").with_unit("By").build();
+        let open_connections = meter.u64_gauge("fescuestack_connections").build();
+        let closed_connections = meter.u64_gauge("fescuestack_connections_closed").build();
         let _meter_provider = provider;
         Ok(NodeMetrics {
             registry,
@@ -87,6 +93,9 @@
             version,
             targets,
             target_calls,
+            held_bytes,
+            open_connections,
+            closed_connections,
         })
     }
 
@@ -119,6 +128,23 @@
         self.target_calls.record(waiting.into(), &[KeyValue::new("state", "waiting")]);
     }
 
+    /// Sets the number of bytes held for peers, of their open connections by kind, and of connections closed
+    /// since the start by reason.
+    pub fn record_connections(
+        &self,
+        held_bytes: u64,
+        open: &[(&'static str, u64)],
+        closed: &[(&'static str, u64)],
+    ) {
+        self.held_bytes.record(held_bytes, &[]);
+        for (kind, count) in open {
+            self.open_connections.record(*count, &[KeyValue::new("kind", *kind)]);
+        }
+        for (reason, count) in closed {
+            self.closed_connections.record(*count, &[KeyValue::new("reason", *reason)]);
+        }
+    }
+
     /// Adds bytes of control traffic in one direction.
     pub fn record_control_bytes(&self, direction: &'static str, bytes: u64) {
         self.control_bytes.add(bytes, &[KeyValue::new("direction", direction)]);
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -7,6 +7,7 @@
 mod held;
 mod intake;
 mod loss;
+mod memory;
 mod pacer;
 mod picker;
 mod plan;
@@ -24,6 +25,11 @@
 pub use held::{CrashTracker, KnownCrash, QUARANTINE_DURATION};
 pub use intake::{IngressDecision, IngressLink, LARGE_BODY_BYTES};
 pub use loss::{LatencyBreakdown, LossCause};
+pub use memory::{
+    CloseReason, ConnectionKind, ConnectionLimits, ConnectionPhase, ConnectionProgress,
+    ConnectionState, MemoryAccount, MemoryRequest, MemoryStep, ProgressLimits, choose_displaced,
+    choose_evictions,
+};
 pub use pacer::RateLimit;
 pub use picker::{Alternatives, PickedTarget, TargetFeedback, TargetPicker};
 pub use plan::{AttemptEnd, CallParams, CallPlan, PlanStep};
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -4,9 +4,7 @@
 use std::time::Duration;
 
 use fescuestack_core::{ClockSpan, ClockTime, RequestFingerprint};
-use fescuestack_http::{
-    BufferedRequest, BufferedResponse, CloseWatch, CollectError, collect_body, lock, within,
-};
+use fescuestack_http::{BufferedRequest, BufferedResponse, CloseWatch, CollectError, lock, within};
 use fescuestack_platform::headers::{CALLER_SERVICE, DEADLINE_MS, EXPECTED_INSTANCE, REQUEST_ID};
 use fescuestack_routing::{
     AttemptEnd, CallParams, CallPlan, LatencyBreakdown, LossCause, PickedTarget, PlanStep,
@@ -15,8 +13,9 @@
 use futures_lite::future;
 use http::header::{CONNECTION, HOST, RETRY_AFTER};
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 
+use crate::connections::ConnectionRecord;
 use crate::crashes::CRASHING_RETRY_AFTER;
 use crate::message::{FullResponse, empty_response, forwarded_request, full_response};
 use crate::node::NodeState;
@@ -87,27 +86,38 @@
     state: Arc<NodeState>,
     request: Request<Incoming>,
     mut watch: CloseWatch,
+    connection: &Arc<ConnectionRecord>,
 ) -> FullResponse {
     let _call_guard = state.begin_call();
+    let head = connection.begin_request(request.headers(), !request.body().is_end_stream());
     let id = request.headers().get(&REQUEST_ID).cloned();
     let arrived = state.clock.now();
     let mut trace = EntryTrace::default();
-    let outcome = handle_request(&state, request, arrived, &mut watch, &mut trace).await;
+    let outcome = if head.is_some() && !state.connections.has_room_for_long_head() {
+        drop(request);
+        trace.cause = Some(LossCause::MemoryFull);
+        Err(EntryFault::NotRun { retry_after: MEMORY_FULL_RETRY_AFTER })
+    } else {
+        handle_request(&state, request, arrived, &mut watch, connection, &mut trace).await
+    };
+    drop(head);
     let fault = outcome.as_ref().err().copied();
     record_decisions(&state, id.as_ref(), arrived, fault, &trace);
     let mut response = match outcome {
         Ok(response) => {
             trace.times.total = state.clock.now().since(arrived).millis();
             log_late_or_failed(&state, id.as_ref(), response.status, &trace);
-            full_response(response)
+            let body = connection.begin_answer(response.body);
+            full_response(BufferedResponse { body, ..response })
         }
         Err(fault) => {
             log_fault(&state, id.as_ref(), arrived, fault, &trace);
+            connection.end_answer();
             fault_response(fault, id)
         }
     };
     record_call(&state, &trace, arrived, response.status());
-    if state.is_stopping() {
+    if state.is_stopping() || connection.has_unread_body() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -118,6 +128,7 @@
     request: Request<Incoming>,
     arrived: ClockTime,
     watch: &mut CloseWatch,
+    connection: &Arc<ConnectionRecord>,
     trace: &mut EntryTrace,
 ) -> Result<BufferedResponse, EntryFault> {
     if state.is_refusing() {
@@ -151,10 +162,15 @@
     trace.times.soft_timeout = route.soft_timeout.less(waited).millis();
     let timeout = Duration::from_millis(left.millis());
     let max_body_bytes = usize::try_from(routes.limits.max_body_bytes).unwrap_or(usize::MAX);
-    let body = match within(timeout, collect_body(body, max_body_bytes, &state.body_budget)).await {
+    let received = async {
+        let body = state.connections.receive_body(connection, body, max_body_bytes).await?;
+        connection.begin_run()?;
+        Ok(body)
+    };
+    let body = match within(timeout, received).await {
         Some(Ok(body)) => body,
         Some(Err(CollectError::TooLong)) => return Err(EntryFault::TooLong),
-        Some(Err(CollectError::BudgetExhausted)) => {
+        Some(Err(CollectError::BudgetExhausted | CollectError::Evicted)) => {
             trace.cause = Some(LossCause::MemoryFull);
             return Err(EntryFault::NotRun { retry_after: MEMORY_FULL_RETRY_AFTER });
         }
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -5,6 +5,7 @@
 //! configuration and the list of targets up to date. Routing decisions are made by
 //! `fescuestack-routing`.
 
+mod connections;
 mod crashes;
 mod entry;
 mod follower;
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -14,21 +14,26 @@
 use fescuestack_operators::{MetricsError, NodeMetrics, RecentCalls};
 use fescuestack_platform::{SidecarSettings, decode_config};
 use fescuestack_routing::{
-    CallerWaitEstimator, CrashTracker, RetryAllowance, RetryBudget, RouteTable, StorePosition,
-    StoreView, TargetPicker, VmSizes, is_small_vm,
+    CallerWaitEstimator, ConnectionKind, ConnectionLimits, CrashTracker, MemoryAccount,
+    RetryAllowance, RetryBudget, RouteTable, StorePosition, StoreView, TargetPicker, VmSizes,
+    is_small_vm,
 };
 use http_body_util::Full;
 use rustc_hash::{FxHashMap, FxHasher};
 
+use crate::connections::ConnectionTable;
 use crate::links::{LinkObserver, LinkTable};
 use crate::policy::NodePolicy;
 use crate::report::EXPLAIN_RECORDS;
 use crate::stop::StopSignal;
 use crate::target::LocalTarget;
 
-/// Divisor of the VM's memory that gives the budget for bodies of calls. Bodies are copied once or
-/// twice, and the rest of the node takes about 40 MB.
-const BODY_MEMORY_DIVISOR: u64 = 6;
+/// Divisor of the VM's memory that gives the part for long responses. They are copied once or twice
+/// while they are received.
+const LONG_RESPONSE_DIVISOR: u64 = 6;
+
+/// Time for a head while there is no configuration.
+const DEFAULT_HEAD_TIMEOUT: ClockSpan = ClockSpan::new(5_000);
 
 /// Age from which a node's view of the store is not passed on. Contact is confirmed about every 500
 /// ms on each level of the tree of followers.
@@ -37,7 +42,6 @@
 /// State of a node.
 pub(crate) struct NodeState {
     pub(crate) settings: ArcSwap<SidecarSettings>,
-    #[expect(dead_code, reason = "read by the parts that it switches on")]
     pub(crate) policy: NodePolicy,
     pub(crate) clock: CallClock,
     /// The active configuration.
@@ -54,8 +58,8 @@
     pub(crate) view: Mutex<StoreView>,
     /// Notified when the view changes and when this node starts or stops reading the store.
     pub(crate) view_changed: Event,
-    /// Memory budget for the bodies of all calls.
-    pub(crate) body_budget: Arc<ByteBudget>,
+    /// The connections that peers have opened, with the memory held for them.
+    pub(crate) connections: Arc<ConnectionTable>,
     /// Sizes of the VMs in this data centre.
     pub(crate) vm_sizes: Mutex<VmSizes>,
     /// The content that was last sent to another node.
@@ -131,16 +135,21 @@
             waits: CallerWaitEstimator::default(),
             budgets: FxHashMap::default(),
         };
-        let body_budget = ByteBudget::new((settings.memory_bytes / BODY_MEMORY_DIVISOR) as usize);
-        let links = LinkTable::new(body_budget.clone(), settings.grace);
-        let stop = Arc::new(StopSignal::new(clock));
-        let local_target = LocalTarget::new(
-            settings.target,
-            settings.link_mbps,
+        let account = MemoryAccount::new(settings.memory_bytes);
+        let long_limit = (settings.memory_bytes / LONG_RESPONSE_DIVISOR) as usize;
+        let body_budget =
+            ByteBudget::with_long_limit(account.limit(), long_limit.min(account.limit()));
+        let connections = Arc::new(ConnectionTable::new(
             clock,
             body_budget.clone(),
-            stop.clone(),
-        );
+            account,
+            ConnectionLimits::new(settings.max_descriptors),
+            &policy.clients,
+        ));
+        let links = LinkTable::new(body_budget.clone(), settings.grace);
+        let stop = Arc::new(StopSignal::new(clock));
+        let local_target =
+            LocalTarget::new(settings.target, settings.link_mbps, clock, body_budget, stop.clone());
         let state = Arc::new(NodeState {
             settings: ArcSwap::from_pointee(settings),
             policy,
@@ -150,7 +159,7 @@
             routing: Mutex::new(routing),
             local_target,
             links,
-            body_budget,
+            connections,
             metrics,
             store_calls: AtomicU64::new(0),
             view: Mutex::default(),
@@ -270,6 +279,14 @@
         self.routes.store(Some(Arc::new(routes)));
     }
 
+    /// Returns the time for a request's head, from its first byte.
+    pub(crate) fn head_timeout(&self) -> ClockSpan {
+        let routes = self.routes.load();
+        let configured =
+            routes.as_ref().map_or(DEFAULT_HEAD_TIMEOUT, |routes| routes.limits.head_timeout);
+        configured + ClockSpan::new(self.policy.clients.head_margin_ms)
+    }
+
     /// Whether the VM is small, so that other nodes prefer to follow larger ones.
     pub(crate) fn is_small(&self) -> bool {
         let settings = self.settings.load();
@@ -315,6 +332,15 @@
         let load = self.local_target.load();
         self.metrics.record_node_state(version, targets, self.store_calls.load(Ordering::Relaxed));
         self.metrics.record_target_queue(load.running, load.queued.total());
+        let usage = self.connections.usage();
+        let kind_name = |kind| match kind {
+            ConnectionKind::Client => "client",
+            ConnectionKind::Node => "node",
+            ConnectionKind::Ready => "ready",
+        };
+        let open = usage.open.map(|(kind, count)| (kind_name(kind), count));
+        let closed = usage.closed.map(|(reason, count)| (reason.label(), count));
+        self.metrics.record_connections(usage.held_bytes, &open, &closed);
         self.metrics.encode()
     }
 
--- a/sidecar/src/peer.rs
+++ b/sidecar/src/peer.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use fescuestack_core::{ClockSpan, RequestFingerprint};
-use fescuestack_http::{BufferedRequest, BufferedResponse, CollectError, collect_body, lock};
+use fescuestack_http::{BufferedRequest, BufferedResponse, CollectError, lock};
 use fescuestack_routing::{AttemptEnd, PickedTarget};
 use futures_lite::future;
 use http::header::HOST;
@@ -12,6 +12,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 
+use crate::connections::ConnectionRecord;
 use crate::crashes::{CRASHING_RETRY_AFTER, broadcast_crash, record_crash};
 use crate::links::LinkError;
 use crate::message::{FullResponse, empty_response, forwarded_request, full_response};
@@ -75,10 +76,15 @@
 }
 
 /// Serves a request from another node.
-pub(crate) async fn serve(state: Arc<NodeState>, request: Request<Incoming>) -> FullResponse {
+pub(crate) async fn serve(
+    state: Arc<NodeState>,
+    request: Request<Incoming>,
+    connection: &Arc<ConnectionRecord>,
+) -> FullResponse {
     let (mut parts, body) = request.into_parts();
     if let Some(note) = SyncNote::take(&mut parts.headers) {
-        return match collect_body(body, MAX_BODY_BYTES, &state.body_budget).await {
+        connection.trust();
+        return match state.connections.receive_body(connection, body, MAX_BODY_BYTES).await {
             Ok(body) => serve_sync(&state, note, &body).await,
             Err(err) => {
                 log::info!(node = note.vm.to_string().as_str(); "cannot read sync request: {err}");
@@ -87,6 +93,7 @@
         };
     }
     if let Some(crash) = CrashNote::take(&mut parts.headers) {
+        connection.trust();
         record_crash(&state, &crash);
         return empty_response(StatusCode::NO_CONTENT);
     }
@@ -94,6 +101,7 @@
     let Some(mut note) = CallNote::take(&mut parts.headers) else {
         return empty_response(StatusCode::BAD_REQUEST);
     };
+    connection.trust();
     let received_at = state.clock.now();
     if !state.stop.allows(received_at + ClockSpan::new(note.left)) {
         return reply_response(state.local_target.reply(
@@ -108,9 +116,9 @@
             return reply_response(state.local_target.reply(&note.route, end, retry_after));
         }
     };
-    let body = match collect_body(body, MAX_BODY_BYTES, &state.body_budget).await {
+    let body = match state.connections.receive_body(connection, body, MAX_BODY_BYTES).await {
         Ok(body) => body,
-        Err(CollectError::BudgetExhausted) => {
+        Err(CollectError::BudgetExhausted | CollectError::Evicted) => {
             let refused = ReplyEnd::Refused;
             return reply_response(state.local_target.reply(
                 &note.route,
--- a/sidecar/src/run.rs
+++ b/sidecar/src/run.rs
@@ -1,29 +1,34 @@
 //! Start, listeners and graceful stop of a node.
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::path::PathBuf;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use async_channel::Receiver;
+use async_std::io::ReadExt;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use fescuestack_core::ClockSpan;
-use fescuestack_http::{HyperExecutor, HyperStream, HyperTimer, lock, set_socket_options};
+use fescuestack_http::{
+    HyperExecutor, HyperStream, HyperTimer, lock, set_receive_buffer, set_socket_options, within,
+};
 use fescuestack_operators::{MetricsError, NodeMetrics};
 use fescuestack_platform::headers::READY_PATH;
 use fescuestack_platform::{SidecarSettings, SidecarSettingsError};
-use fescuestack_routing::{LINK_CHECK_INTERVAL, READINESS_NOTICE_TIME};
+use fescuestack_routing::{ConnectionKind, LINK_CHECK_INTERVAL, READINESS_NOTICE_TIME};
 use futures_lite::future;
-use http::{Request, Response, StatusCode};
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::{http1, http2};
 use hyper::service::service_fn;
 use snafu::{ResultExt, Snafu};
 
+use crate::connections::{ConnectionRecord, OpenConnection};
 use crate::follower::StoreFollower;
 use crate::links::{CONNECTION_WINDOW, SMALL_STREAM_WINDOW, STREAM_WINDOW};
 use crate::message::{FullResponse, empty_response};
@@ -70,6 +75,20 @@
 /// Size of the read buffer beyond the longest head, in bytes. It holds the start of a body.
 const EXTRA_BUFFER_BYTES: usize = 8 * 1024;
 
+/// Receive buffer of connections of clients, in bytes. What the kernel has received for them and the
+/// node has not read counts against its memory.
+const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
+
+/// How long a connection whose client still sends stays open after its last answer. Closing it with
+/// unread bytes resets it, and the client may lose the answer.
+const LINGER_TIME: Duration = Duration::from_millis(1_000);
+
+/// Number of bytes after which such a connection is closed, although its client still sends.
+const MAX_LINGER_BYTES: usize = 1024 * 1024;
+
+/// How long the answer of a connection that is closed for its limits may take.
+const EVICTION_TIME: Duration = Duration::from_millis(100);
+
 /// Limit on concurrent calls from another node.
 const MAX_CONCURRENT_STREAMS: u32 = 4_096;
 
@@ -130,10 +149,15 @@
         let state = NodeState::new(settings, policy, metrics);
         let ready = bind("ready", ready).await?;
         let outbound = bind("outbound", outbound).await?;
+        for listener in [&ready, &outbound] {
+            if let Err(err) = set_receive_buffer(listener, RECEIVE_BUFFER_BYTES) {
+                log::debug!("cannot set the receive buffer: {err}");
+            }
+        }
         let inbound = bind("inbound", inbound).await?;
-        task::spawn(accept(ready, state.clone(), serve_ready));
-        task::spawn(accept(outbound, state.clone(), serve_client));
-        task::spawn(accept(inbound, state.clone(), serve_node));
+        task::spawn(accept(ready, state.clone(), ConnectionKind::Ready, serve_ready));
+        task::spawn(accept(outbound, state.clone(), ConnectionKind::Client, serve_client));
+        task::spawn(accept(inbound, state.clone(), ConnectionKind::Node, serve_node));
         task::spawn(tick(state.clone()));
         log::info!(node = name.as_str(), data_centre = data_centre.as_str(); "node started");
         Ok(SidecarNode { path, state, started: Instant::now() })
@@ -206,18 +230,23 @@
     TcpListener::bind(address).await.context(ListenSnafu { setting, address })
 }
 
-async fn accept<F, Fut>(listener: TcpListener, state: Arc<NodeState>, serve: F)
-where
-    F: Fn(Arc<NodeState>, TcpStream) -> Fut + Send + 'static,
+async fn accept<F, Fut>(
+    listener: TcpListener,
+    state: Arc<NodeState>,
+    kind: ConnectionKind,
+    serve: F,
+) where
+    F: Fn(Arc<NodeState>, TcpStream, OpenConnection) -> Fut + Send + 'static,
     Fut: Future<Output = ()> + Send + 'static,
 {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
+                let Some(open) = state.connections.open(kind).await else { continue };
                 if let Err(err) = set_socket_options(&stream) {
                     log::debug!("cannot set socket options: {err}");
                 }
-                task::spawn(serve(state.clone(), stream));
+                task::spawn(serve(state.clone(), stream, open));
             }
             Err(err) => {
                 log::warn!("cannot accept a connection: {err}");
@@ -227,15 +256,76 @@
     }
 }
 
-async fn serve_ready(state: Arc<NodeState>, stream: TcpStream) {
+async fn serve_ready(state: Arc<NodeState>, stream: TcpStream, open: OpenConnection) {
+    let record = open.record.clone();
+    let builder = http1_builder(&state);
     let service = service_fn(move |request: Request<Incoming>| {
-        let response = ready_port_response(&state, request.uri().path());
+        let _head = record.begin_request(request.headers(), !request.body().is_end_stream());
+        let mut response = ready_port_response(&state, request.uri().path());
+        if record.has_unread_body() {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        record.end_answer();
         async { Ok::<_, Infallible>(response) }
     });
-    let stream = HyperStream::new(stream);
+    let socket = stream.clone();
+    let stream = HyperStream::new(stream).with_meter(open.record.meter.clone());
+    let connection = builder.serve_connection(stream, service);
+    // Not closed by a stop: the platform probes a node that stops.
+    let ended = future::or(async { Some(connection.await) }, async {
+        open.record.evicted().await;
+        None
+    });
+    if let Some(ended) = ended.await {
+        linger(&socket, &open.record, ended.is_err()).await;
+        log_connection_end("ready", ended);
+    }
+}
+
+/// Returns the settings of connections of clients and operators.
+fn http1_builder(state: &NodeState) -> http1::Builder {
+    let (idle_timeout, head_bytes) = match &*state.routes.load() {
+        Some(routes) => {
+            let idle_timeout = Duration::from_millis(routes.limits.idle_timeout.millis());
+            (idle_timeout, routes.limits.max_head_bytes)
+        }
+        None => (DEFAULT_IDLE_TIMEOUT, DEFAULT_HEAD_BYTES),
+    };
     let mut builder = http1::Builder::new();
-    let connection = builder.timer(HyperTimer).serve_connection(stream, service);
-    log_connection_end("ready", connection.await);
+    // The time for a head is checked by the connection table.
+    builder
+        .timer(HyperTimer)
+        .header_read_timeout(idle_timeout)
+        .max_buf_size(head_bytes + EXTRA_BUFFER_BYTES)
+        .max_headers(state.policy.clients.max_head_fields);
+    builder
+}
+
+/// Reads what a client still sends after its last answer, so that the answer is not lost.
+async fn linger(mut stream: &TcpStream, record: &ConnectionRecord, has_failed: bool) {
+    if record.meter.has_ended() || !(has_failed || record.has_unread_body()) {
+        return;
+    }
+    if stream.shutdown(Shutdown::Write).is_err() {
+        return;
+    }
+    let discarded = async {
+        let mut buffer = vec![0; 4096];
+        let mut discarded = 0;
+        while let Ok(count @ 1..) = stream.read(&mut buffer).await {
+            discarded += count;
+            if discarded >= MAX_LINGER_BYTES {
+                break;
+            }
+            // While the socket has data, reads complete at once and would keep the thread.
+            task::yield_now().await;
+        }
+    };
+    future::or(within(LINGER_TIME, discarded), async {
+        record.evicted().await;
+        None
+    })
+    .await;
 }
 
 /// Serves the platform's readiness probe, the metrics and the requests of operators.
@@ -258,38 +348,33 @@
     }
 }
 
-async fn serve_client(state: Arc<NodeState>, stream: TcpStream) {
+async fn serve_client(state: Arc<NodeState>, stream: TcpStream, open: OpenConnection) {
     let _connection_guard = state.open_connection();
-    let stream = HyperStream::new(stream);
-    let (idle_timeout, head_bytes) = match &*state.routes.load() {
-        Some(routes) => {
-            let idle_timeout = Duration::from_millis(routes.limits.idle_timeout.millis());
-            (idle_timeout, routes.limits.max_head_bytes)
-        }
-        None => (DEFAULT_IDLE_TIMEOUT, DEFAULT_HEAD_BYTES),
-    };
+    let socket = stream.clone();
+    let stream = HyperStream::new(stream).with_meter(open.record.meter.clone());
+    let builder = http1_builder(&state);
     let (watch, closing) = (stream.watch(), state.closing_signal());
+    let (record, service_state) = (open.record.clone(), state.clone());
     let service = service_fn(move |request| {
-        let response = entry::serve(state.clone(), request, watch.clone());
-        async { Ok::<_, Infallible>(response.await) }
+        let (state, watch, record) = (service_state.clone(), watch.clone(), record.clone());
+        async move { Ok::<_, Infallible>(entry::serve(state, request, watch, &record).await) }
     });
-    let mut builder = http1::Builder::new();
-    builder
-        .timer(HyperTimer)
-        .header_read_timeout(idle_timeout)
-        .max_buf_size(head_bytes + EXTRA_BUFFER_BYTES);
     let connection = builder.serve_connection(stream, service);
-    run_connection("client", connection, closing, |connection| connection.graceful_shutdown())
-        .await;
+    let shut_down = |connection: Pin<&mut _>| http1::Connection::graceful_shutdown(connection);
+    let ended = run_connection("client", connection, closing, &open.record, shut_down).await;
+    if !state.is_stopping() && ended != ConnectionEnd::Evicted {
+        linger(&socket, &open.record, ended == ConnectionEnd::Failed).await;
+    }
 }
 
-async fn serve_node(state: Arc<NodeState>, stream: TcpStream) {
+async fn serve_node(state: Arc<NodeState>, stream: TcpStream, open: OpenConnection) {
     let _connection_guard = state.open_connection();
     let closing = state.closing_signal();
     let stream_window = if state.is_small() { SMALL_STREAM_WINDOW } else { STREAM_WINDOW };
+    let record = open.record.clone();
     let service = service_fn(move |request| {
-        let response = peer::serve(state.clone(), request);
-        async { Ok::<_, Infallible>(response.await) }
+        let (state, record) = (state.clone(), record.clone());
+        async move { Ok::<_, Infallible>(peer::serve(state, request, &record).await) }
     });
     let mut builder = http2::Builder::new(HyperExecutor);
     builder
@@ -299,34 +384,64 @@
         .max_pending_accept_reset_streams(MAX_PENDING_RESETS)
         .initial_stream_window_size(stream_window)
         .initial_connection_window_size(CONNECTION_WINDOW);
-    let stream = HyperStream::new(stream);
+    let stream = HyperStream::new(stream).with_meter(open.record.meter.clone());
     let connection = builder.serve_connection(stream, service);
-    run_connection("node", connection, closing, |connection| connection.graceful_shutdown()).await;
+    let shut_down = |connection: Pin<&mut _>| http2::Connection::graceful_shutdown(connection);
+    run_connection("node", connection, closing, &open.record, shut_down).await;
+}
+
+/// How the service of a connection ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ConnectionEnd {
+    /// The last message was complete.
+    Complete,
+    /// A message was invalid or incomplete.
+    Failed,
+    /// The connection table closes it.
+    Evicted,
 }
 
 /// Serves a connection to its end. When `closing` closes, `shut_down` makes it end after its
-/// current requests.
+/// current requests. When the connection table closes it, an answer to a request that has not run
+/// may still be written.
 async fn run_connection<C>(
     peer: &'static str,
     connection: C,
     closing: Receiver<()>,
+    record: &ConnectionRecord,
     shut_down: impl FnOnce(Pin<&mut C>),
-) where
+) -> ConnectionEnd
+where
     C: Future<Output = hyper::Result<()>>,
 {
     let mut connection = std::pin::pin!(connection);
-    let closed = async {
-        // Nothing is sent on the channel; `recv` returns when it is closed.
-        let _ = closing.recv().await;
-        None
+    let evicted = async {
+        record.evicted().await;
+        ConnectionEnd::Evicted
     };
-    match future::or(async { Some(connection.as_mut().await) }, closed).await {
-        Some(ended) => log_connection_end(peer, ended),
-        None => {
-            shut_down(connection.as_mut());
-            log_connection_end(peer, connection.await);
-        }
+    let served = async {
+        let closed = async {
+            // Nothing is sent on the channel; `recv` returns when it is closed.
+            let _ = closing.recv().await;
+            None
+        };
+        let ended = match future::or(async { Some(connection.as_mut().await) }, closed).await {
+            Some(ended) => ended,
+            None => {
+                shut_down(connection.as_mut());
+                connection.as_mut().await
+            }
+        };
+        let has_failed = ended.is_err();
+        log_connection_end(peer, ended);
+        if has_failed { ConnectionEnd::Failed } else { ConnectionEnd::Complete }
+    };
+    let ended = future::or(served, evicted).await;
+    if ended == ConnectionEnd::Evicted && record.owes_answer() {
+        // A request whose body is being received ends with an answer.
+        within(EVICTION_TIME, connection).await;
     }
+    ended
 }
 
 fn log_connection_end(peer: &'static str, ended: hyper::Result<()>) {
@@ -341,6 +456,7 @@
         let period = if state.local_target.has_waiting() { TICK_PERIOD } else { IDLE_TICK_PERIOD };
         task::sleep(period).await;
         state.local_target.tick();
+        state.connections.check(state.head_timeout());
         let now = state.clock.now();
         if now.since(last_check) >= LINK_CHECK_INTERVAL {
             last_check = now;
--- a/sidecar/tests/policy.rs
+++ b/sidecar/tests/policy.rs
@@ -30,4 +30,11 @@
     assert!(unknown.to_string().starts_with("602 "), "{unknown}");
     let too_large = load("range", "hedging: {max_ratio: 3}").expect_err("a ratio above 1");
     assert!(too_large.to_string().starts_with("603 "), "{too_large}");
+    let clients = "clients: {progress_window_ms: 0, max_head_fields: 5, head_margin_ms: 1000}";
+    let errors = load("clients", clients).expect_err("values out of range").to_string();
+    assert!(
+        errors.contains("progress_window_ms") && errors.contains("max_head_fields"),
+        "{errors}"
+    );
+    assert!(!errors.contains("head_margin_ms"), "{errors}");
 }
