--- a/operators/src/metrics.rs
+++ b/operators/src/metrics.rs
@@ -53,6 +53,9 @@
     held_requests: Counter<u64>,
     cold_time: Gauge<u64>,
     evacuated: Gauge<u64>,
+    held_bytes: Gauge<u64>,
+    open_connections: Gauge<u64>,
+    closed_connections: Gauge<u64>,
 }
 
 impl NodeMetrics {
@@ -91,6 +94,9 @@
         held_requests.add(0, &[]);
         let evacuated = meter.u64_gauge("fescuestack_evacuated").build();
         let cold_time = meter.u64_gauge("fescuestack_target_cold").with_unit("ms").build();
+        let held_bytes = meter.u64_gauge("fescuestack_held").with_unit("By").build();
+        let open_connections = meter.u64_gauge("fescuestack_connections").build();
+        let closed_connections = meter.u64_gauge("fescuestack_connections_closed").build();
         let _meter_provider = provider;
         Ok(NodeMetrics {
             registry,
@@ -111,6 +117,9 @@
             held_requests,
             cold_time,
             evacuated,
+            held_bytes,
+            open_connections,
+            closed_connections,
         })
     }
 
@@ -178,6 +187,23 @@
         self.cold_time.record(left_ms, &[]);
     }
 
+    /// Sets the number of bytes held for peers, of their open connections by kind, and of connections closed
+    /// since the start by reason.
+    pub fn record_connections(
+        &self,
+        held_bytes: u64,
+        open: &[(&'static str, u64)],
+        closed: &[(&'static str, u64)],
+    ) {
+        self.held_bytes.record(held_bytes, &[]);
+        for (kind, count) in open {
+            self.open_connections.record(*count, &[KeyValue::new("kind", *kind)]);
+        }
+        for (reason, count) in closed {
+            self.closed_connections.record(*count, &[KeyValue::new("reason", *reason)]);
+        }
+    }
+
     /// Adds bytes of control traffic in one direction.
     pub fn record_control_bytes(&self, direction: &'static str, bytes: u64) {
         self.control_bytes.add(bytes, &[KeyValue::new("direction", direction)]);
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -10,6 +10,7 @@
 mod held;
 mod intake;
 mod loss;
+mod memory;
 mod outage;
 mod pacer;
 mod picker;
@@ -34,6 +35,11 @@
 pub use held::{CrashTracker, EndEvidence, KnownEnd, MAX_REPORTED_REQUESTS, QUARANTINE_DURATION};
 pub use intake::{IngressDecision, IngressLink, LARGE_BODY_BYTES};
 pub use loss::{LatencyBreakdown, LossCause};
+pub use memory::{
+    CloseReason, ConnectionKind, ConnectionLimits, ConnectionPhase, ConnectionProgress,
+    ConnectionState, MemoryAccount, MemoryRequest, MemoryStep, ProgressLimits, choose_displaced,
+    choose_evictions,
+};
 pub use outage::{FailureStep, KnownOutage, OUTAGE_TTL, OutageChange, OutageNotice, OutageTracker};
 pub use pacer::{ColdLimit, RateLimit};
 pub use picker::{Alternatives, PickedTarget, TargetFeedback, TargetPicker};
