Send a second request for slow calls, within a limit

A few slow runs set the tail of the response times. With `hedging` in the policy file, a safe call that has waited longer than nine in ten runs of its route is sent to a second target, if that one is expected to answer clearly before the first. The first valid answer wins and the other run is cancelled; it counts neither as a failure nor as a success of its target. Queues, refusals, rate limits, cold targets and an average usage above 0.75 hold it back, and so does a request that has crashed targets.

Second requests are paid from what recent calls have earned in the budget of retries and retries have not spent, at two tokens each; the tokens kept for retries are not touched. max_ratio is counted apart.

Without the policy nothing is recorded and no timer is set; the metrics page has one more line, fescuestack_hedges 0, since documented metrics must be exported.

--- a/operators/src/lib.rs
+++ b/operators/src/lib.rs
@@ -10,5 +10,5 @@
 pub use client::{ClientError, fetch};
 pub use explain::RecentCalls;
 pub use losses::LossTable;
-pub use metrics::{MetricsError, NodeMetrics};
+pub use metrics::{HedgeEvent, MetricsError, NodeMetrics};
 pub use port::{OperatorEndpoints, OperatorServer};
--- a/operators/src/metrics.rs
+++ b/operators/src/metrics.rs
@@ -32,6 +32,21 @@
     },
 }
 
+/// What became of a second request for a slow call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HedgeEvent {
+    /// It was sent.
+    Sent,
+    /// Its answer came first.
+    Won,
+    /// One of the two runs was cancelled, since the other one had answered.
+    Cancelled,
+    /// It ended without a valid answer.
+    Failed,
+    /// It was not sent, for this reason.
+    Held(&'static str),
+}
+
 /// Metrics of one node.
 #[derive(Debug)]
 pub struct NodeMetrics {
@@ -43,6 +58,7 @@
     installed_versions: Counter<u64>,
     dropped_records: Counter<u64>,
     attempts: Counter<u64>,
+    hedges: Counter<u64>,
     store_calls: Gauge<u64>,
     version: Gauge<u64>,
     targets: Gauge<u64>,
@@ -69,6 +85,9 @@
         let installed_versions = meter.u64_counter("fescuestack_versions_installed").build();
         let dropped_records = meter.u64_counter("fescuestack_records_dropped").build();
         let attempts = meter.u64_counter("fescuestack_attempts").build();
+        let hedges = meter.u64_counter("fescuestack_hedges").build();
+        // Without hedging nothing is counted, and the metric is exported as 0.
+        hedges.add(0, &[]);
         let store_calls = meter.u64_gauge("fescuestack_store_calls").build();
         let version = meter.u64_gauge("fescuestack_version").build();
         let targets = meter.u64_gauge("fescuestack_targets").build();
@@ -83,6 +102,7 @@
             installed_versions,
             dropped_records,
             attempts,
+            hedges,
             store_calls,
             version,
             targets,
@@ -105,6 +125,20 @@
         self.attempts.add(1, &[service, KeyValue::new("end", end)]);
     }
 
+    /// Counts a second request for a slow call, or that it was not sent.
+    pub fn record_hedge(&self, service: &str, event: HedgeEvent) {
+        let (event, reason) = match event {
+            HedgeEvent::Sent => ("sent", ""),
+            HedgeEvent::Won => ("won", ""),
+            HedgeEvent::Cancelled => ("cancelled", ""),
+            HedgeEvent::Failed => ("failed", ""),
+            HedgeEvent::Held(reason) => ("held", reason),
+        };
+        let service = KeyValue::new("service", service.to_owned());
+        let labels = [service, KeyValue::new("event", event), KeyValue::new("reason", reason)];
+        self.hedges.add(1, &labels);
+    }
+
     /// Sets the active version, the number of known targets and the number of calls made to the store of the
     /// platform so far.
     pub fn record_node_state(&self, version: u64, targets: usize, store_calls: u64) {
--- a/routing/src/held.rs
+++ b/routing/src/held.rs
@@ -115,6 +115,11 @@
         self.completed.insert(request);
     }
 
+    /// Whether a target has recently crashed while it ran the request.
+    pub fn is_suspected(&self, now: ClockTime, request: RequestFingerprint) -> bool {
+        self.crashes.get(&request).is_some_and(|crashes| is_recent(now, crashes))
+    }
+
     /// Whether the request has crashed too many targets to be sent to another one.
     pub fn is_quarantined(&self, now: ClockTime, request: RequestFingerprint) -> bool {
         self.crashes
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -4,6 +4,7 @@
 //! from a seeded generator, so tests can simulate any load or fault deterministically.
 
 mod budget;
+mod hedge;
 mod held;
 mod intake;
 mod loss;
@@ -21,6 +22,7 @@
 mod waits;
 
 pub use budget::{RetryAllowance, RetryBudget};
+pub use hedge::{HedgeBook, HedgeDecision, HedgeHold, SecondTarget, SlowCall};
 pub use held::{CrashTracker, KnownCrash, QUARANTINE_DURATION};
 pub use intake::{IngressDecision, IngressLink, LARGE_BODY_BYTES};
 pub use loss::{LatencyBreakdown, LossCause};
--- a/routing/src/picker.rs
+++ b/routing/src/picker.rs
@@ -17,6 +17,7 @@
 use rand_pcg::Pcg32;
 use rustc_hash::{FxHashMap, FxHashSet};
 
+use crate::hedge::{HedgeHold, SecondTarget};
 use crate::intake::LARGE_BODY_BYTES;
 use crate::pacer::RateLimit;
 use crate::plan::CallParams;
@@ -336,6 +337,53 @@
         })
     }
 
+    /// Returns why no call to a service may be sent to a second target now, as far as the reports of
+    /// its targets tell.
+    pub(crate) fn hedge_hold(&self, now: ClockTime, service: &str) -> Option<HedgeHold> {
+        let targets = self.services.get(service)?;
+        let ids = targets.local.iter().chain(&targets.remote);
+        ids.filter_map(|id| self.stats.get(id)).find_map(|record| record.hedge_hold(now))
+    }
+
+    /// Selects a second target for a call whose other targets are `excluded`. One in another data
+    /// centre must be able to meet the soft deadline.
+    pub(crate) fn second_target(
+        &mut self,
+        now: ClockTime,
+        call: &CallParams,
+        excluded: &[Arc<str>],
+    ) -> Result<SecondTarget, HedgeHold> {
+        let targets = self.services.get(&call.service).ok_or(HedgeHold::NoTarget)?;
+        let offset = self.random.random::<u32>() as usize;
+        let local = self.sample(now, call, excluded, &targets.local, offset).best;
+        let (expected_ms, id, is_remote) = match local {
+            Some((time, id)) => (time, id, false),
+            None => {
+                let remote = self.sample(now, call, excluded, &targets.remote, offset).best;
+                let (time, id) = remote.ok_or(HedgeHold::NoTarget)?;
+                let time = time + REMOTE_DELAY_MS;
+                if time > call.soft_deadline.since(now).millis() as f64 {
+                    return Err(HedgeHold::NoTarget);
+                }
+                (time, id, true)
+            }
+        };
+        let record = self.stats.get(&id).ok_or(HedgeHold::NoTarget)?;
+        if record.known_calls(now) >= record.entry.slots {
+            return Err(HedgeHold::Loaded);
+        }
+        let target = PickedTarget {
+            vm: record.entry.address.ip(),
+            slots: record.entry.slots,
+            rate_limit: record.load_report.rate_limit,
+            started_ms: record.entry.started_ms,
+            is_remote,
+            alternatives: Alternatives::None,
+            id,
+        };
+        Ok(SecondTarget { target, expected: ClockSpan::new(expected_ms as u64) })
+    }
+
     /// Rates up to [`SAMPLE_SIZE`] reachable targets of `target_ids`, starting at a random one.
     fn sample(
         &self,
@@ -459,6 +507,37 @@
         self.entry.state == TargetState::Ready && self.avoid_until <= now
     }
 
+    /// Returns why the target's state holds back second requests to its service, if it does.
+    fn hedge_hold(&self, now: ClockTime) -> Option<HedgeHold> {
+        if self.warm_from > now {
+            return Some(HedgeHold::Cold);
+        }
+        if self.refusal.is_some_and(|(_, until)| until > now) {
+            return Some(HedgeHold::Shortage);
+        }
+        if !self.has_fresh_report(now) {
+            None
+        } else if self.load_report.rate_limit.is_some() {
+            Some(HedgeHold::RateLimit)
+        } else {
+            (self.load_report.queued.total() > 0).then_some(HedgeHold::Queue)
+        }
+    }
+
+    fn has_fresh_report(&self, now: ClockTime) -> bool {
+        self.load_reported_at.is_some_and(|at| now.since(at) < REPORT_TTL)
+    }
+
+    /// Number of calls that the target runs or has queued, as far as this node knows.
+    fn known_calls(&self, now: ClockTime) -> u32 {
+        if !self.has_fresh_report(now) {
+            return self.in_flight;
+        }
+        let load = &self.load_report;
+        let reported = load.running + load.queued.total() + self.sent_since_report.total();
+        reported.max(self.in_flight)
+    }
+
     /// Whether the target's node is stopping and may break off a call that ends at `deadline`.
     fn may_cut_off(&self, now: ClockTime, deadline: ClockTime) -> bool {
         self.stops_at.is_some_and(|at| now < at && at < deadline)
--- a/routing/src/plan.rs
+++ b/routing/src/plan.rs
@@ -138,6 +138,8 @@
     refused_remotely: bool,
     may_have_run: bool,
     answered: bool,
+    /// Whether the request was sent to a second target while the first one ran it.
+    hedged: bool,
     retry_after: Option<ClockSpan>,
 }
 
@@ -155,6 +157,7 @@
             refused_remotely: false,
             may_have_run: false,
             answered: false,
+            hedged: false,
             retry_after: None,
         }
     }
@@ -204,6 +207,47 @@
         self.last_end = Some(end);
     }
 
+    /// Whether the request may be sent to a second target while the current one runs it: it may run
+    /// more than once, at most `max_attempts` targets receive it, and it was not done before.
+    pub fn may_hedge(&self) -> bool {
+        let running = u32::from(self.current.is_some());
+        self.call.kind.is_idempotent()
+            && !self.hedged
+            && running == 1
+            && self.deliveries + running < self.call.max_attempts
+    }
+
+    /// Returns the target of the current attempt and those of earlier ones.
+    pub(crate) fn targets(&self) -> Option<(&PickedTarget, &[Arc<str>])> {
+        Some((self.current.as_ref()?, &self.tried))
+    }
+
+    /// Records that the request was sent to a second target while the current one runs it.
+    pub fn record_hedge(&mut self) {
+        self.hedged = true;
+    }
+
+    /// Records the result of a second request. If it was not run, that says nothing about the
+    /// request, since it had to find a free slot at once.
+    pub fn record_hedge_end(&mut self, target: &PickedTarget, end: AttemptEnd) {
+        match end {
+            AttemptEnd::Busy
+            | AttemptEnd::Refused { .. }
+            | AttemptEnd::NotSent
+            | AttemptEnd::Moved => {
+                self.tried.push(target.id.clone());
+            }
+            AttemptEnd::Answered { .. }
+            | AttemptEnd::Rejected
+            | AttemptEnd::Lost
+            | AttemptEnd::LinkLost => {
+                let first = self.current.replace(target.clone());
+                self.record_end(end);
+                self.current = first;
+            }
+        }
+    }
+
     /// Keeps the shortest of the retry delays received, which is the one reported to the caller.
     fn update_retry_after(&mut self, retry_after: ClockSpan) {
         let known = self.retry_after.unwrap_or(retry_after);
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -18,6 +18,7 @@
 use hyper::body::Incoming;
 
 use crate::crashes::CRASHING_RETRY_AFTER;
+use crate::hedge;
 use crate::message::{FullResponse, empty_response, forwarded_request, full_response};
 use crate::node::NodeState;
 use crate::note::{CallNote, ReplyEnd, ReplyNote};
@@ -229,16 +230,16 @@
 }
 
 /// A request that is sent to targets.
-struct EntryCall {
-    route: Arc<RouteRule>,
-    deadline: ClockTime,
-    fingerprint: RequestFingerprint,
-    request: BufferedRequest,
+pub(crate) struct EntryCall {
+    pub(crate) route: Arc<RouteRule>,
+    pub(crate) deadline: ClockTime,
+    pub(crate) fingerprint: RequestFingerprint,
+    pub(crate) request: BufferedRequest,
 }
 
-struct EntryProgress<'a> {
-    plan: CallPlan,
-    trace: &'a mut EntryTrace,
+pub(crate) struct EntryProgress<'a> {
+    pub(crate) plan: CallPlan,
+    pub(crate) trace: &'a mut EntryTrace,
     /// Whether an attempt is in progress.
     attempt_running: bool,
 }
@@ -266,6 +267,10 @@
             let step = {
                 let mut routing = lock(&state.routing);
                 let allowance = routing.allowance;
+                if progress.trace.attempts.is_empty() {
+                    let service = &progress.plan.call().service;
+                    routing.record_hedgeable_call(state.clock.now(), service);
+                }
                 let (picker, budget) =
                     routing.picker_and_budget(&progress.plan.call().service.clone());
                 let step = progress.plan.next_step(state.clock.now(), picker, budget, allowance);
@@ -288,27 +293,20 @@
             progress.attempt_running = true;
             let arrived = progress.plan.call().arrived;
             progress.trace.times.before_last_attempt = state.clock.now().since(arrived).millis();
-            let (end, latest) = self.attempt(state, progress, &target, wait_limit).await;
+            let latest = hedge::run_attempt(self, state, progress, &target, wait_limit).await;
             progress.attempt_running = false;
-            log::debug!(request = self.request_id(), target = &*target.id, crosses = target.is_remote,
-                route = &*self.route.name, priority = self.route.priority,
-                bytes = self.request.body.len(),
-                answer_bytes = latest.as_ref().map_or(0, |response| response.body.len()),
-                end = format!("{end:?}").as_str();
-                "attempt ended");
-            progress.plan.record_end(end);
-            progress.trace.attempts.push((target.id.clone(), end));
             response = latest.or(response);
         }
     }
 
-    async fn attempt(
+    /// Sends the request to a target. Dropping the future cancels the request there.
+    pub(crate) async fn attempt(
         &self,
         state: &Arc<NodeState>,
-        progress: &mut EntryProgress<'_>,
+        params: &CallParams,
         target: &PickedTarget,
         wait_limit: ClockSpan,
-    ) -> (AttemptEnd, Option<BufferedResponse>) {
+    ) -> EntryAttempt {
         let now = state.clock.now();
         let mut guard = AttemptGuard { state, target, feedback: TargetFeedback::Cancelled };
         let note = CallNote {
@@ -318,7 +316,7 @@
             rank: self.route.priority,
             idempotent: self.route.kind.is_idempotent(),
             left: self.deadline.since(now).millis(),
-            aim_left: progress.plan.call().soft_deadline.since(now).millis(),
+            aim_left: params.soft_deadline.since(now).millis(),
             wait_limit: wait_limit.millis(),
             body_bytes: self.request.body.len() as u64,
             rate_limit: target.rate_limit.map(RateLimit::millihertz),
@@ -331,25 +329,50 @@
                 Ok(reply) => reply,
                 Err(end) => {
                     guard.feedback = TargetFeedback::Refused;
-                    return (end, None);
+                    return EntryAttempt { end, response: None, queued: None };
                 }
             }
         };
-        guard.report(&self.route, &reply);
-        progress.trace.times.queued = reply.waited;
+        guard.report(params, &reply);
         let (end, feedback) = attempt_end(&reply, response.as_ref());
         guard.feedback = feedback;
         if reply.end == ReplyEnd::Answered {
             lock(&state.crashes).record_completion(self.fingerprint);
         }
-        (end, response)
+        EntryAttempt { end, response, queued: Some(reply.waited) }
     }
 
-    fn request_id(&self) -> &str {
+    /// Records the end of an attempt in the log and the trace.
+    pub(crate) fn record_attempt(
+        &self,
+        trace: &mut EntryTrace,
+        target: &PickedTarget,
+        attempt: &EntryAttempt,
+    ) {
+        let end = attempt.end;
+        log::debug!(request = self.request_id(), target = &*target.id, crosses = target.is_remote,
+            route = &*self.route.name, priority = self.route.priority,
+            bytes = self.request.body.len(),
+            answer_bytes = attempt.response.as_ref().map_or(0, |response| response.body.len()),
+            end = format!("{end:?}").as_str();
+            "attempt ended");
+        trace.times.queued = attempt.queued.unwrap_or(trace.times.queued);
+        trace.attempts.push((target.id.clone(), end));
+    }
+
+    pub(crate) fn request_id(&self) -> &str {
         self.request.headers.get(&REQUEST_ID).and_then(|id| id.to_str().ok()).unwrap_or("")
     }
 }
 
+/// How an attempt ended.
+pub(crate) struct EntryAttempt {
+    pub(crate) end: AttemptEnd,
+    pub(crate) response: Option<BufferedResponse>,
+    /// Time for which it waited in the queue in ms, if the target's node replied.
+    pub(crate) queued: Option<u64>,
+}
+
 /// Derives the outcome of an attempt and the feedback about its target from the reply.
 fn attempt_end(
     reply: &ReplyNote,
@@ -383,14 +406,18 @@
 }
 
 impl AttemptGuard<'_> {
-    fn report(&self, route: &RouteRule, reply: &ReplyNote) {
+    fn report(&self, call: &CallParams, reply: &ReplyNote) {
         let now = self.state.clock.now();
-        let picker = &mut lock(&self.state.routing).picker;
-        picker.record_load(now, &self.target.id, &route.name, reply.load());
+        let mut routing = lock(&self.state.routing);
+        if let Some(hedges) = &mut routing.hedges {
+            hedges.record_load(&call.service, self.target.slots, reply.load());
+        }
+        let picker = &mut routing.picker;
+        picker.record_load(now, &self.target.id, &call.route, reply.load());
         picker.record_stop(now, &self.target.id, reply.stops_in.map(ClockSpan::new));
         if reply.end == ReplyEnd::Refused {
             let wait = ClockSpan::new(reply.retry_after);
-            picker.record_refusal(now, &self.target.id, route.priority, wait);
+            picker.record_refusal(now, &self.target.id, call.priority, wait);
         }
         if reply.target_leaving && picker.record_departure(now, self.target) {
             log::info!(target = &*self.target.id; "target is leaving, as it has stated itself");
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -8,6 +8,7 @@
 mod crashes;
 mod entry;
 mod follower;
+mod hedge;
 mod links;
 mod message;
 mod node;
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -14,8 +14,8 @@
 use fescuestack_operators::{MetricsError, NodeMetrics, RecentCalls};
 use fescuestack_platform::{SidecarSettings, decode_config};
 use fescuestack_routing::{
-    CallerWaitEstimator, CrashTracker, RetryAllowance, RetryBudget, RouteTable, StorePosition,
-    StoreView, TargetPicker, VmSizes, is_small_vm,
+    CallerWaitEstimator, CrashTracker, HedgeBook, HedgeDecision, RetryAllowance, RetryBudget,
+    RouteTable, SlowCall, StorePosition, StoreView, TargetPicker, VmSizes, is_small_vm,
 };
 use http_body_util::Full;
 use rustc_hash::{FxHashMap, FxHasher};
@@ -100,6 +100,8 @@
     pub(crate) picker: TargetPicker,
     pub(crate) allowance: RetryAllowance,
     pub(crate) waits: CallerWaitEstimator,
+    /// Second requests for slow calls, if the operators' policy switches them on.
+    pub(crate) hedges: Option<HedgeBook>,
     budgets: FxHashMap<Arc<str>, RetryBudget>,
 }
 
@@ -112,6 +114,29 @@
         let budget = self.budgets.entry(service.clone()).or_default();
         (&mut self.picker, budget)
     }
+
+    /// Records a call that is sent to its first target, if slow calls may get second requests.
+    pub(crate) fn record_hedgeable_call(&mut self, now: ClockTime, service: &Arc<str>) {
+        if let Some(hedges) = &mut self.hedges {
+            hedges.record_call(service);
+            self.budgets.entry(service.clone()).or_default().expire_surplus(now);
+        }
+    }
+
+    /// Decides on a second request for a slow call.
+    pub(crate) fn decide_hedge(
+        &mut self,
+        now: ClockTime,
+        slow: SlowCall<'_>,
+    ) -> Option<HedgeDecision> {
+        let budget = self.budgets.entry(slow.plan.call().service.clone()).or_default();
+        let hedges = self.hedges.as_mut()?;
+        let decision = hedges.decide(now, slow, &mut self.picker, budget);
+        if let HedgeDecision::Send { second, .. } = &decision {
+            self.picker.record_sent(&second.target.id, slow.plan.call().priority);
+        }
+        Some(decision)
+    }
 }
 
 impl NodeState {
@@ -129,6 +154,10 @@
             picker,
             allowance,
             waits: CallerWaitEstimator::default(),
+            hedges: policy
+                .hedging
+                .as_ref()
+                .map(|hedging| HedgeBook::new(hedging.max_ratio, node_seed)),
             budgets: FxHashMap::default(),
         };
         let body_budget = ByteBudget::new((settings.memory_bytes / BODY_MEMORY_DIVISOR) as usize);
--- a/sidecar/tests/mesh/mod.rs
+++ b/sidecar/tests/mesh/mod.rs
@@ -15,7 +15,7 @@
     CONFIG_KEY, DEFAULT_MEMORY_MB, READY_PATH, RouteEntry, SettingsEntry, StandinApplication,
     StandinStore, TargetRecord, client_request, config_value, free_ports, target_key,
 };
-use fescuestack_sidecar::SidecarNode;
+use fescuestack_sidecar::{NodePolicy, SidecarNode};
 use http::Method;
 use serde_json::{Value, json};
 
@@ -47,6 +47,8 @@
     application_port: u16,
     /// Ports of each node.
     ports: [u16; 3],
+    /// Policy of the nodes that are added.
+    policy: NodePolicy,
 }
 
 impl Mesh {
@@ -63,11 +65,17 @@
 
     /// Starts a node for each service, on a VM whose link has the given Mbit/s.
     pub async fn start_on(vms: &[(&str, f64)]) -> Mesh {
+        Mesh::start_with_policy(vms, NodePolicy::default()).await
+    }
+
+    /// Like [`Mesh::start_on`], with a policy of the operators.
+    pub async fn start_with_policy(vms: &[(&str, f64)], policy: NodePolicy) -> Mesh {
         let store = StandinStore::start().await.expect("a free port");
         let [application_port, ports @ ..] = free_ports::<4>().expect("free ports");
         store.put(CONFIG_KEY, config(1, &[("/a/", "alpha"), ("/b/", "beta")]));
         let number = NEXT_MESH.fetch_add(1, Ordering::Relaxed);
-        let mut mesh = Mesh { store, nodes: Vec::new(), number, application_port, ports };
+        let nodes = Vec::new();
+        let mut mesh = Mesh { store, nodes, number, application_port, ports, policy };
         for (service, link_mbps) in vms {
             mesh.add_node(service, *link_mbps).await;
         }
@@ -113,7 +121,8 @@
         ));
         std::fs::write(&path, settings.value().to_string()).expect("a writable directory");
         let (stop, stopping) = async_channel::bounded(1);
-        let node = SidecarNode::start(path.clone()).await.expect("free addresses");
+        let node = SidecarNode::start_with_policy(path.clone(), self.policy.clone()).await;
+        let node = node.expect("free addresses");
         let task = task::spawn(async move {
             let stop = move || {
                 let stopping = stopping.clone();
