End commands quietly when their reader goes

`fescuestack losses LOG | head` panicked with "failed printing to stdout: Broken pipe", since println! panics if it cannot write. All commands of the binary now write through print_line!, which ends the process with exit code 0 if nobody reads the output any more and with 1 on other errors. questionnaire commands reported the broken pipe as an error and failed; they end with 0, too.

--- a/fescuestack/src/cli.rs
+++ b/fescuestack/src/cli.rs
@@ -17,6 +17,7 @@
 use crate::logging::{LogStream, start_logging};
 use crate::measure::MeasureCommand;
 use crate::node::{NodeOptions, RunningNode};
+use crate::output::{print_line, write_output};
 use crate::settings::NodeSettings;
 use crate::signals::ProcessSignals;
 use crate::standin::StandinCommand;
@@ -234,14 +235,14 @@
     if !all_free {
         return ExitCode::FAILURE;
     }
-    println!("{}: settings of node {node} are valid", path.display());
+    print_line!("{}: settings of node {node} are valid", path.display());
     ExitCode::SUCCESS
 }
 
 fn print_operator_response(node: SocketAddr, path: &str) -> ExitCode {
     match task::block_on(fescuestack_operators::fetch(node, path)) {
         Ok(text) => {
-            println!("{}", text.trim_end());
+            print_line!("{}", text.trim_end());
             ExitCode::SUCCESS
         }
         Err(err) => fail(&err),
@@ -258,7 +259,7 @@
             return ExitCode::FAILURE;
         }
     }
-    print!("{table}");
+    write_output(format_args!("{table}"));
     ExitCode::SUCCESS
 }
 
@@ -272,7 +273,7 @@
             }
         };
         match fescuestack_core::replay(text.lines()) {
-            Ok(report) => println!(
+            Ok(report) => print_line!(
                 "{}: {} inputs, {} expected outcomes, active version {}",
                 file.display(),
                 report.inputs,
--- a/fescuestack/src/demo.rs
+++ b/fescuestack/src/demo.rs
@@ -20,6 +20,7 @@
 use crate::controller::wall_clock;
 use crate::fleet::{DistributionKind, FleetError, LocalFleet};
 use crate::measure::QuantileReport;
+use crate::output::print_line;
 use crate::settings::ListenSettings;
 
 /// Questionnaire that is used without `--deployment`.
@@ -95,7 +96,7 @@
             };
         match task::block_on(self.run_demo()) {
             Ok(report) => {
-                println!("{}", serde_json::to_string(&report).unwrap_or_default());
+                print_line!("{}", serde_json::to_string(&report).unwrap_or_default());
                 match report.duplicates + report.lost + report.cut_off + report.violations {
                     0 => ExitCode::SUCCESS,
                     _ => ExitCode::FAILURE,
@@ -117,7 +118,7 @@
         let mut answers = self.read_answers()?;
         let artefact = accept(&answers, None).context(AnswersSnafu)?;
         let deployment = answers.deployment.value.clone();
-        println!("{deployment}: accepted {}", version_label(&artefact));
+        print_line!("{deployment}: accepted {}", version_label(&artefact));
 
         let link_delay = Duration::from_millis(answers.link_delay_ms.value);
         let mut fleet = LocalFleet::new(&artefact, DistributionKind::Trees, link_delay).await?;
@@ -130,10 +131,13 @@
         fleet.start().await?;
         let count = fleet.nodes.len();
         let times = fleet.wait_for_version(1, published, count, CONVERGENCE_TIMEOUT).await?;
-        println!("{count} nodes started, version 1 active on all after {} ms", times.slowest_ms());
+        print_line!(
+            "{count} nodes started, version 1 active on all after {} ms",
+            times.slowest_ms()
+        );
 
         let (load, internal) = (self.load_settings(&fleet), self.internal_load_settings(&fleet));
-        println!(
+        print_line!(
             "{} classes of calls, {} calls/s for {} s",
             load.classes.len() + internal.classes.len(),
             self.rate,
@@ -159,7 +163,7 @@
             let number = u64::from(change) + 2;
             let times =
                 fleet.wait_for_version(number, published, count, CONVERGENCE_TIMEOUT).await?;
-            println!("version {number} active on all nodes after {} ms", times.slowest_ms());
+            print_line!("version {number} active on all nodes after {} ms", times.slowest_ms());
             convergence.extend(times.node_delays);
         }
         let seconds = load_start.elapsed().as_secs_f64();
@@ -257,12 +261,12 @@
         let started = Instant::now();
         let cut_off = node.stop().await;
         upstream.drain().await;
-        println!("{name} stopped gracefully in {} ms", started.elapsed().as_millis());
+        print_line!("{name} stopped gracefully in {} ms", started.elapsed().as_millis());
         task::sleep(REPLACEMENT_TIME).await;
         upstream.restart().await.context(UpstreamSnafu { name: &*name })?;
         let replacement = fleet.start_node(index).await?;
         fleet.nodes.push(replacement);
-        println!("{name} restarted");
+        print_line!("{name} restarted");
         Ok(cut_off)
     }
 }
@@ -295,13 +299,20 @@
 }
 
 fn print_table(report: &LoadReport) {
-    println!(
+    print_line!(
         "{:<52} {:>7} {:>8} {:>7} {:>7} {:>6} {:>8} {:>8}",
-        "class", "offered", "answered", "not run", "unknown", "other", "p50 ms", "p99 ms"
+        "class",
+        "offered",
+        "answered",
+        "not run",
+        "unknown",
+        "other",
+        "p50 ms",
+        "p99 ms"
     );
     for class in &report.classes {
         let answered = class.answered + class.answered_resent;
-        println!(
+        print_line!(
             "{:<52} {:>7} {:>8} {:>7} {:>7} {:>6} {:>8.1} {:>8.1}",
             class.class,
             class.offered,
--- a/fescuestack/src/main.rs
+++ b/fescuestack/src/main.rs
@@ -10,6 +10,7 @@
 mod measure_calls;
 mod node;
 mod observer;
+mod output;
 mod settings;
 mod signals;
 mod standin;
--- a/fescuestack/src/measure.rs
+++ b/fescuestack/src/measure.rs
@@ -13,6 +13,7 @@
 use crate::cli::fail;
 use crate::fleet::{ConvergenceTimes, DistributionKind, FleetError, LocalFleet};
 use crate::measure_calls::CallMeasurement;
+use crate::output::print_line;
 use crate::usage::ProcessUsage;
 
 /// Seed of the generated fleet.
@@ -130,7 +131,7 @@
             MeasureCommand::Calls(settings) => settings.run(),
             MeasureCommand::Distribution(settings) => match task::block_on(settings.measure()) {
                 Ok(report) => {
-                    println!("{}", serde_json::to_string(&report).unwrap_or_default());
+                    print_line!("{}", serde_json::to_string(&report).unwrap_or_default());
                     ExitCode::SUCCESS
                 }
                 Err(err) => fail(&err),
--- a/fescuestack/src/measure_calls.rs
+++ b/fescuestack/src/measure_calls.rs
@@ -17,6 +17,7 @@
 use crate::cli::fail;
 use crate::controller::wall_clock;
 use crate::fleet::{DistributionKind, FleetError, LocalFleet};
+use crate::output::print_line;
 use crate::usage::ProcessUsage;
 
 /// Time limit for the first version to become active on all nodes.
@@ -72,7 +73,7 @@
     pub(crate) fn run(self) -> ExitCode {
         match task::block_on(self.measure()) {
             Ok(report) => {
-                println!("{}", serde_json::to_string(&report).unwrap_or_default());
+                print_line!("{}", serde_json::to_string(&report).unwrap_or_default());
                 ExitCode::SUCCESS
             }
             Err(err) => fail(&err),
--- a/fescuestack/src/standin.rs
+++ b/fescuestack/src/standin.rs
@@ -15,6 +15,7 @@
 use serde::Deserialize;
 
 use crate::cli::fail;
+use crate::output::print_line;
 use crate::signals::wait_for_stop_signal;
 
 /// Interval at which the platform stand-in checks the artefact file for changes.
@@ -120,6 +121,6 @@
     let upstream = UpstreamStandin::start(settings, Arc::new(RequestLedger::new())).await?;
     wait_for_stop_signal().await;
     upstream.drain().await;
-    println!("{}", serde_json::to_string(&upstream.ledger().records())?);
+    print_line!("{}", serde_json::to_string(&upstream.ledger().records())?);
     Ok(())
 }
--- a/questionnaire/src/command.rs
+++ b/questionnaire/src/command.rs
@@ -124,7 +124,11 @@
                 let _ = writeln!(errors, "{warning}");
             }
             let text = command_output.text.as_bytes();
-            let result = output.write_all(text).and_then(|()| output.flush());
+            let result = match output.write_all(text).and_then(|()| output.flush()) {
+                // Nobody reads the rest, as in `| head`.
+                Err(err) if err.kind() == io::ErrorKind::BrokenPipe => Ok(()),
+                result => result,
+            };
             result.map_err(|err| io_diagnostic(Path::new("standard output"), &err).into())
         });
         match result {
