--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -17,6 +17,7 @@
 
 use crate::connections::ConnectionRecord;
 use crate::crashes::CRASHING_RETRY_AFTER;
+use crate::hedge;
 use crate::message::{FullResponse, empty_response, forwarded_request, full_response};
 use crate::node::{DoorCaller, NodeState};
 use crate::note::{CallNote, ReplyEnd, ReplyNote};
@@ -286,18 +287,18 @@
 }
 
 /// A request that is sent to targets.
-struct EntryCall {
-    route: Arc<RouteRule>,
+pub(crate) struct EntryCall {
+    pub(crate) route: Arc<RouteRule>,
     /// Whether a run makes the call.
     from_run: bool,
-    deadline: ClockTime,
-    fingerprint: RequestFingerprint,
-    request: BufferedRequest,
+    pub(crate) deadline: ClockTime,
+    pub(crate) fingerprint: RequestFingerprint,
+    pub(crate) request: BufferedRequest,
 }
 
-struct EntryProgress<'a> {
-    plan: CallPlan,
-    trace: &'a mut EntryTrace,
+pub(crate) struct EntryProgress<'a> {
+    pub(crate) plan: CallPlan,
+    pub(crate) trace: &'a mut EntryTrace,
     /// Whether an attempt is in progress.
     attempt_running: bool,
 }
@@ -326,6 +327,10 @@
             let step = {
                 let mut routing = lock(&state.routing);
                 let allowance = routing.allowance;
+                if progress.trace.attempts.is_empty() {
+                    let service = &progress.plan.call().service;
+                    routing.record_hedgeable_call(state.clock.now(), service);
+                }
                 let (picker, budget) =
                     routing.picker_and_budget(&progress.plan.call().service.clone());
                 let step = progress.plan.next_step(state.clock.now(), picker, budget, allowance);
@@ -348,42 +353,34 @@
             progress.attempt_running = true;
             let arrived = progress.plan.call().arrived;
             progress.trace.times.before_last_attempt = state.clock.now().since(arrived).millis();
-            let (end, latest) = self.attempt(state, progress, &target, wait_limit).await;
+            let latest = hedge::run_attempt(self, state, progress, &target, wait_limit).await;
             progress.attempt_running = false;
-            log::debug!(request = self.request_id(), target = &*target.id, crosses = target.is_remote,
-                route = &*self.route.name, priority = progress.plan.call().priority,
-                from_run = self.from_run,
-                bytes = self.request.body.len(),
-                answer_bytes = latest.as_ref().map_or(0, |response| response.body.len()),
-                end = format!("{end:?}").as_str();
-                "attempt ended");
-            progress.plan.record_end(end);
-            progress.trace.attempts.push((target.id.clone(), end));
             response = latest.or(response);
         }
     }
 
-    async fn attempt(
+    /// Sends the request to a target. Dropping the future cancels the request there.
+    pub(crate) async fn attempt(
         &self,
         state: &Arc<NodeState>,
-        progress: &mut EntryProgress<'_>,
+        params: &CallParams,
         target: &PickedTarget,
         wait_limit: ClockSpan,
-    ) -> (AttemptEnd, Option<BufferedResponse>) {
+    ) -> EntryAttempt {
         let now = state.clock.now();
         let mut guard = AttemptGuard { state, target, feedback: TargetFeedback::Cancelled };
         let note = CallNote {
             target: target.id.clone(),
             slots: target.slots,
             route: self.route.name.clone(),
-            rank: progress.plan.call().priority,
+            rank: params.priority,
             idempotent: self.route.kind.is_idempotent(),
             left: self.deadline.since(now).millis(),
-            aim_left: progress.plan.call().soft_deadline.since(now).millis(),
+            aim_left: params.soft_deadline.since(now).millis(),
             wait_limit: wait_limit.millis(),
             body_bytes: self.request.body.len() as u64,
             rate_limit: target.rate_limit.map(RateLimit::millihertz),
-            warmup: state.warmup_rule(&progress.plan.call().service),
+            warmup: state.warmup_rule(&params.service),
             from_run: self.from_run,
         };
         let (reply, response) = if state.is_own_vm(target.vm) {
@@ -394,29 +391,53 @@
                 Ok(reply) => reply,
                 Err(end) => {
                     guard.feedback = TargetFeedback::Refused;
-                    return (end, None);
+                    return EntryAttempt { end, response: None, queued: None };
                 }
             }
         };
-        guard.report(progress.plan.call(), &reply);
+        guard.report(params, &reply);
         if reply.short_of_calls {
-            let call = progress.plan.call();
-            state.metrics.record_door_refusal(&call.service, call.priority, "calls");
+            state.metrics.record_door_refusal(&params.service, params.priority, "calls");
         }
-        progress.trace.times.queued = reply.waited;
         let (end, feedback) = attempt_end(&reply, response.as_ref());
         guard.feedback = feedback;
         if reply.end == ReplyEnd::Answered {
             lock(&state.crashes).record_completion(self.fingerprint);
         }
-        (end, response)
+        EntryAttempt { end, response, queued: Some(reply.waited) }
     }
 
-    fn request_id(&self) -> &str {
+    /// Records the end of an attempt in the log and the trace.
+    pub(crate) fn record_attempt(
+        &self,
+        trace: &mut EntryTrace,
+        target: &PickedTarget,
+        attempt: &EntryAttempt,
+    ) {
+        let end = attempt.end;
+        log::debug!(request = self.request_id(), target = &*target.id, crosses = target.is_remote,
+            route = &*self.route.name, priority = self.route.priority, from_run = self.from_run,
+            bytes = self.request.body.len(),
+            answer_bytes = attempt.response.as_ref().map_or(0, |response| response.body.len()),
+            end = format!("{end:?}").as_str();
+            "attempt ended");
+        trace.times.queued = attempt.queued.unwrap_or(trace.times.queued);
+        trace.attempts.push((target.id.clone(), end));
+    }
+
+    pub(crate) fn request_id(&self) -> &str {
         self.request.headers.get(&REQUEST_ID).and_then(|id| id.to_str().ok()).unwrap_or("")
     }
 }
 
+/// How an attempt ended.
+pub(crate) struct EntryAttempt {
+    pub(crate) end: AttemptEnd,
+    pub(crate) response: Option<BufferedResponse>,
+    /// Time for which it waited in the queue in ms, if the target's node replied.
+    pub(crate) queued: Option<u64>,
+}
+
 /// Derives the outcome of an attempt and the feedback about its target from the reply.
 fn attempt_end(
     reply: &ReplyNote,
@@ -455,7 +476,11 @@
 impl AttemptGuard<'_> {
     fn report(&self, call: &CallParams, reply: &ReplyNote) {
         let now = self.state.clock.now();
-        let picker = &mut lock(&self.state.routing).picker;
+        let mut routing = lock(&self.state.routing);
+        if let Some(hedges) = &mut routing.hedges {
+            hedges.record_load(&call.service, self.target.slots, reply.load());
+        }
+        let picker = &mut routing.picker;
         picker.record_load(now, &self.target.id, &call.route, reply.load());
         picker.record_stop(now, &self.target.id, reply.stops_in.map(ClockSpan::new));
         if reply.end == ReplyEnd::Refused {
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -10,6 +10,7 @@
 mod down;
 mod entry;
 mod follower;
+mod hedge;
 mod links;
 mod message;
 mod node;
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -14,9 +14,9 @@
 use fescuestack_operators::{MetricsError, NodeMetrics, RecentCalls};
 use fescuestack_platform::{SidecarSettings, decode_config};
 use fescuestack_routing::{
-    CallerWaitEstimator, ConnectionKind, ConnectionLimits, CrashTracker, MemoryAccount,
-    RepeatGuard, RetryAllowance, RetryBudget, RoomEstimator, RouteTable, StorePosition, StoreView,
-    TargetPicker, VmSizes, WarmupRule, is_small_vm,
+    CallerWaitEstimator, ConnectionKind, ConnectionLimits, CrashTracker, HedgeBook, HedgeDecision,
+    MemoryAccount, RepeatGuard, RetryAllowance, RetryBudget, RoomEstimator, RouteTable, SlowCall,
+    StorePosition, StoreView, TargetPicker, VmSizes, WarmupRule, is_small_vm,
 };
 use http_body_util::Full;
 use rustc_hash::{FxHashMap, FxHasher};
@@ -116,6 +116,8 @@
     pub(crate) waits: CallerWaitEstimator,
     room: RoomEstimator,
     repeats: RepeatGuard,
+    /// Second requests for slow calls, if the operators' policy switches them on.
+    pub(crate) hedges: Option<HedgeBook>,
     budgets: FxHashMap<Arc<str>, RetryBudget>,
 }
 
@@ -165,6 +167,29 @@
         let budget = self.budgets.entry(service.clone()).or_default();
         (&mut self.picker, budget)
     }
+
+    /// Records a call that is sent to its first target, if slow calls may get second requests.
+    pub(crate) fn record_hedgeable_call(&mut self, now: ClockTime, service: &Arc<str>) {
+        if let Some(hedges) = &mut self.hedges {
+            hedges.record_call(service);
+            self.budgets.entry(service.clone()).or_default().expire_surplus(now);
+        }
+    }
+
+    /// Decides on a second request for a slow call.
+    pub(crate) fn decide_hedge(
+        &mut self,
+        now: ClockTime,
+        slow: SlowCall<'_>,
+    ) -> Option<HedgeDecision> {
+        let budget = self.budgets.entry(slow.plan.call().service.clone()).or_default();
+        let hedges = self.hedges.as_mut()?;
+        let decision = hedges.decide(now, slow, &mut self.picker, budget);
+        if let HedgeDecision::Send { second, .. } = &decision {
+            self.picker.record_sent(&second.target.id, slow.plan.call().priority);
+        }
+        Some(decision)
+    }
 }
 
 impl NodeState {
@@ -184,6 +209,10 @@
             waits: CallerWaitEstimator::default(),
             room: RoomEstimator::new(),
             repeats: RepeatGuard::new(),
+            hedges: policy
+                .hedging
+                .as_ref()
+                .map(|hedging| HedgeBook::new(hedging.max_ratio, node_seed)),
             budgets: FxHashMap::default(),
         };
         let account = MemoryAccount::new(settings.memory_bytes);
