Limit long responses by what responses hold

Cause: the limit on long responses was compared with all memory held for peers, so that a long upload made a response of more than 64 KB fail after its request had run. Change: messages received into a reservation are compared with their own sum. The crowd tests did not run as a whole on this commit.

--- a/http/src/budget.rs
+++ b/http/src/budget.rs
@@ -22,6 +22,8 @@
     /// Limit for messages that grow without a stated length.
     long_limit: usize,
     used: AtomicUsize,
+    /// Bytes in use by such messages.
+    received: AtomicUsize,
 }
 
 impl ByteBudget {
@@ -31,10 +33,10 @@
     }
 
     /// Like [`ByteBudget::new`]. Long messages that are received into a [`ByteReservation`] are
-    /// accepted while less than `long_limit` bytes are in use, because they are copied while they
-    /// grow.
+    /// accepted while they use less than `long_limit` bytes, because they are copied while they grow.
     pub fn with_long_limit(limit: usize, long_limit: usize) -> Arc<ByteBudget> {
-        Arc::new(ByteBudget { limit, long_limit, used: AtomicUsize::new(0) })
+        let (used, received) = (AtomicUsize::new(0), AtomicUsize::new(0));
+        Arc::new(ByteBudget { limit, long_limit, used, received })
     }
 
     /// Whether `bytes` more fit the budget.
@@ -73,9 +75,10 @@
     /// budget allows this; the bytes are reserved in either case.
     pub fn try_grow_to(&mut self, length: usize) -> bool {
         let additional = length.saturating_sub(self.bytes);
-        let used = self.budget.used.fetch_add(additional, Ordering::AcqRel) + additional;
+        self.budget.add(additional);
+        let received = self.budget.received.fetch_add(additional, Ordering::AcqRel) + additional;
         self.bytes += additional;
-        additional == 0 || length <= SHORT_BYTES || used <= self.budget.long_limit
+        additional == 0 || length <= SHORT_BYTES || received <= self.budget.long_limit
     }
 
     /// Converts a complete message to `Bytes` that keep the reservation until they are dropped.
@@ -86,7 +89,8 @@
 
 impl Drop for ByteReservation {
     fn drop(&mut self) {
-        self.budget.used.fetch_sub(self.bytes, Ordering::AcqRel);
+        self.budget.subtract(self.bytes);
+        self.budget.received.fetch_sub(self.bytes, Ordering::AcqRel);
     }
 }
 
