--- a/operators/src/metrics.rs
+++ b/operators/src/metrics.rs
@@ -32,6 +32,21 @@
     },
 }
 
+/// What became of a second request for a slow call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HedgeEvent {
+    /// It was sent.
+    Sent,
+    /// Its answer came first.
+    Won,
+    /// One of the two runs was cancelled, since the other one had answered.
+    Cancelled,
+    /// It ended without a valid answer.
+    Failed,
+    /// It was not sent, for this reason.
+    Held(&'static str),
+}
+
 /// Metrics of one node.
 #[derive(Debug)]
 pub struct NodeMetrics {
@@ -45,6 +60,7 @@
     attempts: Counter<u64>,
     run_calls: Counter<u64>,
     door_refusals: Counter<u64>,
+    hedges: Counter<u64>,
     store_calls: Gauge<u64>,
     version: Gauge<u64>,
     targets: Gauge<u64>,
@@ -53,6 +69,9 @@
     held_requests: Counter<u64>,
     cold_time: Gauge<u64>,
     evacuated: Gauge<u64>,
+    held_bytes: Gauge<u64>,
+    open_connections: Gauge<u64>,
+    closed_connections: Gauge<u64>,
 }
 
 impl NodeMetrics {
@@ -80,6 +99,9 @@
         // Counters are exported from their first event on, which may never come for these.
         run_calls.add(0, &[]);
         door_refusals.add(0, &[]);
+        let hedges = meter.u64_counter("fescuestack_hedges").build();
+        // Without hedging nothing is counted, and the metric is exported as 0.
+        hedges.add(0, &[]);
         let store_calls = meter.u64_gauge("fescuestack_store_calls").build();
         let version = meter.u64_gauge("fescuestack_version").build();
         let targets = meter.u64_gauge("fescuestack_targets").build();
@@ -91,6 +113,9 @@
         held_requests.add(0, &[]);
         let evacuated = meter.u64_gauge("fescuestack_evacuated").build();
         let cold_time = meter.u64_gauge("fescuestack_target_cold").with_unit("ms").build();
+        let held_bytes = meter.u64_gauge("fescuestack_held").with_unit("By").build();
+        let open_connections = meter.u64_gauge("fescuestack_connections").build();
+        let closed_connections = meter.u64_gauge("fescuestack_connections_closed").build();
         let _meter_provider = provider;
         Ok(NodeMetrics {
             registry,
@@ -103,6 +128,7 @@
             attempts,
             run_calls,
             door_refusals,
+            hedges,
             store_calls,
             version,
             targets,
@@ -111,6 +137,9 @@
             held_requests,
             cold_time,
             evacuated,
+            held_bytes,
+            open_connections,
+            closed_connections,
         })
     }
 
@@ -144,6 +173,20 @@
         self.door_refusals.add(1, &[service, priority, KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a second request for a slow call, or that it was not sent.
+    pub fn record_hedge(&self, service: &str, event: HedgeEvent) {
+        let (event, reason) = match event {
+            HedgeEvent::Sent => ("sent", ""),
+            HedgeEvent::Won => ("won", ""),
+            HedgeEvent::Cancelled => ("cancelled", ""),
+            HedgeEvent::Failed => ("failed", ""),
+            HedgeEvent::Held(reason) => ("held", reason),
+        };
+        let service = KeyValue::new("service", service.to_owned());
+        let labels = [service, KeyValue::new("event", event), KeyValue::new("reason", reason)];
+        self.hedges.add(1, &labels);
+    }
+
     /// Sets the active version, the number of known targets and the number of calls made to the store of the
     /// platform so far.
     pub fn record_node_state(&self, version: u64, targets: usize, store_calls: u64) {
@@ -178,6 +221,23 @@
         self.cold_time.record(left_ms, &[]);
     }
 
+    /// Sets the number of bytes held for peers, of their open connections by kind, and of connections closed
+    /// since the start by reason.
+    pub fn record_connections(
+        &self,
+        held_bytes: u64,
+        open: &[(&'static str, u64)],
+        closed: &[(&'static str, u64)],
+    ) {
+        self.held_bytes.record(held_bytes, &[]);
+        for (kind, count) in open {
+            self.open_connections.record(*count, &[KeyValue::new("kind", *kind)]);
+        }
+        for (reason, count) in closed {
+            self.closed_connections.record(*count, &[KeyValue::new("reason", *reason)]);
+        }
+    }
+
     /// Adds bytes of control traffic in one direction.
     pub fn record_control_bytes(&self, direction: &'static str, bytes: u64) {
         self.control_bytes.add(bytes, &[KeyValue::new("direction", direction)]);
--- a/routing/src/held.rs
+++ b/routing/src/held.rs
@@ -203,6 +203,11 @@
         self.completed.insert(request);
     }
 
+    /// Whether a target has recently ended while it ran the request.
+    pub fn is_suspected(&self, now: ClockTime, request: RequestFingerprint) -> bool {
+        self.suspects.get(&request).is_some_and(|ends| is_recent(now, ends))
+    }
+
     /// Whether the request has crashed too many targets to be sent to another one.
     pub fn is_quarantined(&self, now: ClockTime, request: RequestFingerprint) -> bool {
         let Some(ends) = self.suspects.get(&request) else { return false };
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -7,9 +7,11 @@
 mod calls;
 mod evacuation;
 mod gate;
+mod hedge;
 mod held;
 mod intake;
 mod loss;
+mod memory;
 mod outage;
 mod pacer;
 mod picker;
@@ -31,9 +33,15 @@
 pub use calls::{CallNeed, CallProfile, CallingRun, RunId};
 pub use evacuation::EvacuationSet;
 pub use gate::RunGate;
+pub use hedge::{HedgeBook, HedgeDecision, HedgeHold, SecondTarget, SlowCall};
 pub use held::{CrashTracker, EndEvidence, KnownEnd, MAX_REPORTED_REQUESTS, QUARANTINE_DURATION};
 pub use intake::{IngressDecision, IngressLink, LARGE_BODY_BYTES};
 pub use loss::{LatencyBreakdown, LossCause};
+pub use memory::{
+    CloseReason, ConnectionKind, ConnectionLimits, ConnectionPhase, ConnectionProgress,
+    ConnectionState, MemoryAccount, MemoryRequest, MemoryStep, ProgressLimits, choose_displaced,
+    choose_evictions,
+};
 pub use outage::{FailureStep, KnownOutage, OUTAGE_TTL, OutageChange, OutageNotice, OutageTracker};
 pub use pacer::{ColdLimit, RateLimit};
 pub use picker::{Alternatives, PickedTarget, TargetFeedback, TargetPicker};
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -4,9 +4,7 @@
 use std::time::Duration;
 
 use fescuestack_core::{ClockSpan, ClockTime, RequestFingerprint};
-use fescuestack_http::{
-    BufferedRequest, BufferedResponse, CloseWatch, CollectError, collect_body, lock, within,
-};
+use fescuestack_http::{BufferedRequest, BufferedResponse, CloseWatch, CollectError, lock, within};
 use fescuestack_platform::headers::{CALLER_SERVICE, DEADLINE_MS, EXPECTED_INSTANCE, REQUEST_ID};
 use fescuestack_routing::{
     AttemptEnd, CallParams, CallPlan, CallingRun, KnownOutage, LatencyBreakdown, LossCause,
@@ -15,9 +13,11 @@
 use futures_lite::future;
 use http::header::{CONNECTION, HOST, RETRY_AFTER};
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 
+use crate::connections::ConnectionRecord;
 use crate::crashes::CRASHING_RETRY_AFTER;
+use crate::hedge;
 use crate::message::{FullResponse, empty_response, forwarded_request, full_response};
 use crate::node::{DoorCaller, NodeState};
 use crate::note::{CallNote, ReplyEnd, ReplyNote};
@@ -98,12 +98,21 @@
     state: Arc<NodeState>,
     request: Request<Incoming>,
     mut watch: CloseWatch,
+    connection: &Arc<ConnectionRecord>,
 ) -> FullResponse {
     let _call_guard = state.begin_call();
+    let head = connection.begin_request(request.headers(), !request.body().is_end_stream());
     let id = request.headers().get(&REQUEST_ID).cloned();
     let arrived = state.clock.now();
     let mut trace = EntryTrace::default();
-    let outcome = handle_request(&state, request, arrived, &mut watch, &mut trace).await;
+    let outcome = if head.is_some() && !state.connections.has_room_for_long_head() {
+        drop(request);
+        trace.cause = Some(LossCause::MemoryFull);
+        Err(EntryFault::NotRun { retry_after: MEMORY_FULL_RETRY_AFTER })
+    } else {
+        handle_request(&state, request, arrived, &mut watch, connection, &mut trace).await
+    };
+    drop(head);
     let fault = outcome.as_ref().err().copied();
     record_decisions(&state, id.as_ref(), arrived, fault, &trace);
     if let (Some(run), Some(route)) = (&trace.run, &trace.route) {
@@ -117,15 +126,17 @@
         Ok(response) => {
             trace.times.total = state.clock.now().since(arrived).millis();
             log_late_or_failed(&state, id.as_ref(), response.status, &trace);
-            full_response(response)
+            let body = connection.begin_answer(response.body);
+            full_response(BufferedResponse { body, ..response })
         }
         Err(fault) => {
             log_fault(&state, id.as_ref(), arrived, fault, &trace);
+            connection.end_answer();
             fault_response(fault, id)
         }
     };
     record_call(&state, &trace, arrived, response.status());
-    if state.is_stopping() {
+    if state.is_stopping() || connection.has_unread_body() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -136,6 +147,7 @@
     request: Request<Incoming>,
     arrived: ClockTime,
     watch: &mut CloseWatch,
+    connection: &Arc<ConnectionRecord>,
     trace: &mut EntryTrace,
 ) -> Result<BufferedResponse, EntryFault> {
     if state.is_refusing() {
@@ -176,10 +188,15 @@
     trace.times.soft_timeout = route.soft_timeout.less(waited).millis();
     let timeout = Duration::from_millis(left.millis());
     let max_body_bytes = usize::try_from(routes.limits.max_body_bytes).unwrap_or(usize::MAX);
-    let body = match within(timeout, collect_body(body, max_body_bytes, &state.body_budget)).await {
+    let received = async {
+        let body = state.connections.receive_body(connection, body, max_body_bytes).await?;
+        connection.begin_run()?;
+        Ok(body)
+    };
+    let body = match within(timeout, received).await {
         Some(Ok(body)) => body,
         Some(Err(CollectError::TooLong)) => return Err(EntryFault::TooLong),
-        Some(Err(CollectError::BudgetExhausted)) => {
+        Some(Err(CollectError::BudgetExhausted | CollectError::Evicted)) => {
             trace.cause = Some(LossCause::MemoryFull);
             return Err(EntryFault::NotRun { retry_after: MEMORY_FULL_RETRY_AFTER });
         }
@@ -270,18 +287,18 @@
 }
 
 /// A request that is sent to targets.
-struct EntryCall {
-    route: Arc<RouteRule>,
+pub(crate) struct EntryCall {
+    pub(crate) route: Arc<RouteRule>,
     /// Whether a run makes the call.
     from_run: bool,
-    deadline: ClockTime,
-    fingerprint: RequestFingerprint,
-    request: BufferedRequest,
+    pub(crate) deadline: ClockTime,
+    pub(crate) fingerprint: RequestFingerprint,
+    pub(crate) request: BufferedRequest,
 }
 
-struct EntryProgress<'a> {
-    plan: CallPlan,
-    trace: &'a mut EntryTrace,
+pub(crate) struct EntryProgress<'a> {
+    pub(crate) plan: CallPlan,
+    pub(crate) trace: &'a mut EntryTrace,
     /// Whether an attempt is in progress.
     attempt_running: bool,
 }
@@ -310,6 +327,10 @@
             let step = {
                 let mut routing = lock(&state.routing);
                 let allowance = routing.allowance;
+                if progress.trace.attempts.is_empty() {
+                    let service = &progress.plan.call().service;
+                    routing.record_hedgeable_call(state.clock.now(), service);
+                }
                 let (picker, budget) =
                     routing.picker_and_budget(&progress.plan.call().service.clone());
                 let step = progress.plan.next_step(state.clock.now(), picker, budget, allowance);
@@ -332,42 +353,34 @@
             progress.attempt_running = true;
             let arrived = progress.plan.call().arrived;
             progress.trace.times.before_last_attempt = state.clock.now().since(arrived).millis();
-            let (end, latest) = self.attempt(state, progress, &target, wait_limit).await;
+            let latest = hedge::run_attempt(self, state, progress, &target, wait_limit).await;
             progress.attempt_running = false;
-            log::debug!(request = self.request_id(), target = &*target.id, crosses = target.is_remote,
-                route = &*self.route.name, priority = progress.plan.call().priority,
-                from_run = self.from_run,
-                bytes = self.request.body.len(),
-                answer_bytes = latest.as_ref().map_or(0, |response| response.body.len()),
-                end = format!("{end:?}").as_str();
-                "attempt ended");
-            progress.plan.record_end(end);
-            progress.trace.attempts.push((target.id.clone(), end));
             response = latest.or(response);
         }
     }
 
-    async fn attempt(
+    /// Sends the request to a target. Dropping the future cancels the request there.
+    pub(crate) async fn attempt(
         &self,
         state: &Arc<NodeState>,
-        progress: &mut EntryProgress<'_>,
+        params: &CallParams,
         target: &PickedTarget,
         wait_limit: ClockSpan,
-    ) -> (AttemptEnd, Option<BufferedResponse>) {
+    ) -> EntryAttempt {
         let now = state.clock.now();
         let mut guard = AttemptGuard { state, target, feedback: TargetFeedback::Cancelled };
         let note = CallNote {
             target: target.id.clone(),
             slots: target.slots,
             route: self.route.name.clone(),
-            rank: progress.plan.call().priority,
+            rank: params.priority,
             idempotent: self.route.kind.is_idempotent(),
             left: self.deadline.since(now).millis(),
-            aim_left: progress.plan.call().soft_deadline.since(now).millis(),
+            aim_left: params.soft_deadline.since(now).millis(),
             wait_limit: wait_limit.millis(),
             body_bytes: self.request.body.len() as u64,
             rate_limit: target.rate_limit.map(RateLimit::millihertz),
-            warmup: state.warmup_rule(&progress.plan.call().service),
+            warmup: state.warmup_rule(&params.service),
             from_run: self.from_run,
         };
         let (reply, response) = if state.is_own_vm(target.vm) {
@@ -378,29 +391,53 @@
                 Ok(reply) => reply,
                 Err(end) => {
                     guard.feedback = TargetFeedback::Refused;
-                    return (end, None);
+                    return EntryAttempt { end, response: None, queued: None };
                 }
             }
         };
-        guard.report(progress.plan.call(), &reply);
+        guard.report(params, &reply);
         if reply.short_of_calls {
-            let call = progress.plan.call();
-            state.metrics.record_door_refusal(&call.service, call.priority, "calls");
+            state.metrics.record_door_refusal(&params.service, params.priority, "calls");
         }
-        progress.trace.times.queued = reply.waited;
         let (end, feedback) = attempt_end(&reply, response.as_ref());
         guard.feedback = feedback;
         if reply.end == ReplyEnd::Answered {
             lock(&state.crashes).record_completion(self.fingerprint);
         }
-        (end, response)
+        EntryAttempt { end, response, queued: Some(reply.waited) }
     }
 
-    fn request_id(&self) -> &str {
+    /// Records the end of an attempt in the log and the trace.
+    pub(crate) fn record_attempt(
+        &self,
+        trace: &mut EntryTrace,
+        target: &PickedTarget,
+        attempt: &EntryAttempt,
+    ) {
+        let end = attempt.end;
+        log::debug!(request = self.request_id(), target = &*target.id, crosses = target.is_remote,
+            route = &*self.route.name, priority = self.route.priority, from_run = self.from_run,
+            bytes = self.request.body.len(),
+            answer_bytes = attempt.response.as_ref().map_or(0, |response| response.body.len()),
+            end = format!("{end:?}").as_str();
+            "attempt ended");
+        trace.times.queued = attempt.queued.unwrap_or(trace.times.queued);
+        trace.attempts.push((target.id.clone(), end));
+    }
+
+    pub(crate) fn request_id(&self) -> &str {
         self.request.headers.get(&REQUEST_ID).and_then(|id| id.to_str().ok()).unwrap_or("")
     }
 }
 
+/// How an attempt ended.
+pub(crate) struct EntryAttempt {
+    pub(crate) end: AttemptEnd,
+    pub(crate) response: Option<BufferedResponse>,
+    /// Time for which it waited in the queue in ms, if the target's node replied.
+    pub(crate) queued: Option<u64>,
+}
+
 /// Derives the outcome of an attempt and the feedback about its target from the reply.
 fn attempt_end(
     reply: &ReplyNote,
@@ -439,7 +476,11 @@
 impl AttemptGuard<'_> {
     fn report(&self, call: &CallParams, reply: &ReplyNote) {
         let now = self.state.clock.now();
-        let picker = &mut lock(&self.state.routing).picker;
+        let mut routing = lock(&self.state.routing);
+        if let Some(hedges) = &mut routing.hedges {
+            hedges.record_load(&call.service, self.target.slots, reply.load());
+        }
+        let picker = &mut routing.picker;
         picker.record_load(now, &self.target.id, &call.route, reply.load());
         picker.record_stop(now, &self.target.id, reply.stops_in.map(ClockSpan::new));
         if reply.end == ReplyEnd::Refused {
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -5,10 +5,12 @@
 //! configuration and the list of targets up to date. Routing decisions are made by
 //! `fescuestack-routing`.
 
+mod connections;
 mod crashes;
 mod down;
 mod entry;
 mod follower;
+mod hedge;
 mod links;
 mod message;
 mod node;
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -14,12 +14,14 @@
 use fescuestack_operators::{MetricsError, NodeMetrics, RecentCalls};
 use fescuestack_platform::{SidecarSettings, decode_config};
 use fescuestack_routing::{
-    CallerWaitEstimator, CrashTracker, RepeatGuard, RetryAllowance, RetryBudget, RoomEstimator,
-    RouteTable, StorePosition, StoreView, TargetPicker, VmSizes, WarmupRule, is_small_vm,
+    CallerWaitEstimator, ConnectionKind, ConnectionLimits, CrashTracker, HedgeBook, HedgeDecision,
+    MemoryAccount, RepeatGuard, RetryAllowance, RetryBudget, RoomEstimator, RouteTable, SlowCall,
+    StorePosition, StoreView, TargetPicker, VmSizes, WarmupRule, is_small_vm,
 };
 use http_body_util::Full;
 use rustc_hash::{FxHashMap, FxHasher};
 
+use crate::connections::ConnectionTable;
 use crate::down::OutageObserver;
 use crate::links::{LinkObserver, LinkTable};
 use crate::policy::NodePolicy;
@@ -27,9 +29,12 @@
 use crate::stop::StopSignal;
 use crate::target::LocalTarget;
 
-/// Divisor of the VM's memory that gives the budget for bodies of calls. Bodies are copied once or
-/// twice, and the rest of the node takes about 40 MB.
-const BODY_MEMORY_DIVISOR: u64 = 6;
+/// Divisor of the VM's memory that gives the part for long responses. They are copied once or twice
+/// while they are received.
+const LONG_RESPONSE_DIVISOR: u64 = 6;
+
+/// Time for a head while there is no configuration.
+const DEFAULT_HEAD_TIMEOUT: ClockSpan = ClockSpan::new(5_000);
 
 /// Age from which a node's view of the store is not passed on. Contact is confirmed about every 500
 /// ms on each level of the tree of followers.
@@ -38,7 +43,6 @@
 /// State of a node.
 pub(crate) struct NodeState {
     pub(crate) settings: ArcSwap<SidecarSettings>,
-    #[expect(dead_code, reason = "read by the parts that it switches on")]
     pub(crate) policy: NodePolicy,
     pub(crate) clock: CallClock,
     /// The active configuration.
@@ -55,8 +59,8 @@
     pub(crate) view: Mutex<StoreView>,
     /// Notified when the view changes and when this node starts or stops reading the store.
     pub(crate) view_changed: Event,
-    /// Memory budget for the bodies of all calls.
-    pub(crate) body_budget: Arc<ByteBudget>,
+    /// The connections that peers have opened, with the memory held for them.
+    pub(crate) connections: Arc<ConnectionTable>,
     /// Sizes of the VMs in this data centre.
     pub(crate) vm_sizes: Mutex<VmSizes>,
     /// The content that was last sent to another node.
@@ -112,6 +116,8 @@
     pub(crate) waits: CallerWaitEstimator,
     room: RoomEstimator,
     repeats: RepeatGuard,
+    /// Second requests for slow calls, if the operators' policy switches them on.
+    pub(crate) hedges: Option<HedgeBook>,
     budgets: FxHashMap<Arc<str>, RetryBudget>,
 }
 
@@ -161,6 +167,29 @@
         let budget = self.budgets.entry(service.clone()).or_default();
         (&mut self.picker, budget)
     }
+
+    /// Records a call that is sent to its first target, if slow calls may get second requests.
+    pub(crate) fn record_hedgeable_call(&mut self, now: ClockTime, service: &Arc<str>) {
+        if let Some(hedges) = &mut self.hedges {
+            hedges.record_call(service);
+            self.budgets.entry(service.clone()).or_default().expire_surplus(now);
+        }
+    }
+
+    /// Decides on a second request for a slow call.
+    pub(crate) fn decide_hedge(
+        &mut self,
+        now: ClockTime,
+        slow: SlowCall<'_>,
+    ) -> Option<HedgeDecision> {
+        let budget = self.budgets.entry(slow.plan.call().service.clone()).or_default();
+        let hedges = self.hedges.as_mut()?;
+        let decision = hedges.decide(now, slow, &mut self.picker, budget);
+        if let HedgeDecision::Send { second, .. } = &decision {
+            self.picker.record_sent(&second.target.id, slow.plan.call().priority);
+        }
+        Some(decision)
+    }
 }
 
 impl NodeState {
@@ -180,18 +209,27 @@
             waits: CallerWaitEstimator::default(),
             room: RoomEstimator::new(),
             repeats: RepeatGuard::new(),
+            hedges: policy
+                .hedging
+                .as_ref()
+                .map(|hedging| HedgeBook::new(hedging.max_ratio, node_seed)),
             budgets: FxHashMap::default(),
         };
-        let body_budget = ByteBudget::new((settings.memory_bytes / BODY_MEMORY_DIVISOR) as usize);
-        let links = LinkTable::new(body_budget.clone(), settings.grace);
-        let stop = Arc::new(StopSignal::new(clock));
-        let local_target = LocalTarget::new(
-            settings.target,
-            settings.link_mbps,
+        let account = MemoryAccount::new(settings.memory_bytes);
+        let long_limit = (settings.memory_bytes / LONG_RESPONSE_DIVISOR) as usize;
+        let body_budget =
+            ByteBudget::with_long_limit(account.limit(), long_limit.min(account.limit()));
+        let connections = Arc::new(ConnectionTable::new(
             clock,
             body_budget.clone(),
-            stop.clone(),
-        );
+            account,
+            ConnectionLimits::new(settings.max_descriptors),
+            &policy.clients,
+        ));
+        let links = LinkTable::new(body_budget.clone(), settings.grace);
+        let stop = Arc::new(StopSignal::new(clock));
+        let local_target =
+            LocalTarget::new(settings.target, settings.link_mbps, clock, body_budget, stop.clone());
         let state = Arc::new(NodeState {
             settings: ArcSwap::from_pointee(settings),
             policy,
@@ -201,7 +239,7 @@
             routing: Mutex::new(routing),
             local_target,
             links,
-            body_budget,
+            connections,
             metrics,
             store_calls: AtomicU64::new(0),
             view: Mutex::default(),
@@ -343,6 +381,14 @@
         self.local_target.set_warmup(self.warmup_rule(&settings.service), factor);
     }
 
+    /// Returns the time for a request's head, from its first byte.
+    pub(crate) fn head_timeout(&self) -> ClockSpan {
+        let routes = self.routes.load();
+        let configured =
+            routes.as_ref().map_or(DEFAULT_HEAD_TIMEOUT, |routes| routes.limits.head_timeout);
+        configured + ClockSpan::new(self.policy.clients.head_margin_ms)
+    }
+
     /// Whether the VM is small, so that other nodes prefer to follow larger ones.
     pub(crate) fn is_small(&self) -> bool {
         let settings = self.settings.load();
@@ -393,6 +439,15 @@
         self.metrics.record_target_queue(load.running, load.queued.total());
         self.metrics.record_evacuated(evacuated);
         self.metrics.record_cold_time(self.local_target.cold_time_left().millis());
+        let usage = self.connections.usage();
+        let kind_name = |kind| match kind {
+            ConnectionKind::Client => "client",
+            ConnectionKind::Node => "node",
+            ConnectionKind::Ready => "ready",
+        };
+        let open = usage.open.map(|(kind, count)| (kind_name(kind), count));
+        let closed = usage.closed.map(|(reason, count)| (reason.label(), count));
+        self.metrics.record_connections(usage.held_bytes, &open, &closed);
         self.metrics.encode()
     }
 
