--- a/review/harness-2/common.rs
+++ b/review/harness-2/common.rs
@@ -8,6 +8,7 @@
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -358,18 +359,13 @@
     )
 }
 
-/// The entry of a target in the store.
-pub fn target_entry(
-    address: SocketAddr,
-    zone: &str,
-    service: &str,
-    state: &str,
-    sequence: u64,
-) -> String {
+/// The entry of a target in the store. `starts` is the number of earlier starts.
+pub fn target_entry(address: SocketAddr, zone: &str, service: &str, starts: u64) -> String {
+    let born = 1_790_000_000_000 + 10_000 * starts;
     format!(
-        "{{\"address\":\"{address}\",\"born\":1790000000000,\"info\":{{\"service\":\"{service}\",\
-         \"version\":\"v1\",\"zone\":\"{zone}\",\"capacity\":6}},\"status\":{{\"state\":\"{state}\",\
-         \"sequence\":{sequence},\"warmup_left_s\":0}}}}"
+        "{{\"address\":\"{address}\",\"born\":{born},\"info\":{{\"service\":\"{service}\",\
+         \"version\":\"v1\",\"zone\":\"{zone}\",\"capacity\":6}},\"status\":{{\"state\":\"ready\",\
+         \"sequence\":1,\"warmup_left_s\":0}}}}"
     )
 }
 
@@ -433,13 +429,8 @@
 
 impl Node {
     /// Starts the node of a machine whose target belongs to `service`.
-    fn start(
-        network: &Network,
-        store: SocketAddr,
-        machine: usize,
-        zone: &str,
-        service: &str,
-    ) -> Node {
+    fn start(network: &Network, store: SocketAddr, machine: usize, place: &Place) -> Node {
+        let Place { zone, service, memory_mb } = place;
         let folder = PathBuf::from(std::env::var("WORK").expect("WORK is set by run.sh"));
         let ip = network.machines[machine];
         let seeds: Vec<_> = network
@@ -452,7 +443,7 @@
             "{{\"self\":{{\"node_name\":\"sidecar-caerdydd-{machine}\",\"role\":\"node\",\
              \"machine_class\":\"sidecar\",\"serves\":[\"sidecar\",\"control\"],\"ip\":\"{ip}\",\
              \"zone\":\"{zone}\",\"region\":\"cymru\",\"loss_counts\":false,\"bootstrap\":true,\
-             \"data_dir\":null,\"limits\":{{\"cpu_share\":0.2,\"cpu_cores\":1,\"memory_mb\":260,\
+             \"data_dir\":null,\"limits\":{{\"cpu_share\":0.2,\"cpu_cores\":1,\"memory_mb\":{memory_mb},\
              \"max_fds\":4100,\"bandwidth_mbps\":1000.0,\"disk_mb\":0}},\"app_addr\":\"{}\",\
              \"service\":\"{service}\"}},\"network\":{{\"listen_addrs\":{{\"inbound\":\"{ip}:{}\",\
              \"outbound\":\"{}\",\"ready\":\"{}\"}},\"port_range\":[7380,7395],\"seeds\":[{}],\
@@ -521,27 +512,71 @@
     Err(format!("the node at {address} does not get ready"))
 }
 
-/// Serves a target's connections, each on a thread of its own. `serve` returns whether the connection
-/// stays open.
-pub fn start_target<F>(address: SocketAddr, serve: F)
+/// What a target does after a request.
+pub enum After {
+    KeepOpen,
+    Close,
+    Crash,
+}
+
+impl From<bool> for After {
+    fn from(stays_open: bool) -> After {
+        if stays_open {
+            After::KeepOpen
+        } else {
+            After::Close
+        }
+    }
+}
+
+/// Time after which a target that has crashed is back.
+const RESTART: Duration = Duration::from_secs(3);
+
+/// Serves a target's connections, each on a thread of its own. `restarted` is called with the number
+/// of crashes when the target is back after one.
+pub fn start_target<F, R, A>(address: SocketAddr, serve: F, restarted: A)
 where
-    F: Fn(&Request, &mut TcpStream) -> bool + Send + Sync + 'static,
+    F: Fn(&Request, &mut TcpStream) -> R + Send + Sync + 'static,
+    R: Into<After>,
+    A: Fn(u64) + Send + 'static,
 {
-    let listener = TcpListener::bind(address).expect("a free address for the target");
+    let first = TcpListener::bind(address).expect("a free address for the target");
     let serve = Arc::new(serve);
     thread::spawn(move || {
-        for mut stream in listener.incoming().flatten() {
-            let serve = serve.clone();
-            thread::spawn(move || {
+        let mut listener = first;
+        for crashes in 1.. {
+            let has_crashed = Arc::new(AtomicBool::new(false));
+            let open: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
+            while let Ok((mut stream, _)) = listener.accept() {
+                if has_crashed.load(Ordering::SeqCst) {
+                    break;
+                }
                 let _ = stream.set_nodelay(true);
-                let mut buffer = Vec::new();
-                while let Some(request) = read_request(&mut stream, &mut buffer) {
-                    if !serve(&request, &mut stream) {
-                        break;
+                open.lock().unwrap().extend(stream.try_clone());
+                let (serve, has_crashed, open) = (serve.clone(), has_crashed.clone(), open.clone());
+                thread::spawn(move || {
+                    let mut buffer = Vec::new();
+                    while let Some(request) = read_request(&mut stream, &mut buffer) {
+                        match serve(&request, &mut stream).into() {
+                            After::KeepOpen => {}
+                            After::Close => break,
+                            After::Crash => {
+                                has_crashed.store(true, Ordering::SeqCst);
+                                // Ends the wait for the next connection.
+                                let _ = TcpStream::connect(address);
+                                for stream in open.lock().unwrap().drain(..) {
+                                    let _ = stream.shutdown(Shutdown::Both);
+                                }
+                            }
+                        }
                     }
-                }
-                let _ = stream.shutdown(Shutdown::Both);
-            });
+                    let _ = stream.shutdown(Shutdown::Both);
+                });
+            }
+            drop(listener);
+            thread::sleep(RESTART);
+            listener = TcpListener::bind(address).expect("the address of the target");
+            restarted(crashes);
         }
     });
 }
@@ -582,46 +617,79 @@
     pub caller_service: Option<String>,
 }
 
-/// Zones of the machines of a case, two machines each.
-const ZONES: [&str; 4] = ["caerdydd", "caerdydd", "abertawe", "abertawe"];
-
-/// Service of all targets of a case.
+/// Service of the targets of a case.
 pub const SERVICE: &str = "huvo11a";
 
-/// A small deployment: the store, and four machines with a target and a node each.
+/// A machine of a deployment.
+#[derive(Clone)]
+pub struct Place {
+    pub zone: &'static str,
+    /// Service of the machine's target.
+    pub service: &'static str,
+    pub memory_mb: u64,
+}
+
+impl Place {
+    pub fn new(zone: &'static str, service: &'static str) -> Place {
+        Place { zone, service, memory_mb: 260 }
+    }
+}
+
+/// Machines of most cases.
+fn usual_places() -> Vec<Place> {
+    let zones = ["caerdydd", "caerdydd", "abertawe", "abertawe"];
+    zones.iter().map(|zone| Place::new(zone, SERVICE)).collect()
+}
+
+/// A small deployment: the store, and machines with a target and a node each.
 pub struct Fleet {
     pub network: Network,
     pub record: Record,
     pub runs: Arc<Mutex<Vec<Run>>>,
+    places: Vec<Place>,
+    store: Store,
     nodes: Vec<Node>,
 }
 
 impl Fleet {
+    /// Starts four machines of one service.
+    pub fn start<F, R>(routes: &[Route], work: F) -> Result<Fleet, String>
+    where
+        F: Fn(&Request, &mut TcpStream) -> R + Send + Sync + 'static,
+        R: Into<After> + 'static,
+    {
+        Fleet::start_on(usual_places(), routes, work)
+    }
+
     /// Starts everything and waits until all nodes are ready. `work` makes a target's answer to a
-    /// request that it runs, and returns whether the connection stays open.
-    pub fn start<F>(routes: &[Route], work: F) -> Result<Fleet, String>
+    /// request that it runs, and returns what the target does then.
+    pub fn start_on<F, R>(places: Vec<Place>, routes: &[Route], work: F) -> Result<Fleet, String>
     where
-        F: Fn(&Request, &mut TcpStream) -> bool + Send + Sync + 'static,
+        F: Fn(&Request, &mut TcpStream) -> R + Send + Sync + 'static,
+        R: Into<After> + 'static,
     {
         let record = Record::create();
-        let network = Network::new(ZONES.len());
+        let network = Network::new(places.len());
         let store = Store::start(network.platform);
         store.put("op/config", configuration(1, routes));
         let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
         let work = Arc::new(work);
         let mut nodes = Vec::new();
-        for (machine, zone) in ZONES.iter().enumerate() {
+        for (machine, place) in places.iter().enumerate() {
+            let &Place { zone, service, .. } = place;
             let own_id = format!("i-{machine}");
-            let address = network.app(machine);
-            store.put(
-                &format!("servers/{own_id}"),
-                target_entry(address, zone, SERVICE, "ready", 1),
-            );
+            let (key, address) = (format!("servers/{own_id}"), network.app(machine));
+            store.put(&key, target_entry(address, zone, service, 0));
+            let (listing, returned) = (store.clone(), record.clone());
+            let restarted = move |crashes| {
+                returned.line(&format!("the target of machine {machine} is back"));
+                listing.put(&key, target_entry(address, zone, service, crashes));
+            };
             let (record, runs, work) = (record.clone(), runs.clone(), work.clone());
-            start_target(address, move |request, stream| {
+            let serve = move |request: &Request, stream: &mut TcpStream| -> After {
                 if let Some(answer) = unrun_answer(request, &own_id) {
                     record.line(&format!("{own_id} rejects {}", request.path));
-                    return stream.write_all(&answer).is_ok();
+                    return stream.write_all(&answer).is_ok().into();
                 }
                 let run = Run {
                     at: Instant::now(),
@@ -636,16 +704,40 @@
                     run.id, request.method, request.path
                 ));
                 runs.lock().unwrap().push(run);
-                work(request, stream)
-            });
-            nodes.push(Node::start(&network, store.address, machine, zone, SERVICE));
+                let after = work(request, stream).into();
+                if matches!(after, After::Crash) {
+                    record.line(&format!("{own_id} crashes"));
+                }
+                after
+            };
+            start_target(address, serve, restarted);
+            nodes.push(Node::start(&network, store.address, machine, place));
         }
-        for machine in 0..ZONES.len() {
+        for machine in 0..places.len() {
             await_ready(network.ready(machine))?;
         }
         // The nodes find each other meanwhile.
         thread::sleep(Duration::from_secs(3));
-        Ok(Fleet { network, record, runs, nodes })
+        Ok(Fleet { network, record, runs, places, store, nodes })
+    }
+
+    /// Returns the id of a node's process.
+    pub fn process(&self, machine: usize) -> u32 {
+        self.nodes[machine].child.id()
+    }
+
+    /// Kills the node of a machine, as the platform does.
+    pub fn kill(&mut self, machine: usize) {
+        let node = &mut self.nodes[machine];
+        let _ = node.child.kill();
+        let _ = node.child.wait();
+    }
+
+    /// Starts the node of a machine again and waits until it is ready.
+    pub fn restart(&mut self, machine: usize) -> Result<(), String> {
+        let place = &self.places[machine];
+        self.nodes[machine] = Node::start(&self.network, self.store.address, machine, place);
+        await_ready(self.network.ready(machine))
     }
 
     /// Sends SIGHUP to the node of a machine.
