--- a/review/harness-2/chunked_crowd.rs
+++ b/review/harness-2/chunked_crowd.rs
@@ -51,8 +51,8 @@
 /// The rule on kept connections allows three.
 const ALLOWED: usize = 3;
 
-/// Lets this program and the nodes have as many descriptors as they may.
-fn raise_descriptor_limit() {
+/// Lets this program and the nodes have as many descriptors as they may, and returns their number.
+fn raise_descriptor_limit() -> u64 {
     // RLIMIT_NOFILE.
     let mut limit = [0; 2];
     unsafe {
@@ -60,6 +60,7 @@
         limit[0] = limit[1];
         setrlimit(7, &limit);
     }
+    limit[0]
 }
 
 /// Returns the memory of a process: pages of its own, and bytes that its sockets have received and
@@ -144,7 +145,9 @@
 }
 
 pub fn run() -> Result<bool, String> {
-    raise_descriptor_limit();
+    if raise_descriptor_limit() < 4_000 {
+        return Err("a process may have fewer than 4,000 descriptors".to_owned());
+    }
     let route = |name, prefix, route_type| Route {
         name,
         prefix,
