Keep end-to-end headers that a peer's Connection names

Naming X-Fescuestack-Request-Id got 503 for every request, naming Host left targets without one, and a target that named its signature took it from all its successes.

Cause: the headers that Connection names were removed after the node had set its own, and no header was exempt, whether the platform defines it or HTTP means it for every recipient. The rule of the product's own port had the same fault.

Fix: a header that is meant for every recipient, or that the platform defines, stays whatever Connection says, in both directions and on both ports. The node sets its own headers after the filter. Extension headers that Connection names are still removed.

--- a/http/src/exchange.rs
+++ b/http/src/exchange.rs
@@ -475,17 +475,3 @@
     let mut words = value.split(',').filter_map(|word| word.trim().strip_prefix("timeout="));
     words.next()?.trim().parse().ok().map(Duration::from_secs)
 }
-
-/// Removes hop-by-hop headers, including those listed in `Connection`.
-pub fn remove_hop_by_hop_headers(headers: &mut HeaderMap) {
-    let values = headers.get_all(http::header::CONNECTION).iter();
-    let words = values.flat_map(|value| value.as_bytes().split(|byte| *byte == b','));
-    let named: Vec<_> =
-        words.filter_map(|word| HeaderName::from_bytes(word.trim_ascii()).ok()).collect();
-    for name in named {
-        headers.remove(name);
-    }
-    for name in crate::hop_by_hop::HOP_BY_HOP_HEADERS {
-        headers.remove(name);
-    }
-}
--- a/http/src/hop_by_hop.rs
+++ b/http/src/hop_by_hop.rs
@@ -19,7 +19,37 @@
     "upgrade",
 ];
 
-/// Removes hop-by-hop headers, including those listed in `connection`.
+/// Headers that are meant for every recipient of a message. `Connection` must not name them (RFC 9110,
+/// section 7.6.1): without them the message would be routed, authorised or read in another way.
+const END_TO_END_HEADERS: [&str; 15] = [
+    "authorization",
+    "cache-control",
+    "cookie",
+    "date",
+    "etag",
+    "expires",
+    "host",
+    "last-modified",
+    "location",
+    "range",
+    "retry-after",
+    "set-cookie",
+    "vary",
+    "via",
+    "www-authenticate",
+];
+
+/// Prefixes of further such headers: those that describe the body, make a request conditional, or
+/// are exchanged between nodes, callers and upstreams.
+const END_TO_END_PREFIXES: [&str; 3] = ["content-", "if-", "fescuestack-"];
+
+/// Whether a header stays in a message whose `Connection` names it.
+fn is_end_to_end(name: &str) -> bool {
+    END_TO_END_HEADERS.contains(&name)
+        || END_TO_END_PREFIXES.iter().any(|prefix| name.starts_with(prefix))
+}
+
+/// Removes hop-by-hop headers, including those listed in `connection`, except for end-to-end headers.
 pub(crate) fn remove_hop_by_hop_fields(headers: &mut Headers) {
     let named: Vec<HeaderName> = headers
         .get("connection")
@@ -27,6 +57,24 @@
         .flat_map(|values| values.iter())
         .flat_map(|value| value.as_str().split(','))
         .filter_map(|word| word.trim().parse().ok())
+        .filter(|name: &HeaderName| !is_end_to_end(name.as_str()))
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in HOP_BY_HOP_HEADERS {
+        headers.remove(name);
+    }
+}
+
+/// Removes hop-by-hop headers, including those listed in `Connection`, except for end-to-end headers
+/// and those for which `is_kept` is true.
+pub fn remove_hop_by_hop_headers(headers: &mut HeaderMap, is_kept: fn(&http::HeaderName) -> bool) {
+    let values = headers.get_all(CONNECTION).iter();
+    let words = values.flat_map(|value| value.as_bytes().split(|byte| *byte == b','));
+    let named: Vec<_> = words
+        .filter_map(|word| http::HeaderName::from_bytes(word.trim_ascii()).ok())
+        .filter(|name| !is_end_to_end(name.as_str()) && !is_kept(name))
         .collect();
     for name in named {
         headers.remove(name);
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -32,13 +32,14 @@
 pub use coarse_timer::{CoarseSleep, within};
 pub use exchange::{
     BufferedRequest, BufferedResponse, ExchangeConnection, ExchangeError, ResponseTag, connect,
-    remove_hop_by_hop_headers, set_receive_buffer, set_socket_options,
+    set_receive_buffer, set_socket_options,
 };
 pub use fault::HttpFault;
 pub use head::{
     BodyFraming, MAX_HEADERS, ParseSchedule, ParsedHead, find_head_end, is_valid_host,
     parse_decimal, parse_head, parse_header, parse_request_line,
 };
+pub use hop_by_hop::remove_hop_by_hop_headers;
 pub use meter::{ConnectionMeter, HeldBytes, InputLimit};
 pub use runtime::{CloseWatch, HyperExecutor, HyperStream, HyperTimer, PeerActivity};
 pub use server::{ServerSettings, serve_connection, serve_listener};
--- a/http/tests/server.rs
+++ b/http/tests/server.rs
@@ -304,3 +304,29 @@
         panic!("the response is still being written");
     });
 }
+
+/// Guards against a client that removes a header which callers and nodes rely on, such as the key of a
+/// request that must not run twice, by naming it in `Connection`.
+#[test]
+fn connection_header_cannot_remove_end_to_end_headers() {
+    async fn echo_headers(incoming: Result<Request, HttpFault>) -> Response {
+        let request = incoming.expect("a request");
+        let names = ["host", "fescuestack-key", "content-type", "x-hop", "x-second-hop"];
+        let found: Vec<_> =
+            names.into_iter().filter(|name| request.header(*name).is_some()).collect();
+        let mut response = Response::new(StatusCode::Ok);
+        response.set_body(format!("{};", found.join(" ")));
+        response
+    }
+    task::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        task::spawn(serve_listener(listener, short_limits(), echo_headers));
+        let request =
+            b"GET / HTTP/1.1\r\nHost: h\r\nFescuestack-Key: k\r\nContent-Type: text/plain\r\n\
+            X-Hop: 1\r\nX-Second-Hop: 1\r\nConnection: host, x-hop, Fescuestack-Key\r\n\
+            Connection: content-type,x-second-hop\r\n\r\n";
+        let answer = exchange(address, &[request], false).await;
+        assert!(answer.ends_with("host fescuestack-key content-type;"), "{answer}");
+    });
+}
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -158,7 +158,7 @@
         return Err(EntryFault::NotRun { retry_after: NOT_READY_RETRY_AFTER });
     };
     trace.version = routes.version;
-    let (mut parts, body) = request.into_parts();
+    let (parts, body) = request.into_parts();
     if !parts.headers.contains_key(&REQUEST_ID) {
         return Err(EntryFault::Invalid);
     }
@@ -203,10 +203,12 @@
         Some(Err(CollectError::ReadFailed { .. })) => return Err(EntryFault::Invalid),
         None => return Err(EntryFault::BodyLate),
     };
-    parts.headers.remove(&EXPECTED_INSTANCE);
     let caller = HeaderValue::from_str(&state.settings.load().service);
-    parts.headers.insert(CALLER_SERVICE, caller.map_err(|_| EntryFault::Invalid)?);
-    let request = forwarded_request(parts, body);
+    let caller = caller.map_err(|_| EntryFault::Invalid)?;
+    let mut request = forwarded_request(parts, body);
+    // Set after the client's headers have been filtered, so that the client cannot change them.
+    request.headers.remove(&EXPECTED_INSTANCE);
+    request.headers.insert(CALLER_SERVICE, caller);
     let fingerprint = fingerprint(&request);
     // A call of a run is not refused here, since that would waste the run. The body has been read, since
     // a connection that is closed with an unread body may lose the response.
--- a/sidecar/src/message.rs
+++ b/sidecar/src/message.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use fescuestack_http::{BufferedRequest, BufferedResponse, remove_hop_by_hop_headers};
+use fescuestack_platform::headers::is_platform_header;
 use http::request::Parts;
 use http::{Response, StatusCode};
 use http_body_util::Full;
@@ -11,7 +12,7 @@
 
 /// Builds the request to forward, without the hop-by-hop headers of the client's connection.
 pub(crate) fn forwarded_request(mut parts: Parts, body: Bytes) -> BufferedRequest {
-    remove_hop_by_hop_headers(&mut parts.headers);
+    remove_hop_by_hop_headers(&mut parts.headers, is_platform_header);
     let target = parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
     BufferedRequest { method: parts.method, target, headers: parts.headers, body }
 }
@@ -21,7 +22,7 @@
     let mut response = Response::new(Full::new(buffered.body));
     *response.status_mut() = buffered.status;
     *response.headers_mut() = buffered.headers;
-    remove_hop_by_hop_headers(response.headers_mut());
+    remove_hop_by_hop_headers(response.headers_mut(), is_platform_header);
     response
 }
 
