Remove the notes of nodes from messages of clients and targets

Callers saw: a request with a header `fescuestack-outage` or `fescuestack-sync` of the client's own got 502 when its target was behind another node. That node took the call for a message between nodes: a client could report any target as ended, and requests as crashing, to a whole fleet one call at a time.

Cause: entry nodes forwarded all headers of clients, and the header alone tells a node what a message is.

Fix: a message of a client or a target loses the five headers in which nodes send their notes, before the entry node writes its own.

Evidence: clients_cannot_forge_messages_of_nodes of sidecar/tests/connection_fields.rs got 502 in place of 200 before and passes now; it sends a well-formed report that the target has ended.

--- a/sidecar/src/note.rs
+++ b/sidecar/src/note.rs
@@ -253,6 +253,14 @@
     }
 }
 
+/// Removes all notes from the headers of a message of a client or a target, which must not speak for a
+/// node.
+pub(crate) fn remove_notes(headers: &mut HeaderMap) {
+    for name in [CALL_HEADER, WARMUP_HEADER, REPLY_HEADER, OUTAGE_HEADER, SYNC_HEADER] {
+        headers.remove(name);
+    }
+}
+
 fn write_note(headers: &mut HeaderMap, name: HeaderName, note: &impl Serialize) {
     // Notes are plain structs, which always encode, and base64 is valid in a header value.
     let Ok(bytes) = postcard::to_stdvec(note) else { return };
--- a/sidecar/tests/connection_fields.rs
+++ b/sidecar/tests/connection_fields.rs
@@ -1,13 +1,16 @@
-//! Which header fields the peers of a node can change or remove, by naming them in `Connection` or by
-//! sending a field twice.
+//! Which header fields the peers of a node can change or remove: by naming them in `Connection`, by
+//! sending a field twice, or by sending a field that nodes set.
 
 mod mesh;
 
 use async_std::task;
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD_NO_PAD;
 use fescuestack_http::BufferedResponse;
 use fescuestack_platform_standin::{
     ApplicationRun, RawEnding, RawResponse, request_id_and_signature,
 };
+use fescuestack_routing::OutageNotice;
 use http::{HeaderMap, HeaderName, HeaderValue};
 
 use mesh::{HOST, Mesh, TestCall};
@@ -187,3 +190,27 @@
         }
     });
 }
+
+/// Guards against a client that forges the messages of nodes: a call with the report of an ended target
+/// was taken for such a report, so that the target got no more calls, and the call was lost.
+#[test]
+fn clients_cannot_forge_messages_of_nodes() {
+    task::block_on(async {
+        let mesh = start_mesh().await;
+        let notice = OutageNotice { node_start: u64::MAX, changes: 1, is_down: true };
+        let report = ("t2", None::<u64>, notice, Vec::<u64>::new());
+        let report = postcard::to_stdvec(&report).expect("a report");
+        let report = BASE64_STANDARD_NO_PAD.encode(report);
+        let names = ["outage", "sync", "call", "warmup", "reply"];
+        for node in 0..2 {
+            let id = format!("forged-{node}");
+            let fields = names.map(|name| (format!("fescuestack-{name}"), report.as_str()));
+            let fields = fields.each_ref().map(|(name, value)| (name.as_str(), *value));
+            assert_eq!(send_with(&mesh, node, &id, &fields).await.status, 200);
+            let run = find_run(&mesh, &id);
+            for (name, _) in fields {
+                assert!(!run.headers.contains_key(name), "{name} reached the target");
+            }
+        }
+    });
+}
