Refuse requests with several hosts or request IDs

Callers saw: a request with two Host or two X-Fescuestack-Request-Id headers was routed by the first one and forwarded with both, so that a target could serve another host or answer another ID than the node used.

Cause: the node read the first value and left the second one in the message.

Fix: such a request is malformed (RFC 9112, section 3.2, for Host) and gets 400 before it reaches a target.

Evidence: ambiguous_requests_are_refused of sidecar/tests/connection_fields.rs got 200 in place of 400 before and passes now, at the node beside the target and at another one.

--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -12,7 +12,7 @@
 };
 use futures_lite::future;
 use http::header::{CONNECTION, HOST, RETRY_AFTER};
-use http::{HeaderMap, HeaderValue, Request, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
 use hyper::body::{Body, Incoming};
 
 use crate::connections::ConnectionRecord;
@@ -159,10 +159,10 @@
     };
     trace.version = routes.version;
     let (parts, body) = request.into_parts();
-    if !parts.headers.contains_key(&REQUEST_ID) {
+    if single_value(&parts.headers, &REQUEST_ID)?.is_none() {
         return Err(EntryFault::Invalid);
     }
-    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = single_value(&parts.headers, &HOST)?.and_then(|host| host.to_str().ok());
     let host = host.or_else(|| parts.uri.host()).ok_or(EntryFault::Invalid)?;
     let route = routes.find(host, parts.uri.path()).ok_or(EntryFault::NoRoute)?.clone();
     let service = route.next_service(state.split_offset).ok_or(EntryFault::NoRoute)?.clone();
@@ -514,6 +514,19 @@
     }
 }
 
+/// Returns the value of a header that says what the request is. Fails if there are several: the target
+/// may take another one than this node.
+fn single_value<'a>(
+    headers: &'a HeaderMap,
+    name: &HeaderName,
+) -> Result<Option<&'a HeaderValue>, EntryFault> {
+    let mut values = headers.get_all(name).iter();
+    match (values.next(), values.next()) {
+        (_, Some(_)) => Err(EntryFault::Invalid),
+        (value, None) => Ok(value),
+    }
+}
+
 /// Returns the client's remaining time, if the request states it.
 fn client_timeout(headers: &HeaderMap) -> Option<ClockSpan> {
     let millis: f64 = headers.get(&DEADLINE_MS)?.to_str().ok()?.trim().parse().ok()?;
--- a/sidecar/tests/connection_fields.rs
+++ b/sidecar/tests/connection_fields.rs
@@ -191,6 +191,21 @@
     });
 }
 
+/// Guards against a request with two hosts or IDs, of which the node uses one and the target another.
+#[test]
+fn ambiguous_requests_are_refused() {
+    task::block_on(async {
+        let mesh = start_mesh().await;
+        for node in 0..2 {
+            for (name, value) in [("host", "other.example"), (REQUEST_ID, "other")] {
+                let response = send_with(&mesh, node, "ambiguous", &[(name, value)]).await;
+                assert_eq!(response.status, 400, "two fields {name}");
+            }
+        }
+        assert!(mesh.nodes[1].application.runs().is_empty());
+    });
+}
+
 /// Guards against a client that forges the messages of nodes: a call with the report of an ended target
 /// was taken for such a report, so that the target got no more calls, and the call was lost.
 #[test]
