Forward the host of an absolute URI

Callers saw: a request with an absolute URI and without Host was routed by the URI's host, and then got 503: the node could not build the call to another node without a host.

Cause: only the origin form of the URI is forwarded, and the host was not kept.

Fix: the host of the URI becomes the Host header if there is none, at the entry node and at the target's node, which did so with code of its own.

--- a/sidecar/src/message.rs
+++ b/sidecar/src/message.rs
@@ -3,8 +3,9 @@
 use bytes::Bytes;
 use fescuestack_http::{BufferedRequest, BufferedResponse, remove_hop_by_hop_headers};
 use fescuestack_platform::headers::is_platform_header;
+use http::header::HOST;
 use http::request::Parts;
-use http::{Response, StatusCode};
+use http::{HeaderValue, Response, StatusCode};
 use http_body_util::Full;
 
 use crate::note::remove_notes;
@@ -13,10 +14,16 @@
 pub(crate) type FullResponse = Response<Full<Bytes>>;
 
 /// Builds the request to forward, without the hop-by-hop headers of the client's connection and the
-/// notes of nodes.
+/// notes of nodes. The host of an absolute URI becomes the `Host` header if there is none.
 pub(crate) fn forwarded_request(mut parts: Parts, body: Bytes) -> BufferedRequest {
     remove_hop_by_hop_headers(&mut parts.headers, is_platform_header);
     remove_notes(&mut parts.headers);
+    if !parts.headers.contains_key(HOST)
+        && let Some(authority) = parts.uri.authority()
+        && let Ok(host) = HeaderValue::from_str(authority.as_str())
+    {
+        parts.headers.insert(HOST, host);
+    }
     let target = parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
     BufferedRequest { method: parts.method, target, headers: parts.headers, body }
 }
--- a/sidecar/src/peer.rs
+++ b/sidecar/src/peer.rs
@@ -8,7 +8,7 @@
 use fescuestack_routing::{AttemptEnd, PickedTarget};
 use futures_lite::future;
 use http::header::HOST;
-use http::{HeaderValue, Request, StatusCode, Uri};
+use http::{Request, StatusCode, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
 
@@ -143,11 +143,9 @@
     };
     drop(incoming_body);
     note.subtract_elapsed(state.clock.now().since(received_at));
-    let authority = parts.uri.authority().map(|host| host.as_str().to_owned());
-    let Some(host) = authority.and_then(|host| HeaderValue::try_from(host).ok()) else {
+    if parts.uri.authority().is_none() {
         return empty_response(StatusCode::BAD_REQUEST);
-    };
-    parts.headers.insert(HOST, host);
+    }
     let call = forwarded_request(parts, body);
     let reply = if state.is_refusing() {
         state.local_target.leaving_reply(&note)
--- a/sidecar/tests/connection_fields.rs
+++ b/sidecar/tests/connection_fields.rs
@@ -206,6 +206,26 @@
     });
 }
 
+/// Guards against a request that is routed by the host of its absolute URI and reaches the target without a
+/// host, or no target at all.
+#[test]
+fn host_of_an_absolute_uri_reaches_the_target() {
+    task::block_on(async {
+        let mesh = start_mesh().await;
+        for node in 0..2 {
+            let id = format!("absolute-{node}");
+            let mut request = TestCall::get(&id, &format!("http://{HOST}/a/x?q=1")).request();
+            request.headers.remove("host");
+            let mut connection = mesh.connect(node).await.expect("a connection");
+            let response = connection.exchange(&request, None).await.expect("a response");
+            assert_eq!(response.status, 200);
+            let run = find_run(&mesh, &id);
+            assert_eq!(values(&run.headers, "host"), [HOST]);
+            assert_eq!(run.request_line, "GET /a/x?q=1");
+        }
+    });
+}
+
 /// Guards against a client that forges the messages of nodes: a call with the report of an ended target
 /// was taken for such a report, so that the target got no more calls, and the call was lost.
 #[test]
