Tell requests apart by the calling service and the whole body

A crashing request with its host in another spelling counted as another one.

Cause: the fingerprint had the Host header as sent, the method, the path and the length and first 4,096 bytes of the body. Sound requests had the fingerprint of the crashing one, and each completion cleared it.

Fix: the fingerprint has the name in Host, the calling service, the method, the path with its query and the whole body, which the node holds in full before it sends a request. How a body is sent does not matter. A long body is hashed in parts of 64 KB, between which other tasks run.

--- a/core/src/fingerprint.rs
+++ b/core/src/fingerprint.rs
@@ -47,15 +47,38 @@
         body_length: Option<u64>,
         body: &[u8],
     ) -> RequestFingerprint {
+        let mut hasher = FingerprintHasher::new(&[service, method, path]);
+        hasher.update(&body_length.unwrap_or(u64::MAX).to_le_bytes());
+        hasher.update(body);
+        hasher.finish()
+    }
+}
+
+/// Computes the fingerprint of a request whose body is hashed in parts. How the body is divided does not
+/// matter.
+#[derive(Debug)]
+pub struct FingerprintHasher(Hasher);
+
+impl FingerprintHasher {
+    /// Starts with the fields that identify the request beside its body.
+    pub fn new(fields: &[&str]) -> FingerprintHasher {
         let mut hasher = Hasher::new();
-        for field in [service, method, path] {
+        for field in fields {
             // The length in front keeps ("ab", "c") and ("a", "bc") apart.
             hasher.update(&(field.len() as u64).to_le_bytes());
             hasher.update(field.as_bytes());
         }
-        hasher.update(&body_length.unwrap_or(u64::MAX).to_le_bytes());
-        hasher.update(body);
-        RequestFingerprint(hash_number(&hasher))
+        FingerprintHasher(hasher)
+    }
+
+    /// Adds the next part of the body.
+    pub fn update(&mut self, part: &[u8]) {
+        self.0.update(part);
+    }
+
+    /// Returns the fingerprint of all that was added.
+    pub fn finish(self) -> RequestFingerprint {
+        RequestFingerprint(hash_number(&self.0))
     }
 }
 
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -74,7 +74,7 @@
 };
 pub use drain::{DrainPhase, DrainState};
 pub use events::{CrashReport, SpreadEvent};
-pub use fingerprint::{FINGERPRINT_BODY_BYTES, RequestFingerprint};
+pub use fingerprint::{FINGERPRINT_BODY_BYTES, FingerprintHasher, RequestFingerprint};
 pub use gate::{GateAction, GateCall, GateOutcome, GateReply, GateSettings, GateStep, TargetGate};
 pub use handover::{KeyAnswer, KeyFinding, KeyQuestion, RecordedAnswer};
 pub use keys::{
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -51,7 +51,9 @@
 pub use registry::{TargetListing, TargetNotice, TargetRegistry, TargetState};
 pub use repeats::RepeatGuard;
 pub use room::RoomEstimator;
-pub use routes::{ClientLimits, RequestKind, RouteRule, RouteTable, ServiceRule, WeightedService};
+pub use routes::{
+    ClientLimits, RequestKind, RouteRule, RouteTable, ServiceRule, WeightedService, host_name,
+};
 pub use silence::{LINK_CHECK_INTERVAL, LinkHealth, LinkMonitor, LinkTimeouts};
 pub use slots::{
     AdmissionDecision, CallEnd, CallOrigin, QueuedCall, SlotAction, SlotLoad, SlotQueue, SlotTicket,
--- a/routing/src/routes.rs
+++ b/routing/src/routes.rs
@@ -1,5 +1,6 @@
 //! Routing configuration of the operators, compiled for fast lookup.
 
+use std::borrow::Cow;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
@@ -229,12 +230,18 @@
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<RouteRule>> {
         let routes = match self.hosts.get(host) {
             Some(routes) => routes,
-            None => {
-                let name = host.split(':').next()?.to_ascii_lowercase();
-                self.hosts.get(name.as_str())?
-            }
+            None => self.hosts.get(&*host_name(host))?,
         };
         // Prefixes end with a slash, so only the slashes in the path have to be tried.
         path.rmatch_indices('/').find_map(|(index, _)| routes.get(&path[..=index]))
     }
 }
+
+/// Returns the name in a `Host` header, in lower case and without the port.
+pub fn host_name(host: &str) -> Cow<'_, str> {
+    let name = host.split(':').next().unwrap_or(host);
+    match name.bytes().any(|byte| byte.is_ascii_uppercase()) {
+        true => Cow::Owned(name.to_ascii_lowercase()),
+        false => Cow::Borrowed(name),
+    }
+}
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -17,11 +17,12 @@
 
 use crate::connections::ConnectionRecord;
 use crate::crashes::CRASHING_RETRY_AFTER;
+use crate::fingerprint::fingerprint;
 use crate::hedge;
 use crate::message::{FullResponse, empty_response, forwarded_request, full_response};
 use crate::node::{DoorCaller, NodeState};
 use crate::note::{CallNote, ReplyEnd, ReplyNote};
-use crate::peer::{MEMORY_FULL_RETRY_AFTER, fingerprint, run_local, send_call};
+use crate::peer::{MEMORY_FULL_RETRY_AFTER, run_local, send_call};
 use crate::report::record_decisions;
 use crate::target::RunCallEnd;
 
@@ -209,7 +210,7 @@
     // Set after the client's headers have been filtered, so that the client cannot change them.
     request.headers.remove(&EXPECTED_INSTANCE);
     request.headers.insert(CALLER_SERVICE, caller);
-    let fingerprint = fingerprint(&request);
+    let fingerprint = fingerprint(&request).await;
     // A call of a run is not refused here, since that would waste the run. The body has been read, since
     // a connection that is closed with an unread body may lose the response.
     if trace.run.is_none() && routes.has_competing_routes(&service) {
@@ -386,7 +387,7 @@
             from_run: self.from_run,
         };
         let (reply, response) = if state.is_own_vm(target.vm) {
-            let reply = run_local(state, &note, self.request.clone()).await;
+            let reply = run_local(state, &note, self.fingerprint, self.request.clone()).await;
             (reply.note, reply.response)
         } else {
             match send_call(state, target, &note, &self.request).await {
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -9,6 +9,7 @@
 mod crashes;
 mod down;
 mod entry;
+mod fingerprint;
 mod follower;
 mod hedge;
 mod links;
--- a/sidecar/src/peer.rs
+++ b/sidecar/src/peer.rs
@@ -14,6 +14,7 @@
 
 use crate::connections::ConnectionRecord;
 use crate::crashes::{CRASHING_RETRY_AFTER, record_outage_note};
+use crate::fingerprint::fingerprint;
 use crate::links::LinkError;
 use crate::message::{FullResponse, empty_response, forwarded_request, full_response};
 use crate::node::NodeState;
@@ -154,7 +155,8 @@
             state.stop.aborted().await;
             state.local_target.reply(&note.route, ReplyEnd::Lost, ClockSpan::ZERO)
         };
-        future::or(run_local(&state, &note, call), aborted).await
+        let request = fingerprint(&call).await;
+        future::or(run_local(&state, &note, request, call), aborted).await
     };
     reply_response(reply)
 }
@@ -169,9 +171,9 @@
 pub(crate) async fn run_local(
     state: &Arc<NodeState>,
     note: &CallNote,
+    request: RequestFingerprint,
     call: BufferedRequest,
 ) -> TargetReply {
-    let request = fingerprint(&call);
     // The node that received the request may have been restarted and not know of the crashes.
     if lock(&state.crashes).is_quarantined(state.clock.now(), request) {
         state.metrics.record_held_request();
@@ -183,11 +185,3 @@
     }
     reply
 }
-
-/// Returns a hash of the host, method, path and body, which do not change when a request is sent
-/// again from any VM.
-pub(crate) fn fingerprint(call: &BufferedRequest) -> RequestFingerprint {
-    let host = call.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or("");
-    let length = Some(call.body.len() as u64);
-    RequestFingerprint::new(host, call.method.as_str(), &call.target, length, &call.body)
-}
