Count a completed run as evidence for two seconds only

Callers saw: requests that had been served 30 times and then crashed their targets, after a new release, crashed 18 targets in nine tries, without end.

Cause: a request that had ever completed, among the last few thousand, was left out of the ends of targets for good, without a limit in time.

Fix: all requests at work count at an end, and a completion clears the ends before it. Within 2 s of its last completion a request is not held, so that a popular one that runs at each of many ends has the time to complete; the operators count retries from 3 s after the third crash. Ends less than 200 ms apart count as one, since what runs at many targets that end at the same moment is not the cause. A request that shares its ends with others is held after five ends at three moments.

Evidence: completed_runs_do_not_speak_for_a_new_release of sidecar/tests/crashing_requests.rs got 502 in place of 503 later than 3 s after the third crash, and passes now.

--- a/routing/src/held.rs
+++ b/routing/src/held.rs
@@ -2,7 +2,7 @@
 //!
 //! A target that falls over under load ends with dozens of requests at work, and none of them is the
 //! cause. One end therefore tells nothing about its requests. A request that was at work at several
-//! ends is suspect, unless many others were at work at the same ones.
+//! ends since it last completed is suspect, unless many others were at work at the same ones.
 //!
 //! `QuarantineList` of the core crate weights each crash by the number of suspects and quarantines
 //! a request at a weight of 1.5. Here the operators specify the number of crashes, so ends are
@@ -10,18 +10,24 @@
 
 use std::sync::Arc;
 
-use fescuestack_core::{ClockSpan, ClockTime, CompletedSet, RequestFingerprint};
+use fescuestack_core::{ClockSpan, ClockTime, RequestFingerprint};
 use rustc_hash::{FxHashMap, FxHashSet};
 
+use crate::completions::CompletionTimes;
+
 /// How long a request stays in quarantine after the last end at which it was at work.
 pub const QUARANTINE_DURATION: ClockSpan = ClockSpan::new(120_000);
 
 /// Maximum number of requests in the report of an end. A target has fewer slots.
 pub const MAX_REPORTED_REQUESTS: usize = 256;
 
-/// Number of ends after which a request is no longer sent to targets.
+/// Number of ends, apart in time, after which a request is no longer sent to targets.
 const CRASH_LIMIT: usize = 3;
 
+/// Ends that follow each other faster than this count as one. Many targets that end at the same moment have
+/// a common cause, and a popular request is at work at all of them.
+const MIN_END_SPACING: ClockSpan = ClockSpan::new(200);
+
 /// The same for a request that is as suspect as more than [`MAX_COMPANIONS`] others. The operators
 /// allow three further tries after the third crash.
 const SHARED_CRASH_LIMIT: usize = 5;
@@ -55,19 +61,20 @@
 /// What the end of a target tells about the requests that were at work.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct EndEvidence {
-    /// Requests that have not completed lately, the most suspect first, with the number of ends at
-    /// which each was at work.
+    /// Requests that were at work, the most suspect first, with the number of ends at which each was at
+    /// work since it last completed.
     pub requests: Vec<(RequestFingerprint, usize)>,
     /// Number of these requests that are in quarantine from this end on.
     pub quarantined: usize,
+    /// Most suspect request that has not completed lately.
+    most_suspect: Option<(RequestFingerprint, usize)>,
 }
 
 impl EndEvidence {
     /// Returns the most suspect request with its number of ends: one that was at work at several
     /// ends, or alone.
     pub fn suspect(&self) -> Option<(RequestFingerprint, usize)> {
-        let (request, ends) = *self.requests.first()?;
-        (ends > 1 || self.requests.len() == 1).then_some((request, ends))
+        self.most_suspect.filter(|(_, ends)| *ends > 1 || self.requests.len() == 1)
     }
 }
 
@@ -79,16 +86,16 @@
 
 /// Tracks the ends of targets at which each request was at work.
 ///
-/// Many requests have the same fingerprint, such as lookups without a body. A fingerprint that
-/// completed recently is not suspected, and identical requests that ran concurrently on a crashed
-/// target count as one.
+/// Many requests have the same fingerprint, such as lookups without a body. Only ends after the last
+/// completion of a request count, and identical requests that ran concurrently on a crashed target
+/// count as one.
 #[derive(Debug, Default)]
 pub struct CrashTracker {
     /// Ends at which each request was at work, in the order in which they became known.
     suspects: FxHashMap<RequestFingerprint, Vec<Arc<TargetEnd>>>,
     /// Ends with requests in `suspects`.
     ends: Vec<Arc<TargetEnd>>,
-    completed: CompletedSet,
+    completions: CompletionTimes,
 }
 
 impl CrashTracker {
@@ -137,13 +144,15 @@
         target: &Arc<str>,
         requests: &[RequestFingerprint],
     ) -> EndEvidence {
+        let has_completed_since = |request| self.completions.last(request) > Some(at);
         let requests: FxHashSet<_> =
-            requests.iter().copied().filter(|request| !self.completed.contains(*request)).collect();
+            requests.iter().copied().filter(|request| !has_completed_since(*request)).collect();
         if requests.is_empty() {
             return EndEvidence::default();
         }
         let end = self.find_or_add_end(at, target);
-        let mut quarantined = 0;
+        let is_held = |request: &&_| self.is_quarantined(at, **request);
+        let held_before = requests.iter().filter(is_held).count();
         let mut counted: Vec<_> = requests
             .into_iter()
             .map(|request| {
@@ -158,12 +167,13 @@
             })
             .collect();
         counted.sort_unstable_by_key(|(request, ends)| (std::cmp::Reverse(*ends), *request));
-        for (request, ends) in &counted {
-            let is_latest = *ends == CRASH_LIMIT || *ends == SHARED_CRASH_LIMIT;
-            quarantined += usize::from(is_latest && self.is_quarantined(at, *request));
-        }
+        let held = counted.iter().filter(|(request, _)| self.is_quarantined(at, *request)).count();
+        let quarantined = held.saturating_sub(held_before);
+        let mut unsound =
+            counted.iter().filter(|(request, _)| !self.completions.is_sound(at, *request));
+        let most_suspect = unsound.next().copied();
         self.drop_least_suspect(at);
-        EndEvidence { requests: counted, quarantined }
+        EndEvidence { requests: counted, quarantined, most_suspect }
     }
 
     fn find_or_add_end(&mut self, at: ClockTime, target: &Arc<str>) -> Arc<TargetEnd> {
@@ -197,10 +207,15 @@
         }
     }
 
-    /// Records a completed run, which clears the request of suspicion.
-    pub fn record_completion(&mut self, request: RequestFingerprint) {
-        self.suspects.remove(&request);
-        self.completed.insert(request);
+    /// Records a completed run, which clears the request of the ends before it.
+    pub fn record_completion(&mut self, now: ClockTime, request: RequestFingerprint) {
+        self.completions.record(now, request);
+        if let Some(ends) = self.suspects.get_mut(&request) {
+            ends.retain(|end| end.at > now);
+            if ends.is_empty() {
+                self.suspects.remove(&request);
+            }
+        }
     }
 
     /// Whether a target has recently ended while it ran the request.
@@ -211,18 +226,25 @@
     /// Whether the request has crashed too many targets to be sent to another one.
     pub fn is_quarantined(&self, now: ClockTime, request: RequestFingerprint) -> bool {
         let Some(ends) = self.suspects.get(&request) else { return false };
-        ends.len() >= CRASH_LIMIT
+        count_crashes(ends) >= CRASH_LIMIT
             && is_recent(now, ends)
-            && (ends.len() >= SHARED_CRASH_LIMIT || !self.is_shared(request, ends))
+            && !self.completions.is_sound(now, request)
+            && (ends.len() >= SHARED_CRASH_LIMIT || !self.is_shared(now, request, ends))
     }
 
     /// Whether many other requests were at work at the ends that make a request suspect.
-    fn is_shared(&self, request: RequestFingerprint, ends: &[Arc<TargetEnd>]) -> bool {
+    fn is_shared(
+        &self,
+        now: ClockTime,
+        request: RequestFingerprint,
+        ends: &[Arc<TargetEnd>],
+    ) -> bool {
         let companions = self.suspects.iter().filter(|(other, other_ends)| {
             let is_common = |end: &&Arc<TargetEnd>| ends.iter().any(|own| Arc::ptr_eq(own, end));
             **other != request
                 && other_ends.len() >= CRASH_LIMIT
                 && other_ends.iter().filter(is_common).count() >= CRASH_LIMIT
+                && !self.completions.is_sound(now, **other)
         });
         companions.take(MAX_COMPANIONS + 1).count() > MAX_COMPANIONS
     }
@@ -233,6 +255,21 @@
     }
 }
 
+/// Returns the number of ends, of which those in quick succession count as one.
+fn count_crashes(ends: &[Arc<TargetEnd>]) -> usize {
+    let mut times: Vec<_> = ends.iter().map(|end| end.at).collect();
+    times.sort_unstable();
+    let mut crashes = 0;
+    let mut counted_at = None;
+    for at in times {
+        if counted_at.is_none_or(|counted_at| at.since(counted_at) >= MIN_END_SPACING) {
+            crashes += 1;
+            counted_at = Some(at);
+        }
+    }
+    crashes
+}
+
 fn is_recent(now: ClockTime, ends: &[Arc<TargetEnd>]) -> bool {
     last_end(ends).is_some_and(|last| now.since(last) < QUARANTINE_DURATION)
 }
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod budget;
 mod calls;
+mod completions;
 mod evacuation;
 mod gate;
 mod hedge;
@@ -31,6 +32,7 @@
 
 pub use budget::{RetryAllowance, RetryBudget};
 pub use calls::{CallNeed, CallProfile, CallingRun, RunId};
+pub use completions::SOUND_DURATION;
 pub use evacuation::EvacuationSet;
 pub use gate::RunGate;
 pub use hedge::{HedgeBook, HedgeDecision, HedgeHold, SecondTarget, SlowCall};
--- a/routing/tests/state.rs
+++ b/routing/tests/state.rs
@@ -487,7 +487,7 @@
 fn ordinary_requests_are_not_quarantined() {
     let mut tracker = CrashTracker::new();
     let [alike, known] = [1, 2].map(RequestFingerprint::from_number);
-    tracker.record_completion(known);
+    tracker.record_completion(NOW, known);
     for index in 0..6 {
         tracker.record_end(NOW + ClockSpan::new(index), &"a".into(), &[alike]);
         tracker.record_end(NOW, &format!("t{index}").into(), &[known]);
@@ -495,7 +495,7 @@
     assert!(!tracker.is_quarantined(NOW, alike), "one crash was counted more than once");
     assert!(!tracker.is_quarantined(NOW, known), "a request that had completed was quarantined");
     tracker.record_end(NOW, &"b".into(), &[alike]);
-    tracker.record_completion(alike);
+    tracker.record_completion(NOW, alike);
     tracker.record_end(NOW, &"c".into(), &[alike]);
     assert!(!tracker.is_quarantined(NOW, alike));
 }
--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -405,7 +405,7 @@
         let (end, feedback) = attempt_end(&reply, response.as_ref());
         guard.feedback = feedback;
         if reply.end == ReplyEnd::Answered {
-            lock(&state.crashes).record_completion(self.fingerprint);
+            lock(&state.crashes).record_completion(state.clock.now(), self.fingerprint);
         }
         EntryAttempt { end, response, queued: Some(reply.waited) }
     }
--- a/sidecar/src/peer.rs
+++ b/sidecar/src/peer.rs
@@ -181,7 +181,7 @@
     }
     let reply = state.local_target.run(note, request, call).await;
     if reply.note.end == ReplyEnd::Answered {
-        lock(&state.crashes).record_completion(request);
+        lock(&state.crashes).record_completion(state.clock.now(), request);
     }
     reply
 }
--- a/sidecar/tests/crashing_requests.rs
+++ b/sidecar/tests/crashing_requests.rs
@@ -143,3 +143,33 @@
         assert_eq!(count_runs(&mesh, "crash"), 3);
     });
 }
+
+/// Time after the third crash from which retries of a crashing request count.
+const COUNTED_AFTER: Duration = Duration::from_secs(3);
+
+/// Guards against a request that is sent on without end because it completed before a new release of its
+/// targets, which it crashes.
+#[test]
+fn completed_runs_do_not_speak_for_a_new_release() {
+    task::block_on(async {
+        let mesh = start_mesh(6).await;
+        let changed = TestCall::post("crash", "/b/pay/x", b"changed").request();
+        let sound = TestCall::post("sound", "/b/pay/x", b"sound").request();
+        for number in 0..30 {
+            let served = TestCall::post(&format!("served-{number}"), "/b/pay/x", b"changed");
+            assert_eq!(send(&mesh, 0, &served.request()).await, 200);
+        }
+        set_crash_rule(&mesh, |_, body| body == b"changed");
+        for _ in 0..3 {
+            assert_eq!(send(&mesh, 0, &changed).await, 502);
+            assert_eq!(send(&mesh, 1, &sound).await, 200);
+            task::sleep(TRY_GAP).await;
+        }
+        task::sleep(COUNTED_AFTER).await;
+        for _ in 0..4 {
+            assert_eq!(send(&mesh, 0, &changed).await, 503, "sent after three crashes");
+            assert_eq!(send(&mesh, 1, &sound).await, 200);
+        }
+        assert_eq!(count_runs(&mesh, "crash"), 3);
+    });
+}
