Hold a request for longer each time that it crashes a target again

Callers saw: a request that crashes every target is refused for 120 s after its third crash, and then crashes three further targets, again and again.

Cause: the ends of a request were forgotten with its quarantine.

Fix: they are remembered for as long again. After its release one crash is enough, and the quarantine doubles, up to about an hour. A completion still clears all ends.

Evidence: released_request_is_held_after_its_next_crash of routing/tests/crashes.rs: with a try each second the request reached targets at 122, 123 and 124 s and so on, three in each two minutes; now at 122, 362, 842 and 1,802 s, once each.

--- a/routing/src/held.rs
+++ b/routing/src/held.rs
@@ -15,9 +15,12 @@
 
 use crate::completions::CompletionTimes;
 
-/// How long a request stays in quarantine after the last end at which it was at work.
+/// How long a request stays in quarantine after the last end at which it was at work, the first time.
 pub const QUARANTINE_DURATION: ClockSpan = ClockSpan::new(120_000);
 
+/// How many times the quarantine of a request that goes on to crash targets can double: to an hour.
+const MAX_HOLD_DOUBLINGS: usize = 5;
+
 /// Maximum number of requests in the report of an end. A target has fewer slots.
 pub const MAX_REPORTED_REQUESTS: usize = 256;
 
@@ -271,8 +274,8 @@
     /// Whether the request has crashed too many targets to be sent to another one.
     pub fn is_quarantined(&self, now: ClockTime, request: RequestFingerprint) -> bool {
         let Some(ends) = self.suspects.get(&request) else { return false };
-        count_crashes(ends) >= CRASH_LIMIT
-            && is_recent(now, ends)
+        crash_times(ends).len() >= CRASH_LIMIT
+            && is_within_hold(now, ends)
             && !self.completions.is_sound(now, request)
             && (ends.len() >= SHARED_CRASH_LIMIT || !self.is_shared(now, request, ends))
     }
@@ -300,23 +303,41 @@
     }
 }
 
-/// Returns the number of ends, of which those in quick succession count as one.
-fn count_crashes(ends: &[Arc<TargetEnd>]) -> usize {
+/// Returns the times of the ends, of which those in quick succession count as one.
+fn crash_times(ends: &[Arc<TargetEnd>]) -> Vec<ClockTime> {
     let mut times: Vec<_> = ends.iter().map(|end| end.at).collect();
     times.sort_unstable();
-    let mut crashes = 0;
-    let mut counted_at = None;
+    let mut counted: Vec<ClockTime> = Vec::with_capacity(times.len());
     for at in times {
-        if counted_at.is_none_or(|counted_at| at.since(counted_at) >= MIN_END_SPACING) {
-            crashes += 1;
-            counted_at = Some(at);
+        if counted.last().is_none_or(|last| at.since(*last) >= MIN_END_SPACING) {
+            counted.push(at);
         }
     }
-    crashes
+    counted
+}
+
+/// Returns how long a request with these ends is held after the last one: twice as long each time that it
+/// has crashed a target after it was released.
+fn hold_duration(ends: &[Arc<TargetEnd>]) -> ClockSpan {
+    let times = crash_times(ends);
+    let is_release = |pair: &&[ClockTime]| pair[1].since(pair[0]) >= QUARANTINE_DURATION;
+    let releases = times.windows(2).filter(is_release).count().min(MAX_HOLD_DOUBLINGS);
+    ClockSpan::new(QUARANTINE_DURATION.millis() << releases)
 }
 
+/// Whether the ends still count against the request. A request that was held is remembered for as long
+/// again after its release.
 fn is_recent(now: ClockTime, ends: &[Arc<TargetEnd>]) -> bool {
-    last_end(ends).is_some_and(|last| now.since(last) < QUARANTINE_DURATION)
+    let duration = match crash_times(ends).len() >= CRASH_LIMIT {
+        true => ClockSpan::new(hold_duration(ends).millis() * 2),
+        false => QUARANTINE_DURATION,
+    };
+    last_end(ends).is_some_and(|last| now.since(last) < duration)
+}
+
+/// Whether the last end is so recent that a request with enough crashes is held.
+fn is_within_hold(now: ClockTime, ends: &[Arc<TargetEnd>]) -> bool {
+    last_end(ends).is_some_and(|last| now.since(last) < hold_duration(ends))
 }
 
 fn last_end(ends: &[Arc<TargetEnd>]) -> Option<ClockTime> {
--- a/routing/tests/crashes.rs
+++ b/routing/tests/crashes.rs
@@ -168,3 +168,26 @@
         "another node has reported a later completion"
     );
 }
+
+/// Guards against a request that crashes three further targets each time that its quarantine ends.
+#[test]
+fn released_request_is_held_after_its_next_crash() {
+    let mut tracker = CrashTracker::new();
+    let mut crashes = 0;
+    let mut released_at = Vec::new();
+    for second in 0..1_900 {
+        let now = NOW + ClockSpan::new(1_000 * second);
+        if tracker.is_quarantined(now, request(0)) {
+            continue;
+        }
+        if crashes >= 3 {
+            released_at.push(second);
+        }
+        tracker.record_end(now, &target(crashes), &[request(0)]);
+        crashes += 1;
+    }
+    assert_eq!(released_at, [122, 362, 842, 1_802]);
+    let last = NOW + ClockSpan::new(1_802_000);
+    tracker.record_completion(last + ClockSpan::new(1), request(0));
+    assert!(!tracker.is_quarantined(last + ClockSpan::new(10_000), request(0)));
+}
