Give connections of a crowd receive buffers that fit the memory

Callers saw: 2,430 clients that send bodies in chunks of one byte took a node to 202 to 209 MiB of 160, the bytes that it has not read included.

Cause: the account of memory leaves 5/16 of it to the kernel, but the receive buffers of all connections that the descriptors allow held up to 105 MB: their size did not follow from the memory.

Fix: half of those 5/16 is for unread bytes. The first connections get the ordinary 32 KB, up to a half of that (200 on a VM of 160 MB), and all further ones share the other half. The listener has the size of the next connection, since a connection inherits it before it is accepted.

--- a/fescuestack/tests/crowds.rs
+++ b/fescuestack/tests/crowds.rs
@@ -439,6 +439,12 @@
     /// The same in chunks of one byte, which cost the node the most for each byte.
     uploads_in_chunks_of_one_byte { input: chunked_upload("/a/", b"x", 20_000) }
 
+    /// The same on almost all connections that the descriptors allow, whose receive buffers alone held
+    /// more than the memory of the VM.
+    uploads_in_chunks_of_one_byte_on_all_connections {
+        input: chunked_upload("/a/", b"x", 20_000), connections: 1_200,
+    }
+
     /// Uploads of the longest legal size that lack their last byte.
     longest_uploads_one_byte_short {
         input: upload("/a/", MAX_BODY_BYTES, MAX_BODY_BYTES - 1), connections: 80,
--- a/http/src/exchange.rs
+++ b/http/src/exchange.rs
@@ -4,12 +4,13 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use async_std::net::{TcpListener, TcpStream};
+use async_std::net::TcpStream;
 use bytes::Bytes;
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWriteExt, future};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
@@ -171,9 +172,9 @@
     socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
 }
 
-/// Sets the receive buffer of the connections that a listener accepts, in bytes.
-pub fn set_receive_buffer(listener: &TcpListener, bytes: usize) -> io::Result<()> {
-    SockRef::from(listener).set_recv_buffer_size(bytes)
+/// Sets the receive buffer in bytes of a connection, or of those that a listener accepts.
+pub fn set_receive_buffer(socket: &impl AsFd, bytes: usize) -> io::Result<()> {
+    SockRef::from(socket).set_recv_buffer_size(bytes)
 }
 
 impl ExchangeConnection {
--- a/routing/src/memory.rs
+++ b/routing/src/memory.rs
@@ -15,6 +15,19 @@
 /// count against the process, and the overhead of the allocator.
 const PROCESS_SHARE: (u64, u64) = (11, 16);
 
+/// Part of a VM's memory that the kernel may hold unread for the connections of clients: half of what the
+/// process leaves.
+const UNREAD_SHARE: (u64, u64) = (5, 32);
+
+/// Receive buffer of a client's connection while there are few of them, in bytes.
+const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
+
+/// Smallest receive buffer that is set, in bytes. Linux has a lower bound of about this size.
+const MIN_RECEIVE_BUFFER_BYTES: usize = 2 * 1024;
+
+/// Bytes that the kernel may hold for each byte of a receive buffer. Linux doubles the size that is set.
+const KERNEL_FACTOR: usize = 2;
+
 /// Smallest part of a VM's memory that is left to peers, as a divisor.
 const MIN_ACCOUNT_DIVISOR: u64 = 8;
 
@@ -153,6 +166,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MemoryAccount {
     limit: usize,
+    unread_limit: usize,
 }
 
 impl MemoryAccount {
@@ -160,7 +174,22 @@
     pub fn new(memory_bytes: u64) -> MemoryAccount {
         let share = memory_bytes / PROCESS_SHARE.1 * PROCESS_SHARE.0;
         let limit = share.saturating_sub(PROCESS_BYTES).max(memory_bytes / MIN_ACCOUNT_DIVISOR);
-        MemoryAccount { limit: usize::try_from(limit).unwrap_or(usize::MAX) }
+        let unread_limit = memory_bytes / UNREAD_SHARE.1 * UNREAD_SHARE.0;
+        let bytes = |bytes| usize::try_from(bytes).unwrap_or(usize::MAX);
+        MemoryAccount { limit: bytes(limit), unread_limit: bytes(unread_limit) }
+    }
+
+    /// Returns the receive buffer in bytes of a new connection while `open` others are open, of
+    /// `max_open`. The first ones get an ordinary buffer, up to half of what the kernel may hold; the rest
+    /// share the other half, so that a crowd on all connections stays within the memory.
+    pub fn receive_buffer(self, open: usize, max_open: usize) -> usize {
+        let half = self.unread_limit / KERNEL_FACTOR / 2;
+        let ordinary = half / RECEIVE_BUFFER_BYTES;
+        if open < ordinary {
+            return RECEIVE_BUFFER_BYTES;
+        }
+        let rest = max_open.saturating_sub(ordinary).max(1);
+        (half / rest).clamp(MIN_RECEIVE_BUFFER_BYTES, RECEIVE_BUFFER_BYTES)
     }
 
     /// Returns the size in bytes.
--- a/routing/tests/memory.rs
+++ b/routing/tests/memory.rs
@@ -132,3 +132,21 @@
     assert_eq!(check(ConnectionPhase::Running, 60_000, 0, 0), None);
     assert_eq!(check(ConnectionPhase::Idle, 60_000, 0, 0), None);
 }
+
+/// Guards against receive buffers that hold more than the memory of the VM when a crowd opens all
+/// connections that its descriptors allow: 2,437 of 43 KB took 105 MB of 160.
+#[test]
+fn receive_buffers_of_all_connections_fit_the_memory() {
+    for (memory_mb, descriptors) in [(48, 2_200), (160, 4_100), (160, 8_192), (512, 8_192)] {
+        let account = MemoryAccount::new(memory_mb << 20);
+        let max_open = ConnectionLimits::new(Some(descriptors)).limit(ConnectionKind::Client);
+        let buffers = (0..max_open).map(|open| account.receive_buffer(open, max_open));
+        let held: usize = buffers.map(|bytes| 2 * bytes).sum();
+        let left = (memory_mb as usize) * MB / 16 * 5;
+        assert!(
+            held <= left,
+            "{held} bytes of {left} with {memory_mb} MB, {descriptors} descriptors"
+        );
+        assert_eq!(account.receive_buffer(0, max_open), 32 * 1024, "small in calm");
+    }
+}
--- a/sidecar/src/connections.rs
+++ b/sidecar/src/connections.rs
@@ -153,8 +153,8 @@
 
     fn try_open(&self, kind: ConnectionKind) -> Option<Arc<ConnectionRecord>> {
         let mut records = lock(&self.records);
-        if records.values().filter(|record| record.kind == kind).count() >= self.limits.limit(kind)
-        {
+        let (open, max_open) = (count_kind(&records, kind), self.limits.limit(kind));
+        if open >= max_open {
             return None;
         }
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
@@ -183,6 +183,18 @@
         Some(record)
     }
 
+    /// Returns the receive buffer in bytes of the next connection of a client or an operator. What the kernel
+    /// has received for them and the node has not read counts against its memory.
+    pub(crate) fn receive_buffer(&self, kind: ConnectionKind) -> Option<usize> {
+        match kind {
+            ConnectionKind::Client | ConnectionKind::Ready => {
+                let open = count_kind(&lock(&self.records), kind);
+                Some(self.account.receive_buffer(open, self.limits.limit(kind)))
+            }
+            ConnectionKind::Node => None,
+        }
+    }
+
     /// Closes a connection of a kind, unless one is being closed already.
     fn displace(&self, kind: ConnectionKind) {
         let records = lock(&self.records);
@@ -408,6 +420,10 @@
     }
 }
 
+fn count_kind(records: &FxHashMap<u64, Arc<ConnectionRecord>>, kind: ConnectionKind) -> usize {
+    records.values().filter(|record| record.kind == kind).count()
+}
+
 /// Keeps a connection registered until it is dropped.
 pub(crate) struct OpenConnection {
     table: Arc<ConnectionTable>,
--- a/sidecar/src/run.rs
+++ b/sidecar/src/run.rs
@@ -79,10 +79,6 @@
 /// Size of the read buffer beyond the longest head, in bytes. It holds the start of a body.
 const EXTRA_BUFFER_BYTES: usize = 8 * 1024;
 
-/// Receive buffer of connections of clients, in bytes. What the kernel has received for them and the
-/// node has not read counts against its memory.
-const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
-
 /// How long a connection whose client still sends stays open after its last answer. Closing it with
 /// unread bytes resets it, and the client may lose the answer.
 const LINGER_TIME: Duration = Duration::from_millis(1_000);
@@ -153,11 +149,6 @@
         let state = NodeState::new(settings, policy, metrics);
         let ready = bind("ready", ready).await?;
         let outbound = bind("outbound", outbound).await?;
-        for listener in [&ready, &outbound] {
-            if let Err(err) = set_receive_buffer(listener, RECEIVE_BUFFER_BYTES) {
-                log::debug!("cannot set the receive buffer: {err}");
-            }
-        }
         let inbound = bind("inbound", inbound).await?;
         task::spawn(accept(ready, state.clone(), ConnectionKind::Ready, serve_ready));
         task::spawn(accept(outbound, state.clone(), ConnectionKind::Client, serve_client));
@@ -243,10 +234,27 @@
     F: Fn(Arc<NodeState>, TcpStream, OpenConnection) -> Fut + Send + 'static,
     Fut: Future<Output = ()> + Send + 'static,
 {
+    let mut receive_buffer = None;
+    let mut largest_buffer = None;
     loop {
+        // Connections inherit the size before they are accepted.
+        let next_buffer = state.connections.receive_buffer(kind);
+        if let Some(bytes) = next_buffer.filter(|_| next_buffer != receive_buffer) {
+            receive_buffer = next_buffer;
+            largest_buffer = largest_buffer.max(next_buffer);
+            if let Err(err) = set_receive_buffer(&listener, bytes) {
+                log::debug!("cannot set the receive buffer of the listener: {err}");
+            }
+        }
         match listener.accept().await {
             Ok((stream, _)) => {
                 let Some(open) = state.connections.open(kind).await else { continue };
+                // It may have connected while the size was larger.
+                if let Some(bytes) = receive_buffer.filter(|_| receive_buffer < largest_buffer)
+                    && let Err(err) = set_receive_buffer(&stream, bytes)
+                {
+                    log::debug!("cannot set the receive buffer: {err}");
+                }
                 if let Err(err) = set_socket_options(&stream) {
                     log::debug!("cannot set socket options: {err}");
                 }
