Carry out a deferred removal of a target when it is due

Cause: removals within 2 s of the first contact are deferred to the end of that time, since entries that lapsed in an outage may return. The removal that was due waited for the next turn of the loop: the delay after a change, 0.4 s, and a watch of up to 2.2 s.

Fix: the delay, the watch and the request to the followed node last until the next removal is due at most.

--- a/routing/src/registry.rs
+++ b/routing/src/registry.rs
@@ -171,6 +171,11 @@
         }
     }
 
+    /// Returns the time of the next scheduled removal.
+    pub fn next_removal(&self) -> Option<ClockTime> {
+        self.expiring.values().min().copied()
+    }
+
     /// Removes the entries whose scheduled removal is due.
     pub fn remove_expired(&mut self, now: ClockTime) -> Vec<TargetListing> {
         let due = self.expiring.iter().filter(|(_, until)| **until <= now);
--- a/sidecar/src/follower.rs
+++ b/sidecar/src/follower.rs
@@ -51,7 +51,7 @@
 
 /// Delay after a change, in which further changes are collected for the next request. Large fleets
 /// change all the time, so that this is the period of the readers' requests there.
-const BATCH_DELAY: Duration = Duration::from_millis(400);
+const BATCH_DELAY: ClockSpan = ClockSpan::new(400);
 
 /// First delay after a failed read.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -223,7 +223,7 @@
 
     /// Applies what another node has read. A node that cannot be followed is skipped for some time.
     async fn follow_node(&mut self, vm: IpAddr) {
-        let note = self.sync_note(FOLLOW_TIMEOUT);
+        let note = self.sync_note(self.until_removal(FOLLOW_TIMEOUT));
         let sizes = match self.last_sizes_digest == note.sizes {
             true => Vec::new(),
             false => lock(&self.state.vm_sizes).iter().collect(),
@@ -340,6 +340,7 @@
     async fn watch(&mut self) -> Result<(), StoreError> {
         let after = lock(&self.state.view).position();
         let timeout = if self.is_alone() { LONE_WATCH_TIMEOUT } else { self.watch_timeout };
+        let timeout = self.until_removal(timeout);
         let watch = self.client.watch(ALL_KEYS, after, timeout);
         let hedge = async {
             task::sleep(Duration::from_millis((timeout + WATCH_HEDGE_DELAY).millis())).await;
@@ -350,7 +351,8 @@
         self.record_contact();
         self.watch_timeout = (self.watch_timeout + self.watch_timeout).min(MAX_WATCH_TIMEOUT);
         if self.apply_events(events, at) {
-            task::sleep(BATCH_DELAY).await;
+            let delay = self.until_removal(BATCH_DELAY);
+            task::sleep(Duration::from_millis(delay.millis())).await;
         } else {
             // The nodes of new VMs have started by now. A node that is queried before would count
             // as unreachable.
@@ -575,6 +577,13 @@
         }
     }
 
+    /// Shortens a wait to the time until the next deferred removal is due: drained targets get no new work
+    /// for longer than the deferral.
+    fn until_removal(&self, wait: ClockSpan) -> ClockSpan {
+        let now = self.state.clock.now();
+        self.registry.next_removal().map_or(wait, |due| wait.min(due.since(now)))
+    }
+
     fn remove_expired(&mut self) {
         let now = self.state.clock.now();
         let gone = self.registry.remove_expired(now);
--- a/sidecar/tests/store.rs
+++ b/sidecar/tests/store.rs
@@ -64,6 +64,39 @@
     });
 }
 
+/// Time after which a target whose entry was removed gets no new work.
+const DRAIN_LIMIT: Duration = Duration::from_millis(2_000);
+
+/// Guards against requests to a target that left shortly after an outage of the store. Its removal was
+/// deferred by 2 s like those during the outage, and then waited for the next turn of the watch.
+#[test]
+fn target_that_leaves_after_an_outage_gets_no_late_requests() {
+    task::block_on(async {
+        let mesh = Mesh::start(&["alpha", "beta", "beta"]).await;
+        mesh.store.set_mode(StoreMode::Unavailable);
+        task::sleep(Duration::from_millis(1_500)).await;
+        mesh.store.set_mode(StoreMode::Healthy);
+        for node in 0..2 {
+            eventually("the node is in touch with the store", async || {
+                let age = &mesh.status(node).await["source_age_ms"];
+                age.as_u64().is_some_and(|age_ms| age_ms < 300)
+            })
+            .await;
+        }
+        mesh.store.remove(&target_key("t3"));
+        let removed_at = Instant::now();
+        while removed_at.elapsed() < DRAIN_LIMIT * 2 {
+            for node in 0..2 {
+                mesh.send(node, &TestCall::get("d", "/b/")).await.expect("a response");
+            }
+            task::sleep(Duration::from_millis(20)).await;
+        }
+        let last = mesh.nodes[2].application.arrivals().into_iter().max().expect("requests");
+        let late = last.saturating_duration_since(removed_at);
+        assert!(late <= DRAIN_LIMIT, "a request arrived {late:?} after the target was removed");
+    });
+}
+
 /// Guards against a reader that waits for a lost response of the store: a version has to be active
 /// within 2 s.
 #[test]
