Let clients that read slowly have the rest of their answers

Cause: connections of clients had TCP_USER_TIMEOUT of 1.5 s. Linux counts the time in which the peer's window is closed, also while the peer acknowledges each probe.

Fix: the option is for connections to targets, nodes and the store, and for the readiness port. Clients that have gone are still noticed by TCP keepalive, and those that read less than the least rate by the limits for clients.

--- a/http/src/exchange.rs
+++ b/http/src/exchange.rs
@@ -159,17 +159,24 @@
     Ok(stream)
 }
 
-/// Sets the options that all sockets share: `TCP_NODELAY`, TCP keepalive and a limit on the time
-/// that sent data stays unacknowledged.
+/// Sets the options of connections to servers and other nodes: those of [`set_client_options`], and a
+/// limit on the time that sent data stays unacknowledged.
 pub fn set_socket_options(stream: &TcpStream) -> io::Result<()> {
+    set_client_options(stream)?;
+    SockRef::from(stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
+}
+
+/// Sets the options of connections that clients have opened: `TCP_NODELAY` and TCP keepalive. There is no
+/// limit on unacknowledged data, because Linux counts the time in which a client that reads slowly takes
+/// nothing.
+pub fn set_client_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(2);
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
+    socket.set_tcp_keepalive(&keepalive)
 }
 
 /// Sets the receive buffer in bytes of a connection, or of those that a listener accepts.
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -32,7 +32,7 @@
 pub use coarse_timer::{CoarseSleep, within};
 pub use exchange::{
     BufferedRequest, BufferedResponse, ExchangeConnection, ExchangeError, ResponseTag, connect,
-    set_receive_buffer, set_socket_options,
+    set_client_options, set_receive_buffer, set_socket_options,
 };
 pub use fault::HttpFault;
 pub use head::{
--- a/sidecar/src/run.rs
+++ b/sidecar/src/run.rs
@@ -13,7 +13,8 @@
 use async_std::task;
 use fescuestack_core::ClockSpan;
 use fescuestack_http::{
-    HyperExecutor, HyperStream, HyperTimer, lock, set_receive_buffer, set_socket_options, within,
+    HyperExecutor, HyperStream, HyperTimer, lock, set_client_options, set_receive_buffer,
+    set_socket_options, within,
 };
 use fescuestack_operators::{MetricsError, NodeMetrics};
 use fescuestack_platform::headers::READY_PATH;
@@ -255,7 +256,11 @@
                 {
                     log::debug!("cannot set the receive buffer: {err}");
                 }
-                if let Err(err) = set_socket_options(&stream) {
+                let options_set = match kind {
+                    ConnectionKind::Client => set_client_options(&stream),
+                    ConnectionKind::Node | ConnectionKind::Ready => set_socket_options(&stream),
+                };
+                if let Err(err) = options_set {
                     log::debug!("cannot set socket options: {err}");
                 }
                 task::spawn(serve(state.clone(), stream, open));
