--- a/routing/tests/outage.rs
+++ b/routing/tests/outage.rs
@@ -71,7 +71,7 @@
         tracker.record_end(end_time(index), &target(index), &running);
     }
     assert!(running.iter().all(|request| tracker.is_quarantined(end_time(5), *request)));
-    tracker.record_completion(running[0]);
+    tracker.record_completion(end_time(5), running[0]);
     assert!(!tracker.is_quarantined(end_time(5), running[0]), "it has completed");
 }
 
@@ -87,7 +87,7 @@
     }
     assert!(!tracker.is_quarantined(end_time(3), CRASHING));
     for request in &companions {
-        tracker.record_completion(*request);
+        tracker.record_completion(end_time(3), *request);
     }
     assert!(tracker.is_quarantined(end_time(3), CRASHING));
 }
