Probe a target a second time before it counts as up after a lost call

Callers saw: some tries of a crashing request were not counted, so that it was sent on after its third crash.

Cause: a call that fails starts one probe. When the connections of a target that ends break before it stops listening, the probe connects, and the end is not seen.

Fix: after a probe that connects there is a second one 100 ms later. The requests that were at work at the first one count if it fails. Calls do not wait for it.

Evidence: end_of_a_target_that_still_accepts_connections_is_noticed of sidecar/tests/crashing_requests.rs got 502 in place of 503 after three crashes before, and passes now. All tests of the package pass. Cost: one more connection to the target beside the node for each group of failed calls.

--- a/sidecar/src/down.rs
+++ b/sidecar/src/down.rs
@@ -17,6 +17,10 @@
 
 use crate::target::LocalTarget;
 
+/// Delay of a second probe after one that has connected. When a process ends, its connections may break
+/// before it stops listening.
+const CONFIRMATION_DELAY: Duration = Duration::from_millis(100);
+
 /// The target beside the node has ended or is back.
 #[derive(Debug)]
 pub(crate) struct OutageEvent {
@@ -151,6 +155,8 @@
 /// Probes the target until it is up, and reports its changes. A probe opens a connection and sends
 /// nothing.
 async fn probe_until_up(local_target: Weak<LocalTarget>, id: Arc<str>) {
+    // Requests that were at work when the first probe connected.
+    let mut suspects: Option<Vec<_>> = None;
     loop {
         let Some(local_target) = local_target.upgrade() else { return };
         let watch = local_target.outage.clone();
@@ -164,7 +170,9 @@
         if let Some(change) = change {
             let (listed, requests) = match change {
                 OutageChange::Ended => {
-                    (listed.filter(|(listed_id, _)| *listed_id == id), watch.sent_requests())
+                    let mut requests = watch.sent_requests();
+                    requests.extend(suspects.iter().flatten());
+                    (listed.filter(|(listed_id, _)| *listed_id == id), requests)
                 }
                 OutageChange::Back => (listed, Vec::new()),
             };
@@ -175,11 +183,19 @@
             let reason = reason.unwrap_or_default();
             watch.report(OutageEvent { target, started_ms, notice, requests, reason });
         }
+        let sent_requests = watch.sent_requests();
         watch.probed.notify(usize::MAX);
         drop(local_target);
-        let Some(delay) = delay else { return };
+        let delay = match delay {
+            Some(delay) => Duration::from_millis(delay.millis()),
+            None if change.is_none() && suspects.is_none() => {
+                suspects = Some(sent_requests);
+                CONFIRMATION_DELAY
+            }
+            None => return,
+        };
         let probe_due = watch.probe_due.listen();
-        let delay = task::sleep(Duration::from_millis(delay.millis()));
+        let delay = task::sleep(delay);
         future::or(delay, probe_due).await;
     }
 }
--- a/sidecar/tests/crashing_requests.rs
+++ b/sidecar/tests/crashing_requests.rs
@@ -214,3 +214,25 @@
         }
     });
 }
+
+/// Guards against missing the end of a target whose connections break a moment before it stops accepting
+/// new ones. The probe connected, and the request was sent to further targets.
+#[test]
+fn end_of_a_target_that_still_accepts_connections_is_noticed() {
+    task::block_on(async {
+        let mesh = start_mesh(6).await;
+        set_crash_rule(&mesh, |run, _| run.id == "crash");
+        for node in &mesh.nodes {
+            node.application.set_listener_delay(Duration::from_millis(100));
+        }
+        let crashing = TestCall::post("crash", "/b/pay/x", b"").request();
+        for _ in 0..3 {
+            assert_eq!(send(&mesh, 0, &crashing).await, 502);
+            task::sleep(TRY_GAP).await;
+        }
+        for _ in 0..3 {
+            assert_eq!(send(&mesh, 0, &crashing).await, 503, "sent after three crashes");
+        }
+        assert_eq!(count_runs(&mesh, "crash"), 3);
+    });
+}
