Tell in logs and metrics on which connection a target refused a request

A line for each refusal by a target now names the request, the status, the connection, how many requests it has carried and whether one of them had the same id: a copied refusal has "repeated": true. Responses to other requests that are skipped, and bytes on an idle connection, have lines. The metric fescuestack_target_connections counts opened connections, skipped responses, unexpected bytes and refusals.

Two things change: a connection is closed after 512 requests, which bounds the ids that it remembers, and a connection to a former address of the target is not kept. Bytes on an idle connection no longer count as a sign that the target has restarted.

--- a/http/src/exchange.rs
+++ b/http/src/exchange.rs
@@ -149,6 +149,7 @@
     keep_alive_timeout: Option<Duration>,
     budget: Option<Arc<ByteBudget>>,
     received: Arc<AtomicU64>,
+    skipped_responses: u32,
 }
 
 /// Connects to `address` within `limit`, and sets the socket options of [`set_socket_options`].
@@ -201,6 +202,7 @@
             keep_alive_timeout: None,
             budget: None,
             received: Arc::default(),
+            skipped_responses: 0,
         })
     }
 
@@ -236,11 +238,28 @@
     /// Whether another exchange can start: the last one ended well, the connection is open and
     /// nothing arrived since.
     pub async fn is_reusable(&mut self) -> bool {
-        if !self.reusable || !self.buffer.is_empty() {
-            return false;
+        self.idle_state().await == IdleState::Open
+    }
+
+    /// Determines whether another exchange can start, and if not, why.
+    pub async fn idle_state(&mut self) -> IdleState {
+        if !self.buffer.is_empty() {
+            return IdleState::UnexpectedBytes;
+        }
+        if !self.reusable {
+            return IdleState::Closed;
         }
         let mut byte = [0];
-        future::poll_once(self.stream.read(&mut byte)).await.is_none()
+        match future::poll_once(self.stream.read(&mut byte)).await {
+            None => IdleState::Open,
+            Some(Ok(1..)) => IdleState::UnexpectedBytes,
+            Some(Ok(0) | Err(_)) => IdleState::Closed,
+        }
+    }
+
+    /// Returns how many responses to other requests were skipped since the last call.
+    pub fn take_skipped_responses(&mut self) -> u32 {
+        std::mem::take(&mut self.skipped_responses)
     }
 
     /// Sends a request and reads its response. If the future is dropped, the connection can't be
@@ -270,7 +289,9 @@
         let reservation = self.budget.as_ref().map(ByteBudget::reservation);
         let (stream, buffer) = (&self.stream, &mut self.buffer);
         let (received, turn) = (&self.received, ReadTurn::default());
-        let mut reader = ResponseReader { stream, buffer, read: 0, received, reservation, turn };
+        let skipped = &mut self.skipped_responses;
+        let mut reader =
+            ResponseReader { stream, buffer, read: 0, received, reservation, turn, skipped };
         let (response, at_eof) =
             future::or(reader.read_response(&request.method, tag), sending).await?;
         let request_written = matches!(written, RequestWrite::Complete);
@@ -289,6 +310,17 @@
     }
 }
 
+/// State of a connection without an exchange.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum IdleState {
+    /// Another exchange can start.
+    Open,
+    /// The server has closed the connection, or the last exchange left it unusable.
+    Closed,
+    /// Bytes have arrived that belong to no request.
+    UnexpectedBytes,
+}
+
 /// How far the request of an exchange was written.
 enum RequestWrite {
     Pending,
@@ -304,6 +336,8 @@
     received: &'a AtomicU64,
     reservation: Option<ByteReservation>,
     turn: ReadTurn,
+    /// Number of responses to other requests.
+    skipped: &'a mut u32,
 }
 
 impl ResponseReader<'_> {
@@ -323,7 +357,7 @@
             match tag.map_or(TagMatch::Same, |tag| tag.compare(&headers)) {
                 TagMatch::Same => return Ok((BufferedResponse { status, headers, body }, at_eof)),
                 // A late second response to an earlier request is skipped.
-                TagMatch::Other if !at_eof => (),
+                TagMatch::Other if !at_eof => *self.skipped += 1,
                 TagMatch::Other | TagMatch::Unclear => {
                     return Err(ExchangeError::InvalidResponse {
                         reason: "the request id is missing, differs or is ambiguous",
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -31,8 +31,8 @@
 pub use clock::{CallClock, wall_time};
 pub use coarse_timer::{CoarseSleep, within};
 pub use exchange::{
-    BufferedRequest, BufferedResponse, ExchangeConnection, ExchangeError, ResponseTag, connect,
-    set_client_options, set_receive_buffer, set_socket_options,
+    BufferedRequest, BufferedResponse, ExchangeConnection, ExchangeError, IdleState, ResponseTag,
+    connect, set_client_options, set_receive_buffer, set_socket_options,
 };
 pub use fault::HttpFault;
 pub use head::{
--- a/operators/src/metrics.rs
+++ b/operators/src/metrics.rs
@@ -66,6 +66,7 @@
     targets: Gauge<u64>,
     target_calls: Gauge<u64>,
     target_ends: Counter<u64>,
+    target_connections: Gauge<u64>,
     held_requests: Counter<u64>,
     cold_time: Gauge<u64>,
     evacuated: Gauge<u64>,
@@ -107,6 +108,7 @@
         let targets = meter.u64_gauge("fescuestack_targets").build();
         let target_calls = meter.u64_gauge("fescuestack_target_calls").build();
         let target_ends = meter.u64_counter("fescuestack_target_ends").build();
+        let target_connections = meter.u64_gauge("fescuestack_target_connections").build();
         let held_requests = meter.u64_counter("fescuestack_held_requests").build();
         // Exports them before the first event.
         target_ends.add(0, &[]);
@@ -134,6 +136,7 @@
             targets,
             target_calls,
             target_ends,
+            target_connections,
             held_requests,
             cold_time,
             evacuated,
@@ -206,6 +209,13 @@
         self.target_ends.add(1, &[]);
     }
 
+    /// Sets the numbers of events on the connections to the target of the node since the start, by kind.
+    pub fn record_target_connections(&self, events: &[(&'static str, u64)]) {
+        for (event, count) in events {
+            self.target_connections.record(*count, &[KeyValue::new("event", *event)]);
+        }
+    }
+
     /// Counts a request that was refused because it has crashed several targets.
     pub fn record_held_request(&self) {
         self.held_requests.add(1, &[]);
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -21,6 +21,7 @@
 mod readers;
 mod registry;
 mod repeats;
+mod reuse;
 mod room;
 mod routes;
 mod silence;
@@ -55,6 +56,7 @@
 pub use readers::{SourceSelector, ViewSource, VmSizes, is_small_vm};
 pub use registry::{TargetListing, TargetNotice, TargetRegistry, TargetState};
 pub use repeats::RepeatGuard;
+pub use reuse::{ConnectionHistory, RequestMark, ReuseCase, ReuseStep};
 pub use room::RoomEstimator;
 pub use routes::{
     ClientLimits, RequestKind, RouteRule, RouteTable, ServiceRule, WeightedService, host_name,
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -23,6 +23,7 @@
 mod stop;
 mod sync;
 mod target;
+mod target_pool;
 mod warmth;
 
 pub use policy::{ClientPolicy, HedgingPolicy, NodePolicy, PolicyError};
--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -448,6 +448,13 @@
         let open = usage.open.map(|(kind, count)| (kind_name(kind), count));
         let closed = usage.closed.map(|(reason, count)| (reason.label(), count));
         self.metrics.record_connections(usage.held_bytes, &open, &closed);
+        let counts = lock(&self.local_target.state).pool.counts();
+        self.metrics.record_target_connections(&[
+            ("opened", counts.opened),
+            ("skipped-response", counts.skipped_responses),
+            ("unexpected-bytes", counts.unexpected_bytes),
+            ("refusal", counts.refusals),
+        ]);
         self.metrics.encode()
     }
 
--- a/sidecar/src/peer.rs
+++ b/sidecar/src/peer.rs
@@ -20,7 +20,7 @@
 use crate::node::NodeState;
 use crate::note::{CallNote, CompletionNote, OutageNote, ReplyEnd, ReplyNote, SyncNote};
 use crate::sync::serve_sync;
-use crate::target::TargetReply;
+use crate::target::{TargetReply, request_id};
 
 /// Longest body that a node accepts from another one, in bytes. The configured limit is enforced by
 /// the node that received the request, possibly with another version of the configuration.
@@ -46,7 +46,8 @@
         Err(LinkError::NotSent) => return Err(AttemptEnd::NotSent),
         Err(LinkError::Lost { reason }) => {
             let node = address.to_string();
-            log::info!(target = &*note.target, node = node.as_str(), reason = reason.as_str();
+            log::info!(request = request_id(call), target = &*note.target, node = node.as_str(),
+                reason = reason.as_str();
                 "connection lost during a call");
             return Err(AttemptEnd::LinkLost);
         }
--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -1,6 +1,5 @@
 //! The target beside this node: its queue, connections and responses.
 
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -9,7 +8,7 @@
 use fescuestack_core::{ClockSpan, ClockTime, RequestFingerprint};
 use fescuestack_http::{
     BufferedRequest, BufferedResponse, ByteBudget, CallClock, ExchangeConnection, ExchangeError,
-    ResponseTag, lock, within,
+    lock, within,
 };
 use fescuestack_platform::headers::{
     DEADLINE_MS, EXPECTED_INSTANCE, INSTANCE_ID, NOT_EXECUTED, REQUEST_ID, RESPONSE_SIGNATURE,
@@ -28,27 +27,13 @@
 use crate::down::{OutageWatch, SentRun, confirm_outage};
 use crate::note::{CallNote, ReplyEnd, ReplyNote};
 use crate::stop::StopSignal;
+use crate::target_pool::{AnswerOrigin, TargetPool};
 use crate::warmth::TargetWarmth;
 
-/// Timeout for a connection to the target, which is on the same VM.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Timeout for reconnecting to a target that broke a connection. If this fails, the target counts
 /// as down.
 const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Longest idle time of a connection that is reused for non-idempotent requests. The target may
-/// close an older one just as the request arrives, which leaves the outcome unknown.
-const MAX_IDLE_NON_IDEMPOTENT: Duration = Duration::from_millis(800);
-
-/// Longest idle time of a connection that is reused for idempotent requests. The keep-alive timeout
-/// that the target announces can only shorten the time, for either kind of request.
-const MAX_IDLE_IDEMPOTENT: Duration = Duration::from_secs(4);
-
-/// Margin before the end of the announced keep-alive timeout in which a connection is no longer
-/// reused.
-const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_000);
-
 /// Time to wait for the response beyond the deadline. The target itself responds when the deadline
 /// passes.
 const RESPONSE_GRACE: Duration = Duration::from_millis(30);
@@ -56,13 +41,6 @@
 /// Status of a response by another target than the one that the request was meant for.
 const WRONG_INSTANCE: StatusCode = StatusCode::MISDIRECTED_REQUEST;
 
-/// Number of idle connections that a target must have closed ahead of time, while none is left, for a
-/// restart to be likely.
-const MIN_CLOSED_EARLY: u32 = 2;
-
-/// Number of idle connections that are kept.
-const MAX_IDLE_CONNECTIONS: usize = 16;
-
 /// How a call that a run of the target made has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RunCallEnd {
@@ -84,7 +62,7 @@
 /// The target beside this node.
 pub(crate) struct LocalTarget {
     pub(crate) clock: CallClock,
-    body_budget: Arc<ByteBudget>,
+    pub(crate) body_budget: Arc<ByteBudget>,
     pub(crate) stop: Arc<StopSignal>,
     pub(crate) outage: Arc<OutageWatch>,
     ingress: Mutex<IngressLink>,
@@ -92,7 +70,7 @@
 }
 
 pub(crate) struct LocalTargetState {
-    address: SocketAddr,
+    pub(crate) pool: TargetPool,
     pub(crate) queue: SlotQueue,
     pub(crate) warmth: TargetWarmth,
     /// Whether the target's data centre is evacuated.
@@ -110,7 +88,6 @@
     /// Calls sent since the notice changed, and the time of the change.
     sent_since_notice: u64,
     notice_changed_at: ClockTime,
-    idle: Vec<ExchangeConnection>,
     waiters: FxHashMap<SlotTicket, Sender<Result<(), ClockSpan>>>,
 }
 
@@ -125,7 +102,7 @@
         stop: Arc<StopSignal>,
     ) -> Arc<LocalTarget> {
         let state = LocalTargetState {
-            address,
+            pool: TargetPool::new(address),
             queue: SlotQueue::new(1),
             warmth: TargetWarmth::new(clock.now()),
             evacuated: false,
@@ -136,7 +113,6 @@
             notice: None,
             sent_since_notice: 0,
             notice_changed_at: clock.now(),
-            idle: Vec::new(),
             waiters: FxHashMap::default(),
         };
         let ingress = Mutex::new(IngressLink::new(link_mbps));
@@ -150,10 +126,7 @@
     pub(crate) fn update(&self, address: SocketAddr, listing: Option<&TargetListing>) {
         let now = self.clock.now();
         let mut state = lock(&self.state);
-        if state.address != address {
-            state.address = address;
-            state.idle.clear();
-        }
+        state.pool.set_address(address);
         match listing {
             Some(listing) => {
                 let incarnation = (listing.id.clone(), listing.started_ms);
@@ -163,7 +136,7 @@
                         state.queue.reset(listing.slots);
                     }
                     state.actual_id = None;
-                    state.idle.clear();
+                    state.pool.clear();
                     self.outage.probe_now();
                 }
                 let is_leaving = state.notice.is_some_and(|notice| notice.is_leaving);
@@ -339,7 +312,8 @@
                 (ReplyEnd::Down, None)
             }
             Err(ExchangeError::NotSent { source }) => {
-                log::info!(target = &*note.target, reason = source.to_string().as_str();
+                log::info!(target = &*note.target, request = request_id(&request),
+                    reason = source.to_string().as_str();
                     "cannot connect to the target");
                 lock(&self.state).queue.record_not_sent(ticket.ticket);
                 (ReplyEnd::NotSent, None)
@@ -377,7 +351,7 @@
 
     /// Opens a connection to the target and closes it.
     pub(crate) async fn probe_connection(&self) -> Result<(), ExchangeError> {
-        let address = lock(&self.state).address;
+        let address = lock(&self.state).pool.address();
         let result = ExchangeConnection::open(address, CRASH_PROBE_TIMEOUT).await.map(drop);
         self.record_connection(result.is_ok());
         result
@@ -390,7 +364,7 @@
 
     /// Records whether a connection to the target could be opened. A target that was down is cold when
     /// it is back.
-    fn record_connection(&self, opened: bool) {
+    pub(crate) fn record_connection(&self, opened: bool) {
         let mut state = lock(&self.state);
         let now = self.clock.now();
         let (warmth, queue) = state.warmth_and_queue();
@@ -515,12 +489,16 @@
         request: &BufferedRequest,
         run: &SentRun,
     ) -> Result<BufferedResponse, ExchangeError> {
-        let tag = request
-            .headers
-            .get(&REQUEST_ID)
-            .map(|value| ResponseTag { name: REQUEST_ID, value: value.clone() });
-        let (asked_at, response) =
-            self.exchange_once(ticket, note.idempotent, request, tag.as_ref(), Some(run)).await?;
+        let (asked_at, response, origin) =
+            self.exchange_once(ticket, note.idempotent, request, Some(run)).await?;
+        if is_refusal(&response) {
+            log::info!(request = request_id(request), target = &*note.target,
+                status = response.status.as_u16(), connection = origin.connection,
+                requests = origin.requests, repeated = origin.is_repeated,
+                after_ms = self.clock.now().since(asked_at).millis();
+                "the target has not executed a request");
+            lock(&self.state).pool.record_refusal();
+        }
         if response.status != WRONG_INSTANCE {
             self.record_notice(note, &response);
             let mut state = lock(&self.state);
@@ -532,16 +510,15 @@
     }
 
     /// Sends a request on a connection to the target, which is kept for further ones. Returns the time
-    /// of sending and the response.
+    /// of sending, the response and where it came from.
     pub(crate) async fn exchange_once(
         &self,
         ticket: &SlotGuard,
         idempotent: bool,
         request: &BufferedRequest,
-        tag: Option<&ResponseTag>,
         run: Option<&SentRun>,
-    ) -> Result<(ClockTime, BufferedResponse), ExchangeError> {
-        let mut connection = self.connection(idempotent).await?;
+    ) -> Result<(ClockTime, BufferedResponse, AnswerOrigin), ExchangeError> {
+        let mut connection = self.connection(request, idempotent).await?;
         if let Some(run) = run {
             run.start();
         }
@@ -551,55 +528,9 @@
             state.sent_since_notice += 1;
             state.queue.record_sent(sent_at, ticket.ticket);
         }
-        let response = connection.exchange(request, tag).await?;
-        let mut state = lock(&self.state);
-        if state.idle.len() < MAX_IDLE_CONNECTIONS {
-            state.idle.push(connection);
-        }
-        Ok((sent_at, response))
-    }
-
-    /// Returns the most recently used idle connection that can be reused, or a new one. Drops idle
-    /// connections that are too old or closed.
-    async fn connection(&self, idempotent: bool) -> Result<ExchangeConnection, ExchangeError> {
-        let mut closed_early = 0;
-        loop {
-            let (address, idle) = {
-                let mut state = lock(&self.state);
-                (state.address, state.idle.pop())
-            };
-            let Some(mut connection) = idle else {
-                let opened = ExchangeConnection::open(address, CONNECT_TIMEOUT).await;
-                match &opened {
-                    Ok(_) => self.record_connection(true),
-                    Err(ExchangeError::NotSent { source })
-                        if source.kind() == ErrorKind::ConnectionRefused =>
-                    {
-                        self.record_connection(false);
-                    }
-                    Err(_) => (),
-                }
-                if closed_early >= MIN_CLOSED_EARLY {
-                    lock(&self.state).warmth.record_suspicion(self.clock.now());
-                }
-                return Ok(opened?.with_budget(&self.body_budget));
-            };
-            let advertised =
-                connection.keep_alive_timeout().map(|time| time.saturating_sub(KEEP_ALIVE_MARGIN));
-            let max_idle = advertised.unwrap_or(MAX_IDLE_IDEMPOTENT).min(if idempotent {
-                MAX_IDLE_IDEMPOTENT
-            } else {
-                MAX_IDLE_NON_IDEMPOTENT
-            });
-            if connection.idle_time() >= max_idle {
-                continue;
-            }
-            let was_kept_alive = connection.is_kept_alive();
-            if connection.is_reusable().await {
-                return Ok(connection);
-            }
-            closed_early += u32::from(was_kept_alive);
-        }
+        let (response, origin) = connection.exchange(request).await?;
+        self.keep_connection(connection);
+        Ok((sent_at, response, origin))
     }
 
     /// Whether the target's data centre is evacuated.
@@ -653,7 +584,7 @@
     note: &CallNote,
     response: BufferedResponse,
 ) -> (ReplyEnd, Option<BufferedResponse>) {
-    if response.headers.contains_key(&NOT_EXECUTED) {
+    if is_refusal(&response) {
         return (ReplyEnd::Rejected, None);
     }
     // Clients ask for no content coding, so that the body is not the one that the target made.
@@ -668,7 +599,12 @@
     (ReplyEnd::Answered, Some(response))
 }
 
-fn request_id(request: &BufferedRequest) -> &str {
+/// Whether the target states that it has not executed the request.
+fn is_refusal(response: &BufferedResponse) -> bool {
+    response.status == WRONG_INSTANCE || response.headers.contains_key(&NOT_EXECUTED)
+}
+
+pub(crate) fn request_id(request: &BufferedRequest) -> &str {
     request.headers.get(&REQUEST_ID).and_then(|id| id.to_str().ok()).unwrap_or("")
 }
 
--- a/sidecar/src/warmth.rs
+++ b/sidecar/src/warmth.rs
@@ -223,8 +223,8 @@
             body: Bytes::new(),
         };
         let timeout = Duration::from_millis(timeout);
-        let result = within(timeout, self.exchange_once(&ticket, true, &request, None, None)).await;
-        let (asked_at, response) = match result {
+        let result = within(timeout, self.exchange_once(&ticket, true, &request, None)).await;
+        let (asked_at, response, _) = match result {
             Some(Ok(answer)) => answer,
             Some(Err(err)) => {
                 log::info!(reason = err.to_string().as_str(); "health check of the target failed");
--- a/sidecar/tests/mesh/mod.rs
+++ b/sidecar/tests/mesh/mod.rs
@@ -313,6 +313,18 @@
     config_value(version, HOST, &entries)
 }
 
+/// Returns a configuration with routes to two services, whose targets accept `per_second` calls while they
+/// are cold.
+pub fn config_with_warmup(version: u64, per_second: usize) -> String {
+    let text = config(version, &[("/a/", "alpha"), ("/b/", "beta")]);
+    let mut value: Value = serde_json::from_str(&text).expect("JSON");
+    for cluster in value["clusters"].as_array_mut().expect("clusters") {
+        cluster["warmup_s"] = json!(6);
+        cluster["warmup_per_s"] = json!(per_second);
+    }
+    value.to_string()
+}
+
 /// Waits until `condition` holds. Panics after [`TIMEOUT`].
 pub async fn eventually(what: &str, condition: impl AsyncFn() -> bool) {
     let started = Instant::now();
--- a/sidecar/tests/warmth.rs
+++ b/sidecar/tests/warmth.rs
@@ -8,9 +8,8 @@
 use fescuestack_platform_standin::{
     CONFIG_KEY, StandinApplication, StoreMode, TargetRecord, target_key,
 };
-use serde_json::{Value, json};
 
-use mesh::{Mesh, TestCall, config, eventually};
+use mesh::{Mesh, TestCall, eventually};
 
 /// Requests per second that a cold target accepts in these tests.
 const COLD_RATE: usize = 10;
@@ -21,13 +20,7 @@
 
 /// Configuration with a limit on calls to cold targets.
 fn config_with_warmup(version: u64) -> String {
-    let text = config(version, &[("/a/", "alpha"), ("/b/", "beta")]);
-    let mut value: Value = serde_json::from_str(&text).expect("JSON");
-    for cluster in value["clusters"].as_array_mut().expect("clusters") {
-        cluster["warmup_s"] = json!(6);
-        cluster["warmup_per_s"] = json!(COLD_RATE);
-    }
-    value.to_string()
+    mesh::config_with_warmup(version, COLD_RATE)
 }
 
 async fn start(services: &[&str]) -> Mesh {
