Skip more copies of earlier answers in one exchange

Callers saw 502 for requests that a target had run, where the target sends two copies of each answer. Cause: one limit of four for interim responses and for skipped ones, and a request of 5 ms meets copies of several requests before it. Copies are told apart by their id, so that skipping them is safe; the limit only ends an exchange that would skip for ever. It is 128 for skipped responses now, and stays at 4 for interim ones; the bytes of all count against the memory of responses as before.

--- a/http/src/exchange.rs
+++ b/http/src/exchange.rs
@@ -34,9 +34,12 @@
 /// of 32 bytes still fits.
 const MAX_CHUNK_FRAMING_BYTES: usize = 4 * 1024 * 1024;
 
-/// Maximum number of responses read in one exchange, including interim ones and responses to
-/// earlier requests.
-const MAX_RESPONSES_PER_EXCHANGE: usize = 4;
+/// Maximum number of interim responses in one exchange.
+const MAX_INTERIM_RESPONSES: u32 = 4;
+
+/// Maximum number of responses to earlier requests that are skipped in one exchange. A server that sends
+/// copies of its responses may send those of many short exchanges during a long one.
+const MAX_SKIPPED_RESPONSES: u32 = 128;
 
 /// Maximum number of bytes per read from a socket.
 const READ_CHUNK_BYTES: usize = 16 * 1024;
@@ -348,16 +351,21 @@
         method: &Method,
         tag: Option<&ResponseTag>,
     ) -> Result<(BufferedResponse, bool), ExchangeError> {
-        for _ in 0..MAX_RESPONSES_PER_EXCHANGE {
+        let (mut interim, mut skipped) = (0, 0);
+        while interim < MAX_INTERIM_RESPONSES && skipped < MAX_SKIPPED_RESPONSES {
             let ResponseHead { status, headers, framing, .. } = self.read_head().await?;
             if status.is_informational() {
+                interim += 1;
                 continue;
             }
             let (body, at_eof) = self.read_body(method, status, framing).await?;
             match tag.map_or(TagMatch::Same, |tag| tag.compare(&headers)) {
                 TagMatch::Same => return Ok((BufferedResponse { status, headers, body }, at_eof)),
                 // A late second response to an earlier request is skipped.
-                TagMatch::Other if !at_eof => *self.skipped += 1,
+                TagMatch::Other if !at_eof => {
+                    skipped += 1;
+                    *self.skipped += 1;
+                }
                 TagMatch::Other | TagMatch::Unclear => {
                     return Err(ExchangeError::InvalidResponse {
                         reason: "the request id is missing, differs or is ambiguous",
