Count the connections of a crowd of refused requests

The fix for copied refusals lets a request that comes again take another connection. The new test sends 80 unsafe requests at the same time to a target with four slots that refuses each once.

--- a/sidecar/tests/copied_answers.rs
+++ b/sidecar/tests/copied_answers.rs
@@ -20,6 +20,12 @@
 /// Requests in each case.
 const CALLS: usize = 4;
 
+/// Requests that are refused at the same time.
+const CROWD: usize = 80;
+
+/// Slots of a target.
+const SLOTS: u64 = 4;
+
 /// Statuses of answers that a request was not executed.
 const REFUSALS: [u16; 4] = [503, 429, 421, 400];
 
@@ -257,3 +263,35 @@
         assert_eq!(application.health_check_count(), 1);
     });
 }
+
+/// Guards against a fix that opens a connection for each request that comes again, in a crowd of refusals:
+/// it takes a connection that has carried other requests.
+#[test]
+fn crowd_of_requests_that_come_again_shares_connections() {
+    task::block_on(async {
+        let mesh = start_mesh_with_twin().await;
+        let application = &mesh.nodes[1].application;
+        application.set_processing_time(Duration::from_millis(10));
+        for index in 0..CROWD * 5 {
+            let call = TestCall::get(&format!("b{index}"), "/a/");
+            assert_eq!(mesh.send(1, &call).await.expect("a response").status, 200);
+        }
+        application.set_mode(ApplicationMode::RefuseFirst);
+        let before = (application.connection_count(), application.request_count());
+        let mut calls = Vec::new();
+        for index in 0..CROWD {
+            let mut connection = mesh.connect(1).await.expect("a connection");
+            let request = TestCall::post(&format!("x{index}"), "/a/pay/", b"once").request();
+            calls.push(task::spawn(async move { connection.exchange(&request, None).await }));
+        }
+        let mut served = 0;
+        for call in calls {
+            served += usize::from(call.await.expect("a response").status == 200);
+        }
+        let opened = application.connection_count() - before.0;
+        let arrived = application.request_count() - before.1;
+        println!("{opened} connections, {arrived} arrivals, {served} of {CROWD} requests served");
+        assert!(arrived > CROWD as u64, "no request came again");
+        assert!(opened <= 2 * SLOTS, "{opened} connections for {arrived} arrivals");
+    });
+}
