Answer 502 if a target that may have run a request answers with a promise

Clients take 408, 421, 429 and 503 as the statement that their request has not run and never will, and send an unsafe one again. A target that had run a request and answered 503, 429 or 408 without X-Fescuestack-Not-Executed was passed on as it was, so that the request could run twice.

The node beside the target now ends such a call as one that may have run: the client gets 502 without the target's signature, an idempotent request is tried at another target within the retry budget, and the target's answer counts as a failure. It still counts as completed, which clears a request that is suspected to crash targets.

failure_of_a_run_is_not_passed_on_as_a_promise got (503, signature of t2) before and gets 502 now; idempotent_request_is_served_by_another_target got 503 before. Without the record of completion, runs_whose_status_is_not_passed_on_have_completed fails with 503.

--- a/sidecar/src/peer.rs
+++ b/sidecar/src/peer.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use fescuestack_core::{ClockSpan, RequestFingerprint};
 use fescuestack_http::{BufferedRequest, BufferedResponse, CollectError, lock};
-use fescuestack_routing::{AttemptEnd, PickedTarget};
+use fescuestack_routing::{AttemptEnd, CallEnd, PickedTarget};
 use futures_lite::future;
 use http::header::HOST;
 use http::{Request, StatusCode, Uri};
@@ -186,7 +186,7 @@
         return state.local_target.reply(&note.route, ReplyEnd::Refused, CRASHING_RETRY_AFTER);
     }
     let reply = state.local_target.run(note, request, call).await;
-    if reply.note.end == ReplyEnd::Answered {
+    if reply.run_end == CallEnd::Answered {
         lock(&state.crashes).record_own_completion(state.clock.now(), request);
     }
     reply
--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -41,6 +41,14 @@
 /// Status of a response by another target than the one that the request was meant for.
 const WRONG_INSTANCE: StatusCode = StatusCode::MISDIRECTED_REQUEST;
 
+/// Statuses by which clients know that their request has not run and never will.
+const PROMISES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// How a call that a run of the target made has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RunCallEnd {
@@ -57,6 +65,8 @@
     pub(crate) note: ReplyNote,
     /// The target's response if the call ended with one.
     pub(crate) response: Option<BufferedResponse>,
+    /// Whether the target ran the call to its end, also if its response is not passed on.
+    pub(crate) run_end: CallEnd,
 }
 
 /// The target beside this node.
@@ -302,21 +312,21 @@
             // target.
             return self.reply(&note.route, ReplyEnd::Lost, ClockSpan::ZERO);
         };
-        let (end, response) = match outcome {
+        let (end, response, run_end) = match outcome {
             Ok(response) if response.status == WRONG_INSTANCE => {
                 self.record_actual_id(note, &response);
-                (ReplyEnd::Rejected, None)
+                (ReplyEnd::Rejected, None, CallEnd::Aborted)
             }
             Ok(response) => classify_response(note, response),
             Err(ExchangeError::NotSent { .. }) if confirm_outage(self, &note.target).await => {
-                (ReplyEnd::Down, None)
+                (ReplyEnd::Down, None, CallEnd::Aborted)
             }
             Err(ExchangeError::NotSent { source }) => {
                 log::info!(target = &*note.target, request = request_id(&request),
                     reason = source.to_string().as_str();
                     "cannot connect to the target");
                 lock(&self.state).queue.record_not_sent(ticket.ticket);
-                (ReplyEnd::NotSent, None)
+                (ReplyEnd::NotSent, None, CallEnd::Aborted)
             }
             Err(err) => {
                 let crashed = matches!(
@@ -326,14 +336,13 @@
                 log::info!(target = &*note.target, request = request_id(&request),
                     reason = err.to_string().as_str(), crashed = crashed;
                     "exchange with the target failed");
-                (ReplyEnd::Lost, None)
+                (ReplyEnd::Lost, None, CallEnd::Aborted)
             }
         };
-        let answered = matches!(end, ReplyEnd::Answered);
-        ticket.end(if answered { CallEnd::Answered } else { CallEnd::Aborted });
+        ticket.end(run_end);
         let mut reply = self.reply(&note.route, end, ClockSpan::ZERO);
         reply.note.waited = waited.millis();
-        TargetReply { response, ..reply }
+        TargetReply { response, run_end, ..reply }
     }
 
     /// Admits a call as far as calls of runs of its route are served. Fails with the time after which
@@ -575,28 +584,34 @@
             short_of_calls: false,
             stops_in: self.stop.time_left().map(ClockSpan::millis),
         };
-        TargetReply { note, response: None }
+        TargetReply { note, response: None, run_end: CallEnd::Aborted }
     }
 }
 
-/// Derives the outcome of a call from the target's response.
+/// Derives the outcome of a call from the target's response, and whether the call has run to its end.
 fn classify_response(
     note: &CallNote,
     response: BufferedResponse,
-) -> (ReplyEnd, Option<BufferedResponse>) {
+) -> (ReplyEnd, Option<BufferedResponse>, CallEnd) {
     if is_refusal(&response) {
-        return (ReplyEnd::Rejected, None);
+        return (ReplyEnd::Rejected, None, CallEnd::Aborted);
     }
     // Clients ask for no content coding, so that the body is not the one that the target made.
     if response.headers.contains_key(CONTENT_ENCODING) {
         log::info!(target = &*note.target; "response with a content coding");
-        return (ReplyEnd::Lost, None);
+        return (ReplyEnd::Lost, None, CallEnd::Aborted);
     }
     if response.status.as_u16() < 400 && !response.headers.contains_key(&RESPONSE_SIGNATURE) {
         log::info!(target = &*note.target; "response without the target's signature");
-        return (ReplyEnd::Lost, None);
+        return (ReplyEnd::Lost, None, CallEnd::Aborted);
+    }
+    // The target may have run the request, and the client would repeat it.
+    if PROMISES.contains(&response.status) {
+        log::info!(target = &*note.target, status = response.status.as_u16();
+            "response that does not state that the request was not executed, as its status does");
+        return (ReplyEnd::Lost, None, CallEnd::Answered);
     }
-    (ReplyEnd::Answered, Some(response))
+    (ReplyEnd::Answered, Some(response), CallEnd::Answered)
 }
 
 /// Whether the target states that it has not executed the request.
--- /dev/null
+++ b/sidecar/tests/not_run.rs
@@ -0,0 +1,161 @@
+//! Answers that state that a request has not run, beside the client's node and behind another node, and the
+//! failures after which a node must not give one.
+
+mod mesh;
+
+use std::time::Duration;
+
+use async_std::task;
+use fescuestack_platform_standin::{ApplicationMode, StandinApplication, request_id_and_signature};
+use http::StatusCode;
+
+use mesh::{Mesh, TestCall};
+
+/// Requests in each case.
+const CALLS: usize = 4;
+
+/// Number of runs of a request at all targets.
+fn count_runs(mesh: &Mesh, id: &str) -> usize {
+    let runs = mesh.nodes.iter().flat_map(|node| node.application.runs());
+    runs.filter(|run| run.id == id).count()
+}
+
+/// Makes a target run its requests and answer with a failure that states something else.
+fn fail_with(application: &StandinApplication, status: u16) {
+    application.set_mode(ApplicationMode::Fail);
+    application.set_failure_status(StatusCode::from_u16(status).expect("a status"));
+}
+
+/// Guards against passing on the status of a target that has run an unsafe request, and does not state
+/// the opposite, to a client that takes it as a promise.
+#[test]
+fn failure_of_a_run_is_not_passed_on_as_a_promise() {
+    task::block_on(async {
+        let mesh = Mesh::start(&["beta", "alpha"]).await;
+        for status in [503, 429, 408] {
+            fail_with(&mesh.nodes[1].application, status);
+            for node in 0..2 {
+                for index in 0..CALLS {
+                    let id = format!("failed-{status}-{node}-{index}");
+                    let call = TestCall::post(&id, "/a/pay/", b"once");
+                    let response = mesh.send(node, &call).await.expect("a response");
+                    let (_, signature) = request_id_and_signature(&response.headers);
+                    let received = (response.status.as_u16(), signature, response.body.len());
+                    assert_eq!(received, (502, None, 0), "{id}");
+                    assert_eq!(count_runs(&mesh, &id), 1, "{id}");
+                }
+            }
+        }
+    });
+}
+
+/// Guards against a fix that replaces the failures of a target which promise nothing.
+#[test]
+fn other_failures_of_a_run_are_passed_on() {
+    task::block_on(async {
+        let mesh = Mesh::start(&["beta", "alpha"]).await;
+        for status in [500, 501, 502, 504, 400, 404, 409, 425] {
+            fail_with(&mesh.nodes[1].application, status);
+            for node in 0..2 {
+                let id = format!("other-{status}-{node}");
+                let call = TestCall::post(&id, "/a/pay/", b"once");
+                let response = mesh.send(node, &call).await.expect("a response");
+                let (_, signature) = request_id_and_signature(&response.headers);
+                let received = (response.status.as_u16(), signature);
+                assert_eq!(received, (status, Some("t2")), "{id}");
+                assert_eq!(count_runs(&mesh, &id), 1, "{id}");
+            }
+        }
+    });
+}
+
+/// Sends served requests, which add to the retry budget and restore the trust in a target.
+async fn send_served(mesh: &Mesh, prefix: &str, count: usize) {
+    for index in 0..count {
+        let call = TestCall::get(&format!("{prefix}-{index}"), "/a/");
+        assert_eq!(mesh.send(0, &call).await.expect("a response").status, 200);
+    }
+}
+
+/// Guards against giving up an idempotent request that another target would serve, after one has run it
+/// and answered with a status that would promise the opposite.
+#[test]
+fn idempotent_request_is_served_by_another_target() {
+    task::block_on(async {
+        for status in [503, 429, 408] {
+            let mesh = Mesh::start(&["beta", "alpha", "alpha"]).await;
+            let failing = &mesh.nodes[1].application;
+            let mut retried = 0;
+            for index in 0..12 {
+                failing.set_mode(ApplicationMode::Serve);
+                send_served(&mesh, &format!("served-{status}-{index}"), 30).await;
+                fail_with(failing, status);
+                let id = format!("again-{status}-{index}");
+                let response = mesh.send(0, &TestCall::get(&id, "/a/")).await.expect("a response");
+                assert_eq!(response.status, 200, "{id}");
+                retried += count_runs(&mesh, &id) - 1;
+            }
+            assert!(retried > 0, "no request was sent to the failing target");
+        }
+    });
+}
+
+/// Guards against sending a target as many requests as before, because its answers are not passed on.
+#[test]
+fn status_that_is_not_passed_on_counts_as_a_failure_of_the_target() {
+    task::block_on(async {
+        // Without feedback, each of two targets gets half of the requests, with a standard deviation of 10.
+        let (sent, limit) = (400, 200 - 3 * 10);
+        for status in [500, 503, 429, 408] {
+            let mesh = Mesh::start(&["beta", "alpha", "alpha"]).await;
+            let failing = &mesh.nodes[1].application;
+            send_served(&mesh, "first", 20).await;
+            fail_with(failing, status);
+            let before = failing.runs().len();
+            for index in 0..sent {
+                let call = TestCall::post(&format!("share-{index}"), "/a/pay/", b"once");
+                mesh.send(0, &call).await.expect("a response");
+            }
+            let failed = failing.runs().len() - before;
+            println!("{failed} of {sent} requests at the target that answers {status}");
+            assert!(failed < limit, "{failed} requests at the target that answers {status}");
+        }
+    });
+}
+
+/// Guards against holding back a sound request as one that crashes targets, because its completed runs
+/// were answered with a status that is not passed on.
+#[test]
+fn runs_whose_status_is_not_passed_on_have_completed() {
+    task::block_on(async {
+        let mesh = Mesh::start(&["alpha", "beta", "beta", "beta", "beta", "beta"]).await;
+        for node in &mesh.nodes {
+            node.application.set_crash_rule(|run, _| run.id == "crash");
+            node.application.set_processing_time(Duration::from_millis(200));
+            fail_with(&node.application, 503);
+        }
+        let sound = TestCall::post("sound", "/b/pay/y", b"");
+        for _ in 0..3 {
+            assert_eq!(mesh.send(0, &sound).await.expect("a response").status, 502);
+            let mut pending = Vec::new();
+            for _ in 0..15 {
+                let mut connection = mesh.connect(0).await.expect("a connection");
+                let request = sound.request();
+                pending.push(task::spawn(async move { connection.exchange(&request, None).await }));
+            }
+            task::sleep(Duration::from_millis(100)).await;
+            let crashing = TestCall::post("crash", "/b/pay/x", b"");
+            assert_eq!(mesh.send(0, &crashing).await.expect("a response").status, 502);
+            for answer in pending {
+                answer.await.expect("a response");
+            }
+            task::sleep(Duration::from_millis(400)).await;
+        }
+        // The time after which a request that counts as crashing is held back for longer.
+        task::sleep(Duration::from_secs(3)).await;
+        for _ in 0..CALLS {
+            let response = mesh.send(0, &sound).await.expect("a response");
+            assert_eq!(response.status, 502, "a sound request was held back");
+        }
+    });
+}
