Give HEAD requests connections of their own to the target

An answer to HEAD states the length of a body that does not follow. A late copy of it arrives during the next request, whose method says that a body follows, so that the first bytes of the next answer were read as that body. A copy of another answer during HEAD was read as a head that ends before its body. In both cases the client got 502 for a request that ran.

A connection that carries HEAD now carries nothing else.

--- a/sidecar/src/target_pool.rs
+++ b/sidecar/src/target_pool.rs
@@ -11,6 +11,7 @@
 };
 use fescuestack_platform::headers::REQUEST_ID;
 use fescuestack_routing::{ConnectionHistory, RequestMark, ReuseCase, ReuseStep};
+use http::Method;
 
 use crate::target::LocalTarget;
 
@@ -144,8 +145,14 @@
     }
 }
 
-/// Returns what identifies the answer to a request on its connection.
+/// Returns what identifies the answer to a request on its connection, or `None` if the request must have a
+/// connection of its own.
 fn request_mark(request: &BufferedRequest) -> Option<RequestMark> {
+    // Only the method tells that an answer to HEAD has no body, so a copy of it cannot be told from the
+    // bytes of the next answer, nor a copy of another answer be read during HEAD.
+    if request.method == Method::HEAD {
+        return None;
+    }
     request.headers.get(&REQUEST_ID).map(|id| RequestMark::new(id.as_bytes()))
 }
 
--- a/sidecar/tests/not_run.rs
+++ b/sidecar/tests/not_run.rs
@@ -3,17 +3,26 @@
 
 mod mesh;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use async_std::io::{ReadExt, WriteExt};
+use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use fescuestack_platform_standin::{ApplicationMode, StandinApplication, request_id_and_signature};
-use http::StatusCode;
+use http::{Method, StatusCode};
 
 use mesh::{Mesh, TestCall};
 
 /// Requests in each case.
 const CALLS: usize = 4;
 
+/// Delay of late copies, within the processing time of the next request on the connection.
+const LATE: Duration = Duration::from_millis(30);
+
+/// Processing time of a target that sends late copies.
+const PROCESSING_TIME: Duration = Duration::from_millis(120);
+
 /// Number of runs of a request at all targets.
 fn count_runs(mesh: &Mesh, id: &str) -> usize {
     let runs = mesh.nodes.iter().flat_map(|node| node.application.runs());
@@ -159,3 +168,106 @@
         }
     });
 }
+
+/// A target whose answers to HEAD and GET have the same head, and which sends a late copy of each answer to
+/// the method of `copied`.
+async fn replace_application(application: &StandinApplication, copied: &'static str) {
+    application.crash().await;
+    let listener = bind_eventually(application.address()).await;
+    task::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            task::spawn(serve_heads(stream, copied));
+        }
+    });
+}
+
+async fn bind_eventually(address: SocketAddr) -> TcpListener {
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return listener,
+            Err(_) => task::sleep(Duration::from_millis(5)).await,
+        }
+    }
+}
+
+async fn serve_heads(mut stream: TcpStream, copied: &'static str) {
+    while let Some(head) = read_head(&mut stream).await {
+        let method = head.split(' ').next().unwrap_or("").to_owned();
+        let field = "x-fescuestack-request-id: ";
+        let id = head.lines().find_map(|line| line.strip_prefix(field)).unwrap_or("").to_owned();
+        let mut answer = format!(
+            "HTTP/1.1 200 OK\r\n{field}{id}\r\nx-fescuestack-response-signature: s\r\n\
+             content-length: 6\r\n\r\n"
+        );
+        if method != "HEAD" {
+            answer.push_str("answer");
+        }
+        if id.starts_with("slow") {
+            task::sleep(PROCESSING_TIME).await;
+        }
+        if stream.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+        if method == copied {
+            let mut stream = stream.clone();
+            task::spawn(async move {
+                task::sleep(LATE).await;
+                // Fails if the node has closed the connection.
+                let _ = stream.write_all(answer.as_bytes()).await;
+            });
+        }
+    }
+}
+
+/// Reads the head of a request without a body.
+async fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte).await.ok()?;
+        head.push(byte[0]);
+    }
+    String::from_utf8(head).ok()
+}
+
+/// Sends a request and then a slow one, during which a copy of the answer to the first arrives.
+async fn assert_served_after_copy(mesh: &Mesh, first: Method, second: Method) {
+    replace_application(
+        &mesh.nodes[1].application,
+        if first == Method::HEAD { "HEAD" } else { "GET" },
+    )
+    .await;
+    for node in 0..2 {
+        for (id, method) in [("quick", &first), ("slow", &second)] {
+            let call = TestCall { method: method.clone(), ..TestCall::get(id, "/a/") };
+            let response = mesh.send(node, &call).await.expect("a response");
+            let (id, _) = request_id_and_signature(&response.headers);
+            let body = if *method == Method::HEAD { "" } else { "answer" };
+            let received = (response.status.as_u16(), id, &*response.body);
+            assert_eq!(
+                received,
+                (200, Some(&*call.id), body.as_bytes()),
+                "{method} at node {node}"
+            );
+        }
+    }
+}
+
+/// Guards against a late copy of an answer to HEAD, which is read with the bytes of the next answer as its
+/// body.
+#[test]
+fn copied_answer_to_head_takes_no_bytes_of_the_next_answer() {
+    task::block_on(async {
+        let mesh = Mesh::start(&["beta", "alpha"]).await;
+        assert_served_after_copy(&mesh, Method::HEAD, Method::GET).await;
+    });
+}
+
+/// Guards against a late copy of an answer whose body is read as the head of the answer to HEAD.
+#[test]
+fn copied_answer_does_not_fail_a_head_request() {
+    task::block_on(async {
+        let mesh = Mesh::start(&["beta", "alpha"]).await;
+        assert_served_after_copy(&mesh, Method::GET, Method::HEAD).await;
+    });
+}
