Refuse CONNECT, whose path is lost between nodes

CONNECT with a path of a route was sent to a target. HTTP/2 carries no path in CONNECT, so that a target behind another node ran "CONNECT /" for a request for /a/pay/x, and the client got 200 without a body. Nodes open no tunnels and answer 400 now.

--- a/sidecar/src/entry.rs
+++ b/sidecar/src/entry.rs
@@ -12,7 +12,7 @@
 };
 use futures_lite::future;
 use http::header::{CONNECTION, HOST, RETRY_AFTER};
-use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode};
 use hyper::body::{Body, Incoming};
 
 use crate::connections::ConnectionRecord;
@@ -160,6 +160,10 @@
     };
     trace.version = routes.version;
     let (parts, body) = request.into_parts();
+    // Nodes open no tunnels, and HTTP/2 carries no path in CONNECT.
+    if parts.method == Method::CONNECT {
+        return Err(EntryFault::Invalid);
+    }
     if single_value(&parts.headers, &REQUEST_ID)?.is_none() {
         return Err(EntryFault::Invalid);
     }
--- a/sidecar/tests/not_run.rs
+++ b/sidecar/tests/not_run.rs
@@ -271,3 +271,28 @@
         assert_served_after_copy(&mesh, Method::GET, Method::HEAD).await;
     });
 }
+
+/// Guards against passing on CONNECT, whose path is lost between nodes, so that a target would run another
+/// request than the client sent.
+#[test]
+fn connect_is_not_passed_on() {
+    task::block_on(async {
+        let mesh = Mesh::start(&["beta", "alpha"]).await;
+        for node in 0..2 {
+            for (target, status) in [("/a/pay/x", "400"), ("mesh.example:80", "400")] {
+                let mut stream = TcpStream::connect(mesh.address(node, 0)).await.expect("a node");
+                let request = format!(
+                    "CONNECT {target} HTTP/1.1\r\nHost: mesh.example\r\n\
+                     X-Fescuestack-Request-Id: tunnel{node}\r\n\r\n"
+                );
+                stream.write_all(request.as_bytes()).await.expect("the node reads");
+                let mut received = [0; 12];
+                stream.read_exact(&mut received).await.expect("a response");
+                assert_eq!(&received[9..], status.as_bytes(), "CONNECT {target} at node {node}");
+            }
+        }
+        let runs = mesh.nodes.iter().flat_map(|node| node.application.runs());
+        let runs: Vec<_> = runs.map(|run| run.request_line).collect();
+        assert_eq!(runs, Vec::<String>::new());
+    });
+}
