Show that the memory of a response is not limited after a skipped one

A node took responses of any length up to 16 MB, whatever memory was left, if the target had sent a copy of an earlier answer before: the reservation of the exchange goes to the body of the response that is skipped, and is released with it.

--- a/http/tests/exchange.rs
+++ b/http/tests/exchange.rs
@@ -263,13 +263,18 @@
     const CALLS: usize = 12;
     const BUDGET: usize = 4 * 1024 * 1024;
     static ZEROS: [u8; 64 * 1024] = [b'0'; 64 * 1024];
-    let responses: [(&'static [u8], &'static [u8]); 7] = [
+    let responses: [(&'static [u8], &'static [u8]); 8] = [
         (b"", &ZEROS),
         (b"HTTP/1.1 200 OK\r\nid: ", &ZEROS),
         (b"HTTP/1.1 200 OK\r\n", b"a: b\r\n"),
         (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
         (b"HTTP/1.1 200 OK\r\nid: 1\r\n\r\n", &ZEROS),
         (b"HTTP/1.1 200 OK\r\nid: 1\r\ncontent-length: 16000000\r\n\r\n", &ZEROS),
+        (
+            b"HTTP/1.1 200 OK\r\nid: 0\r\ncontent-length: 3\r\n\r\nold\
+              HTTP/1.1 200 OK\r\nid: 1\r\ncontent-length: 16000000\r\n\r\n",
+            &ZEROS,
+        ),
         (b"HTTP/1.1 200 OK\r\nid: 1\r\ntransfer-encoding: chunked\r\n\r\nFFFFFFFF\r\n", &ZEROS),
     ];
     for (head, piece) in responses {
