Limit the memory of a response also after a skipped one

A node took responses of up to 16 MB, whatever memory was left, from a target that sends copies: the reservation of an exchange goes to the body of the response that is skipped and is released with it, after which nothing counted. Each response now has a reservation of its own. The case that the review added to endless_responses_end fails without this (12 responses of 16,000,000 bytes against a budget of 4 MiB) and passes with it, 12 of 12 in http/tests/exchange.rs.

--- a/http/src/exchange.rs
+++ b/http/src/exchange.rs
@@ -289,12 +289,21 @@
             };
             future::pending().await
         };
-        let reservation = self.budget.as_ref().map(ByteBudget::reservation);
+        let budget = self.budget.as_ref();
+        let reservation = budget.map(ByteBudget::reservation);
         let (stream, buffer) = (&self.stream, &mut self.buffer);
         let (received, turn) = (&self.received, ReadTurn::default());
         let skipped = &mut self.skipped_responses;
-        let mut reader =
-            ResponseReader { stream, buffer, read: 0, received, reservation, turn, skipped };
+        let mut reader = ResponseReader {
+            stream,
+            buffer,
+            read: 0,
+            received,
+            budget,
+            reservation,
+            turn,
+            skipped,
+        };
         let (response, at_eof) =
             future::or(reader.read_response(&request.method, tag), sending).await?;
         let request_written = matches!(written, RequestWrite::Complete);
@@ -337,6 +346,7 @@
     /// Number of bytes read in this exchange.
     read: usize,
     received: &'a AtomicU64,
+    budget: Option<&'a Arc<ByteBudget>>,
     reservation: Option<ByteReservation>,
     turn: ReadTurn,
     /// Number of responses to other requests.
@@ -365,6 +375,9 @@
                 TagMatch::Other if !at_eof => {
                     skipped += 1;
                     *self.skipped += 1;
+                    // The reservation went to the body that was skipped.
+                    self.reservation = self.budget.map(ByteBudget::reservation);
+                    self.read = self.buffer.len();
                 }
                 TagMatch::Other | TagMatch::Unclear => {
                     return Err(ExchangeError::InvalidResponse {
