Close a connection whose end a skipped response has announced

A copy of an answer may carry Connection: close. It was skipped with its headers, the connection was kept, and the next unsafe request could meet its end, which gives 502. The new test of http/tests/exchange.rs fails without the change and passes with it.

--- a/http/src/exchange.rs
+++ b/http/src/exchange.rs
@@ -303,9 +303,11 @@
             reservation,
             turn,
             skipped,
+            is_closing: false,
         };
         let (response, at_eof) =
             future::or(reader.read_response(&request.method, tag), sending).await?;
+        let is_closing = reader.is_closing || has_connection_close(&response.headers);
         let request_written = matches!(written, RequestWrite::Complete);
         // A socket reports a reset only once. If a write got the report, reads see an ordinary end.
         // A broken pipe stands for a reset after the server had ended its side, which is such an end.
@@ -317,7 +319,7 @@
         }
         self.last_used = Instant::now();
         self.keep_alive_timeout = parse_keep_alive_timeout(&response.headers);
-        self.reusable = request_written && !at_eof && !has_connection_close(&response.headers);
+        self.reusable = request_written && !at_eof && !is_closing;
         Ok(response)
     }
 }
@@ -351,6 +353,8 @@
     turn: ReadTurn,
     /// Number of responses to other requests.
     skipped: &'a mut u32,
+    /// Whether a skipped response announced the end of the connection.
+    is_closing: bool,
 }
 
 impl ResponseReader<'_> {
@@ -375,6 +379,7 @@
                 TagMatch::Other if !at_eof => {
                     skipped += 1;
                     *self.skipped += 1;
+                    self.is_closing |= has_connection_close(&headers);
                     // The reservation went to the body that was skipped.
                     self.reservation = self.budget.map(ByteBudget::reservation);
                     self.read = self.buffer.len();
--- a/http/tests/exchange.rs
+++ b/http/tests/exchange.rs
@@ -120,6 +120,23 @@
     });
 }
 
+/// Guards against reusing a connection whose end a skipped response has announced.
+#[test]
+fn connection_ends_after_a_skipped_response_that_announces_it() {
+    task::block_on(async {
+        let address = serve_script(vec![
+            b"HTTP/1.1 200 OK\r\nid: 1\r\ncontent-length: 3\r\n\r\none",
+            b"HTTP/1.1 200 OK\r\nid: 1\r\nconnection: close\r\ncontent-length: 3\r\n\r\noneHTTP/1.1 200 OK\r\nid: 2\r\ncontent-length: 3\r\n\r\ntwo",
+        ])
+        .await;
+        let mut connection = ExchangeConnection::open(address, LIMIT).await.expect("a server");
+        assert_eq!(&send(&mut connection, "1").await.expect("a response").body[..], b"one");
+        assert!(connection.is_reusable().await);
+        assert_eq!(&send(&mut connection, "2").await.expect("a response").body[..], b"two");
+        assert!(!connection.is_reusable().await);
+    });
+}
+
 /// Guards against taking the repeated refusal of an earlier request for the response to the next one,
 /// which the server is executing.
 #[test]
