Log exchanges with the target that end early, and replace connections that cannot be used

An exchange that failed, timed out or was cancelled left no line on its connection and on skipped responses; it has one now. Connections that the target will close are not kept, connections are closed outside the lock, and a suspected restart is recorded after the connection was opened, as before.

--- a/sidecar/src/node.rs
+++ b/sidecar/src/node.rs
@@ -454,6 +454,7 @@
             ("skipped-response", counts.skipped_responses),
             ("unexpected-bytes", counts.unexpected_bytes),
             ("refusal", counts.refusals),
+            ("repeated-id", counts.repeated_ids),
         ]);
         self.metrics.encode()
     }
--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -503,7 +503,7 @@
         if is_refusal(&response) {
             log::info!(request = request_id(request), target = &*note.target,
                 status = response.status.as_u16(), connection = origin.connection,
-                requests = origin.requests, repeated = origin.is_repeated,
+                requests = origin.requests,
                 after_ms = self.clock.now().since(asked_at).millis();
                 "the target has not executed a request");
             lock(&self.state).pool.record_refusal();
--- a/sidecar/src/target_pool.rs
+++ b/sidecar/src/target_pool.rs
@@ -11,7 +11,7 @@
 };
 use fescuestack_platform::headers::REQUEST_ID;
 use fescuestack_routing::{ConnectionHistory, RequestMark, ReuseCase, ReuseStep};
-use http::Method;
+use http::{HeaderValue, Method};
 
 use crate::target::LocalTarget;
 
@@ -43,15 +43,19 @@
     pub(crate) unexpected_bytes: u64,
     /// Answers that a request was not executed.
     pub(crate) refusals: u64,
+    /// Requests for which no idle connection was used that had carried their id.
+    pub(crate) repeated_ids: u64,
 }
 
 /// A connection to the target.
 pub(crate) struct TargetConnection {
-    exchange: ExchangeConnection,
+    connection: ExchangeConnection,
     history: ConnectionHistory,
     address: SocketAddr,
     /// Number of the connection in log lines.
     number: u64,
+    /// Id of the request whose exchange has begun and not ended.
+    current: Option<HeaderValue>,
 }
 
 /// What log lines tell about the connection of an answer.
@@ -61,8 +65,13 @@
     pub(crate) connection: u64,
     /// Number of requests with an id that were sent on it, with the one that was answered.
     pub(crate) requests: usize,
-    /// Whether a request with the same id was sent on it before.
-    pub(crate) is_repeated: bool,
+}
+
+/// What the search for an idle connection has found.
+struct IdleChoice {
+    connection: Option<TargetConnection>,
+    /// Connections to be closed.
+    closed: Vec<TargetConnection>,
 }
 
 impl TargetPool {
@@ -95,53 +104,79 @@
         self.idle.clear();
     }
 
-    /// Takes the most recently used connection that a request may use. Closes those that no request
-    /// may use.
-    fn take(&mut self, mark: Option<RequestMark>, is_idempotent: bool) -> Option<TargetConnection> {
+    /// Takes the most recently used connection that a request may use, and those that no request may use.
+    /// If there are others only, takes the oldest of them to be closed, so that a new one in its place
+    /// leaves their number as it is.
+    fn take(&mut self, mark: Option<RequestMark>, is_idempotent: bool) -> IdleChoice {
+        let mut closed = Vec::new();
+        let mut is_passed_over = false;
         for index in (0..self.idle.len()).rev() {
-            let connection = &self.idle[index];
-            let millis = |time: Duration| ClockSpan::new(time.as_millis() as u64);
-            let case = ReuseCase {
-                mark,
-                is_idempotent,
-                idle_time: millis(connection.exchange.idle_time()),
-                keep_alive: connection.exchange.keep_alive_timeout().map(millis),
-            };
-            match connection.history.decide(case) {
-                ReuseStep::Use => return Some(self.idle.remove(index)),
-                ReuseStep::Keep => (),
-                ReuseStep::Close => drop(self.idle.remove(index)),
+            match self.idle[index].decide(mark, is_idempotent) {
+                ReuseStep::Use => {
+                    let connection = Some(self.idle.remove(index));
+                    self.counts.repeated_ids += u64::from(is_passed_over);
+                    return IdleChoice { connection, closed };
+                }
+                ReuseStep::Keep => is_passed_over = mark.is_some(),
+                ReuseStep::Close => closed.push(self.idle.remove(index)),
             }
         }
-        None
+        self.counts.repeated_ids += u64::from(is_passed_over);
+        if !self.idle.is_empty() {
+            closed.push(self.idle.remove(0));
+        }
+        IdleChoice { connection: None, closed }
     }
 
     fn put_back(&mut self, connection: TargetConnection) {
-        let is_kept = connection.address == self.address && connection.history.is_kept();
+        let is_kept = connection.address == self.address
+            && connection.history.is_kept()
+            && connection.connection.is_kept_alive();
         if is_kept && self.idle.len() < MAX_IDLE_CONNECTIONS {
             self.idle.push(connection);
         }
     }
 
-    fn open(&mut self, exchange: ExchangeConnection, address: SocketAddr) -> TargetConnection {
+    fn open(&mut self, connection: ExchangeConnection, address: SocketAddr) -> TargetConnection {
         self.counts.opened += 1;
-        let number = self.counts.opened;
-        TargetConnection { exchange, history: ConnectionHistory::new(), address, number }
+        let (history, number) = (ConnectionHistory::new(), self.counts.opened);
+        TargetConnection { connection, history, address, number, current: None }
     }
 }
 
 impl TargetConnection {
+    fn decide(&self, mark: Option<RequestMark>, is_idempotent: bool) -> ReuseStep {
+        let millis = |time: Duration| ClockSpan::new(time.as_millis() as u64);
+        self.history.decide(ReuseCase {
+            mark,
+            is_idempotent,
+            idle_time: millis(self.connection.idle_time()),
+            keep_alive: self.connection.keep_alive_timeout().map(millis),
+        })
+    }
+
     /// Sends a request and reads its response.
     pub(crate) async fn exchange(
         &mut self,
         request: &BufferedRequest,
     ) -> Result<(BufferedResponse, AnswerOrigin), ExchangeError> {
-        let mark = request_mark(request);
-        let is_repeated = mark.is_some_and(|mark| self.history.contains(mark));
-        self.history.record_sent(mark);
-        let (connection, requests) = (self.number, self.history.requests());
-        let response = self.exchange.exchange(request, response_tag(request).as_ref()).await?;
-        Ok((response, AnswerOrigin { connection, requests, is_repeated }))
+        self.history.record_sent(request_mark(request));
+        self.current = request.headers.get(&REQUEST_ID).cloned();
+        let tag = response_tag(request);
+        let response = self.connection.exchange(request, tag.as_ref()).await?;
+        self.current = None;
+        let origin = AnswerOrigin { connection: self.number, requests: self.history.requests() };
+        Ok((response, origin))
+    }
+}
+
+impl Drop for TargetConnection {
+    fn drop(&mut self) {
+        let Some(id) = self.current.take() else { return };
+        log::info!(request = id.to_str().unwrap_or(""), connection = self.number,
+            requests = self.history.requests(),
+            skipped = self.connection.take_skipped_responses();
+            "connection to the target closed during an exchange");
     }
 }
 
@@ -172,18 +207,16 @@
         let mark = request_mark(request);
         let mut closed_early = 0;
         loop {
-            let (address, idle) = {
+            let (address, choice) = {
                 let pool = &mut lock(&self.state).pool;
                 (pool.address, pool.take(mark, is_idempotent))
             };
-            let Some(mut connection) = idle else {
-                if closed_early >= MIN_CLOSED_EARLY {
-                    lock(&self.state).warmth.record_suspicion(self.clock.now());
-                }
-                return self.open_connection(address).await;
+            drop(choice.closed);
+            let Some(mut connection) = choice.connection else {
+                return self.open_connection(address, closed_early).await;
             };
-            let was_kept_alive = connection.exchange.is_kept_alive();
-            match connection.exchange.idle_state().await {
+            let was_kept_alive = connection.connection.is_kept_alive();
+            match connection.connection.idle_state().await {
                 IdleState::Open => return Ok(connection),
                 IdleState::Closed => closed_early += u32::from(was_kept_alive),
                 IdleState::UnexpectedBytes => {
@@ -196,9 +229,11 @@
         }
     }
 
+    /// Opens a connection, after `closed_early` idle ones were found closed.
     async fn open_connection(
         &self,
         address: SocketAddr,
+        closed_early: u32,
     ) -> Result<TargetConnection, ExchangeError> {
         let opened = ExchangeConnection::open(address, CONNECT_TIMEOUT).await;
         match &opened {
@@ -210,13 +245,16 @@
             }
             Err(_) => (),
         }
-        let exchange = opened?.with_budget(&self.body_budget);
-        Ok(lock(&self.state).pool.open(exchange, address))
+        let mut state = lock(&self.state);
+        if closed_early >= MIN_CLOSED_EARLY {
+            state.warmth.record_suspicion(self.clock.now());
+        }
+        Ok(state.pool.open(opened?.with_budget(&self.body_budget), address))
     }
 
     /// Keeps a connection after an exchange, for further ones.
     pub(crate) fn keep_connection(&self, mut connection: TargetConnection) {
-        let skipped = connection.exchange.take_skipped_responses();
+        let skipped = connection.connection.take_skipped_responses();
         if skipped > 0 {
             log::info!(connection = connection.number, skipped = skipped,
                 requests = connection.history.requests();
