Let the stand-in upstream name the request in its answers

A node will keep connections only to upstreams whose answers carry the fescuestack-request header of their requests. The stand-in sets it in all answers; UpstreamSettings::without_echo leaves it out, as upstreams do that ignore the header.

The new test covers answers, refusals and the switch.

--- a/standins/src/exchange.rs
+++ b/standins/src/exchange.rs
@@ -21,6 +21,10 @@
 /// Header with the idempotency key.
 pub const KEY_HEADER: &str = "idempotency-key";
 
+/// Header with the identifier that a node gives a request. Answers carry it as well, so that the node can
+/// tell them apart.
+const NODE_REQUEST_HEADER: &str = "fescuestack-request";
+
 /// Header with the time left until the deadline of the caller, in milliseconds.
 const TIME_LEFT_HEADER: &str = "fescuestack-left-ms";
 
@@ -63,7 +67,12 @@
         wait_until_closed(stream).await;
         None
     });
-    let Some(response) = answer.await else { return false };
+    let Some(mut response) = answer.await else { return false };
+    if state.settings.echo_requests
+        && let Some(id) = header_value(&request, NODE_REQUEST_HEADER)
+    {
+        response.insert_header(NODE_REQUEST_HEADER, id);
+    }
     hang_if_stalled(state, connection).await;
     write_answer(state, stream, response, method).await.unwrap_or(false)
 }
--- a/standins/src/upstream.rs
+++ b/standins/src/upstream.rs
@@ -77,6 +77,8 @@
     pub answer_bytes: usize,
     /// What `/health` and `/load` report.
     pub probes: ProbeMode,
+    /// Whether answers carry the `fescuestack-request` header of their requests.
+    pub echo_requests: bool,
     /// Time until the stand-in restarts after a poison request crashed it, in milliseconds, or `None` to
     /// stay down.
     pub restart_ms: Option<u64>,
@@ -106,6 +108,7 @@
             cold_ms: 2_000,
             answer_bytes: 256,
             probes: ProbeMode::Lagging(1_000),
+            echo_requests: true,
             restart_ms: Some(1_000),
             routes: Vec::new(),
         }
@@ -128,6 +131,13 @@
         self
     }
 
+    /// Leaves the `fescuestack-request` header out of answers, as upstreams do that ignore it. Nodes then
+    /// open a connection for each request.
+    pub fn without_echo(mut self) -> UpstreamSettings {
+        self.echo_requests = false;
+        self
+    }
+
     /// Returns the route kind of a request.
     pub fn kind(&self, method: &str, path: &str) -> RouteKind {
         let matching = |route: &&StandinRoute| {
--- a/standins/tests/upstream.rs
+++ b/standins/tests/upstream.rs
@@ -173,3 +173,26 @@
         assert_eq!(call(&standin, &lookup, "5.0").await, AnswerVerdict::Broken);
     })
 }
+
+/// Guards against answers, also to rejected requests, that do not name their requests, or that do so after
+/// this was switched off.
+#[test]
+fn answers_name_their_requests() {
+    task::block_on(async {
+        for (settings, echoes) in [
+            (UpstreamSettings::new("a", 6), true),
+            (UpstreamSettings { slots: 0, queue: 0, ..UpstreamSettings::new("a", 6) }, true),
+            (UpstreamSettings::new("a", 6).without_echo(), false),
+        ] {
+            let standin = start_standin(settings).await;
+            let mut stream = TcpStream::connect(standin.address()).await.expect("a listener");
+            let request = "GET /lookup HTTP/1.1\r\nhost: a\r\nfescuestack-request: r-7\r\n\r\n";
+            stream.write_all(request.as_bytes()).await.expect("an open connection");
+            let mut answer = vec![0; 4096];
+            let reading = future::timeout(TEST_TIMEOUT, stream.read(&mut answer)).await;
+            let count = reading.expect("an answer in time").expect("an open connection");
+            let head = String::from_utf8_lossy(&answer[..count]).into_owned();
+            assert_eq!(head.contains("fescuestack-request: r-7\r\n"), echoes, "{head}");
+        }
+    })
+}
