Match answers of the upstream with their requests

Callers saw 217 "not-run" for submits that ran, and answers to the calls of others. Cause: connections to the upstream are reused and nothing in an answer was compared with the request, so that a copy of an earlier answer, which arrives after the next request was written, passed for its answer. The request id alone does not tell them apart either: a refused call comes with the same id when it is tried again.

An answer that names an earlier request is skipped with its body, up to 1,024 in one exchange. An answer that names none is accepted only as the first one on a new connection, which is not used again. A connection is not used again after HEAD, whose copied answer states a length without content. Connections between nodes are unchanged: a node sends one answer to each request in order, and an exchange that is given up closes its connection.

The server of upstreams/tests/pool.rs names the request in its answers and the requests have ids; every check stays.

--- a/callers/src/ticket.rs
+++ b/callers/src/ticket.rs
@@ -226,7 +226,8 @@
     }
 }
 
-/// Whether the upstream states that it did not run the request.
+/// Whether the upstream states that it did not run the request. The pool returns no answer that may be a
+/// copy of one to an earlier request.
 fn is_refusal(answer: &Response) -> bool {
     let outcome = answer.header(OUTCOME_HEADER).map(|values| values.last().as_str());
     outcome == Some(CallOutcome::NotRun.label())
--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use async_std::net::TcpStream;
+use http::HeaderMap;
 use http_types::{Body, Method, Request, Response, StatusCode};
 
 use crate::body::{BodySource, SharedBody, lock};
@@ -22,6 +23,13 @@
 /// Maximum number of interim (1xx) responses before the final one.
 const MAX_INTERIM_RESPONSES: usize = 16;
 
+/// Maximum number of responses to earlier requests that are skipped in one exchange. Two copies of the
+/// responses to 512 short exchanges may arrive during a long one.
+const MAX_SKIPPED_RESPONSES: usize = 1_024;
+
+/// Size of the reads from the body of a skipped response.
+const SKIP_BYTES: usize = 4 * 1024;
+
 /// How long a check of the socket stays valid. Saves a second check when a pool has just checked
 /// the connection that an exchange is about to use.
 const VERIFICATION_VALIDITY: Duration = Duration::from_millis(1);
@@ -52,6 +60,8 @@
     HeadTruncated,
     /// The response is invalid.
     InvalidResponse(HttpFault),
+    /// The response can't be assigned to a request, or too many responses to earlier ones arrived.
+    UnmatchedResponse,
     /// Reading the request body failed, or its length differs from the declared one.
     RequestBody(io::ErrorKind),
 }
@@ -62,11 +72,23 @@
             LossCause::ConnectionFailed(kind) => write!(f, "{kind}"),
             LossCause::HeadTruncated => f.write_str("the response head is truncated"),
             LossCause::InvalidResponse(fault) => fault.fmt(f),
+            LossCause::UnmatchedResponse => f.write_str("the response is not that to the request"),
             LossCause::RequestBody(kind) => write!(f, "the request body failed: {kind}"),
         }
     }
 }
 
+/// Which request on a connection a response belongs to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResponseMatch {
+    /// The request of the exchange.
+    Current,
+    /// An earlier request, whose method was not HEAD.
+    Earlier,
+    /// None, or it is unclear which.
+    Unclear,
+}
+
 /// A connection to a server, for one exchange at a time.
 #[derive(Debug)]
 pub struct ClientConnection {
@@ -140,7 +162,17 @@
     /// The connection can't be reused if the future or the body is dropped before its end. A
     /// response that arrives during the upload is returned at once; the rest of the upload is sent
     /// while the response body is read.
-    pub async fn send(&mut self, mut request: Request) -> Result<Response, SendError> {
+    pub async fn send(&mut self, request: Request) -> Result<Response, SendError> {
+        self.send_matched(request, |_| ResponseMatch::Current).await
+    }
+
+    /// Like [`ClientConnection::send`], for a server that may send responses to earlier requests again.
+    /// These are skipped; `compare` tells them by the headers of a response.
+    pub async fn send_matched(
+        &mut self,
+        mut request: Request,
+        compare: impl Fn(&HeaderMap) -> ResponseMatch,
+    ) -> Result<Response, SendError> {
         if !self.is_reusable() {
             return Err(SendError::NotSent { kind: io::ErrorKind::NotConnected });
         }
@@ -153,35 +185,53 @@
         let writer = MessageWriter::new(self.stream.clone(), encoder, length, None);
         lock(&self.exchange).start(writer);
         let mut progress = RequestProgress::default();
-        for _ in 0..MAX_INTERIM_RESPONSES {
+        let (mut interim, mut skipped) = (0, 0);
+        while interim < MAX_INTERIM_RESPONSES {
             let reading = poll_fn(|cx| progress.poll(&mut lock(&self.exchange), cx));
             let head = reading.await?;
-            let response = self.convert_head(&head, method).map_err(invalid_response)?;
-            if let Some(response) = response {
-                return Ok(response);
+            if head.status.is_informational() {
+                interim += 1;
+                continue;
+            }
+            match compare(&head.headers) {
+                ResponseMatch::Current => {
+                    return self.convert_head(&head, method).map_err(invalid_response);
+                }
+                ResponseMatch::Earlier if skipped < MAX_SKIPPED_RESPONSES => {
+                    skipped += 1;
+                    self.skip_body(&head, &mut progress).await?;
+                }
+                ResponseMatch::Earlier | ResponseMatch::Unclear => {
+                    return Err(SendError::Lost { cause: LossCause::UnmatchedResponse });
+                }
             }
         }
         Err(invalid_response(HttpFault::BadHead))
     }
 
-    /// Converts a response head. Returns `None` for an interim response.
-    fn convert_head(
+    /// Reads the body of a response to an earlier request to its end, and goes on to send the request.
+    async fn skip_body(
         &mut self,
         head: &ResponseHead,
-        method: Method,
-    ) -> Result<Option<Response>, HttpFault> {
-        if head.status.is_informational() {
-            return Ok(None);
+        progress: &mut RequestProgress,
+    ) -> Result<(), SendError> {
+        let bodiless = is_bodiless(head, Method::Get);
+        let framing = body_framing(head, bodiless).map_err(invalid_response)?;
+        let started = if bodiless { BodyFraming::Absent } else { framing };
+        lock(&self.exchange).reader.start_body(started, false);
+        let mut skipped = vec![0; SKIP_BYTES];
+        loop {
+            let reading =
+                poll_fn(|cx| progress.poll_skip(&mut lock(&self.exchange), cx, &mut skipped));
+            if reading.await? == 0 {
+                return Ok(());
+            }
         }
-        let bodiless = method == Method::Head || matches!(head.status.as_u16(), 204 | 304);
-        let framing = match head.framing {
-            ResponseFraming::Length(length) => BodyFraming::Length(length),
-            ResponseFraming::Chunked => BodyFraming::Chunked,
-            ResponseFraming::UntilEnd if bodiless => BodyFraming::Absent,
-            // The head is passed on before the end of the connection shows whether the body is
-            // complete.
-            ResponseFraming::UntilEnd => return Err(HttpFault::MissingLength),
-        };
+    }
+
+    /// Converts the head of a final response.
+    fn convert_head(&mut self, head: &ResponseHead, method: Method) -> Result<Response, HttpFault> {
+        let framing = body_framing(head, is_bodiless(head, method))?;
         let mut response = response_without_body(head)?;
         self.set_body(&mut response, framing, method)?;
         // Setting a body adds a content type.
@@ -190,7 +240,7 @@
         }
         remove_hop_by_hop_fields(response.as_mut());
         self.keep_alive = !has_connection_close(&head.headers);
-        Ok(Some(response))
+        Ok(response)
     }
 
     fn set_body(
@@ -269,6 +319,18 @@
         Poll::Ready(Err(self.fail(cause)))
     }
 
+    /// Reads from the body of a skipped response. Returns 0 at its end.
+    fn poll_skip(
+        &mut self,
+        exchange: &mut ClientExchange,
+        cx: &mut Context<'_>,
+        out: &mut [u8],
+    ) -> Poll<Result<usize, SendError>> {
+        self.poll_writer(exchange, cx)?;
+        let read = ready!(exchange.reader.poll_body(cx, out));
+        Poll::Ready(read.map_err(|error| self.fail(LossCause::ConnectionFailed(error.kind()))))
+    }
+
     fn poll_writer(
         &mut self,
         exchange: &mut ClientExchange,
@@ -307,6 +369,22 @@
     }
 }
 
+/// Whether a response has no body, whatever its headers declare.
+fn is_bodiless(head: &ResponseHead, method: Method) -> bool {
+    method == Method::Head || matches!(head.status.as_u16(), 204 | 304)
+}
+
+fn body_framing(head: &ResponseHead, bodiless: bool) -> Result<BodyFraming, HttpFault> {
+    match head.framing {
+        ResponseFraming::Length(length) => Ok(BodyFraming::Length(length)),
+        ResponseFraming::Chunked => Ok(BodyFraming::Chunked),
+        ResponseFraming::UntilEnd if bodiless => Ok(BodyFraming::Absent),
+        // The head is passed on before the end of the connection shows whether the body is
+        // complete.
+        ResponseFraming::UntilEnd => Err(HttpFault::MissingLength),
+    }
+}
+
 /// Converts the status and headers of a response. Fails for a status that `http-types` does not know,
 /// and for a header value that is not printable ASCII, on which it panics.
 fn response_without_body(head: &ResponseHead) -> Result<Response, HttpFault> {
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -27,7 +27,7 @@
 pub use budget::{ByteBudget, ByteReservation, CollectError, collect_body};
 pub use buffered::{BufferedBody, buffer_body};
 pub use chunk::ChunkParser;
-pub use client::{ClientConnection, LossCause, SendError};
+pub use client::{ClientConnection, LossCause, ResponseMatch, SendError};
 pub use clock::{CallClock, wall_time};
 pub use coarse_timer::{CoarseSleep, within};
 pub use exchange::{
--- a/http/tests/client.rs
+++ b/http/tests/client.rs
@@ -6,8 +6,9 @@
 use async_std::io::{ReadExt, WriteExt};
 use async_std::net::{SocketAddr, TcpListener, TcpStream};
 use async_std::task;
-use fescuestack_http::{ClientConnection, LossCause, SendError};
+use fescuestack_http::{ClientConnection, LossCause, ResponseMatch, SendError};
 use futures_lite::future::poll_once;
+use http::HeaderMap;
 use http_types::{Body, Method, Request, Response, Url};
 
 const LIMIT: Duration = Duration::from_secs(5);
@@ -245,3 +246,57 @@
         assert!(connection.is_reusable());
     })
 }
+
+/// Compares the header `id` of a response with `new`, the id of the request.
+fn compare_ids(headers: &HeaderMap) -> ResponseMatch {
+    match headers.get("id").map(|id| id.as_bytes()) {
+        Some(b"new") => ResponseMatch::Current,
+        Some(b"old") => ResponseMatch::Earlier,
+        _ => ResponseMatch::Unclear,
+    }
+}
+
+/// Guards against a response to an earlier request that is returned, or whose body is taken for the next
+/// response, while the request is still being sent.
+#[test]
+fn skips_responses_to_earlier_requests() {
+    task::block_on(async {
+        const CHUNKED: &[u8] =
+            b"HTTP/1.1 200 OK\r\nid: old\r\ntransfer-encoding: chunked\r\n\r\n4\r\nHTT";
+        const EMPTY: &[u8] = b"HTTP/1.1 304 Not Modified\r\nid: old\r\ncontent-length: 9\r\n\r\n";
+        const LENGTH: &[u8] = b"HTTP/1.1 200 OK\r\nid: old\r\ncontent-length: 4\r\n\r\nHT";
+        const CURRENT: &[u8] = b"HTTP/1.1 200 OK\r\nid: new\r\ncontent-length: 2\r\n\r\nok";
+        let address =
+            start(&[CHUNKED, b"P\r\n0\r\n\r\n", EMPTY, LENGTH, b"TP", CURRENT], false).await;
+        for length in [10, 100_000] {
+            let mut connection = open(address).await;
+            let mut request = request(Method::Post);
+            request.set_body(vec![b'x'; length]);
+            let mut response = connection.send_matched(request, compare_ids).await.unwrap();
+            assert_eq!(response.body_string().await.unwrap(), "ok");
+        }
+    });
+}
+
+/// Guards against a refusal that is returned although it names another request, and against an endless
+/// exchange with a server that repeats an earlier response.
+#[test]
+fn unmatched_responses_are_lost() {
+    task::block_on(async {
+        const FOREIGN: &[u8] = b"HTTP/1.1 503 Busy\r\nid: other\r\ncontent-length: 0\r\n\r\n";
+        const EARLIER: &[u8] = b"HTTP/1.1 503 Busy\r\nid: old\r\ncontent-length: 0\r\n\r\n";
+        const CURRENT: &[u8] = b"HTTP/1.1 200 OK\r\nid: new\r\ncontent-length: 0\r\n\r\n";
+        let repeated = |count: usize| -> &'static [u8] {
+            Box::leak([EARLIER.repeat(count), CURRENT.to_vec()].concat().into_boxed_slice())
+        };
+        let lost = Err(SendError::Lost { cause: LossCause::UnmatchedResponse });
+        for (response, expected) in
+            [(FOREIGN, lost), (repeated(1_024), Ok(200)), (repeated(1_025), lost)]
+        {
+            let parts: &'static [&'static [u8]] = Box::leak(Box::new([response]));
+            let mut connection = open(start(parts, false).await).await;
+            let result = connection.send_matched(request(Method::Get), compare_ids).await;
+            assert_eq!(result.map(|response| response.status() as u16), expected);
+        }
+    });
+}
--- a/upstreams/src/fault.rs
+++ b/upstreams/src/fault.rs
@@ -27,7 +27,9 @@
         let code = match error {
             SendError::NotSent { .. } => ResultCode::ConnectFailed,
             SendError::Lost { cause } => match (cause, peer) {
-                (LossCause::InvalidResponse(_), _) => ResultCode::AnswerTruncated,
+                (LossCause::InvalidResponse(_) | LossCause::UnmatchedResponse, _) => {
+                    ResultCode::AnswerTruncated
+                }
                 (LossCause::HeadTruncated, PeerKind::Upstream) => ResultCode::AnswerTruncated,
                 (_, peer) => peer.connection_lost_code(),
             },
--- a/upstreams/src/lib.rs
+++ b/upstreams/src/lib.rs
@@ -1,5 +1,6 @@
 //! HTTP client with connection pools for the upstream and the relay ports of other nodes.
 
+mod answers;
 mod fault;
 mod lease;
 mod pool;
--- a/upstreams/src/pool.rs
+++ b/upstreams/src/pool.rs
@@ -8,10 +8,11 @@
 
 use async_channel::{Receiver, Sender};
 use fescuestack_core::ResultCode;
-use fescuestack_http::{ClientConnection, lock, within};
+use fescuestack_http::{ClientConnection, SendError, lock, within};
 use http_types::{Request, Response};
 
 use crate::ExchangeError;
+use crate::answers::{AnswerHistory, SentRequest};
 use crate::lease::LeasedBody;
 
 /// Kind of peer at the address of a pool.
@@ -79,6 +80,7 @@
 #[derive(Debug)]
 struct IdleConnection {
     connection: ClientConnection,
+    history: AnswerHistory,
     idle_since: Instant,
 }
 
@@ -119,6 +121,10 @@
     ///
     /// Dropping the future or the body before its end closes the connection, which cancels the
     /// request at the peer. An error with a code of 2xx means that no byte was sent.
+    ///
+    /// An upstream may send copies of its answers. A response of one is certainly that to this request:
+    /// it names the request, of which the connection carries no other with the same id, or the
+    /// connection is new and not used again.
     pub async fn exchange(
         self: &Arc<Self>,
         request: Request,
@@ -130,7 +136,8 @@
                 "no connection available before the deadline",
             )
         };
-        let acquisition = self.acquire(limits.idempotent);
+        let sent_request = SentRequest::new(&request);
+        let acquisition = self.acquire(sent_request, limits.idempotent);
         let mut lease = with_deadline(limits.deadline, acquisition)
             .await
             .ok_or_else(no_connection_in_time)??;
@@ -138,7 +145,7 @@
         if limits.deadline <= Instant::now() {
             return Err(no_connection_in_time());
         }
-        let transmission = lease.connection.send(request);
+        let transmission = lease.send(request, sent_request);
         let Some(sent) = with_deadline(limits.deadline, transmission).await else {
             // The network path or the peer may be unresponsive, so idle connections are closed too.
             self.lock_idle().clear();
@@ -149,6 +156,10 @@
         };
         let mut response =
             sent.map_err(|error| ExchangeError::from_send_error(error, self.peer))?;
+        lease.is_kept = match self.peer {
+            PeerKind::Upstream => lease.history.is_kept(sent_request, &response),
+            PeerKind::Node => true,
+        };
         if lease.connection.is_idle() {
             lease.release();
         } else {
@@ -168,32 +179,44 @@
         self.lock_idle().retain(|entry| entry.idle_since.elapsed() < self.settings.idle_timeout);
     }
 
-    async fn acquire(self: &Arc<Self>, idempotent: bool) -> Result<ConnectionLease, ExchangeError> {
+    async fn acquire(
+        self: &Arc<Self>,
+        request: SentRequest,
+        idempotent: bool,
+    ) -> Result<ConnectionLease, ExchangeError> {
         // Fails only if the channel is closed, which never happens.
         let _ = self.permits.1.recv().await;
         let permit = PoolPermit(self.clone());
-        if let Some(connection) = self.take_idle(idempotent) {
-            return Ok(ConnectionLease { connection, permit });
+        if let Some(IdleConnection { connection, history, .. }) =
+            self.take_idle(request, idempotent)
+        {
+            return Ok(ConnectionLease { connection, history, is_kept: false, permit });
         }
         self.evict_excess_idle();
         let opened = ClientConnection::open(self.address, self.settings.connect_timeout).await;
         let connection =
             opened.map_err(|error| ExchangeError::new(ResultCode::ConnectFailed, error))?;
-        Ok(ConnectionLease { connection, permit })
+        let history = AnswerHistory::default();
+        Ok(ConnectionLease { connection, history, is_kept: false, permit })
     }
 
-    /// Takes the most recently used connection, which is the least likely to have been closed.
-    fn take_idle(&self, idempotent: bool) -> Option<ClientConnection> {
+    /// Takes the most recently used connection that the request may use, which is the least likely to
+    /// have been closed.
+    fn take_idle(&self, request: SentRequest, idempotent: bool) -> Option<IdleConnection> {
         let mut idle = self.lock_idle();
-        while let Some(entry) = idle.last() {
+        for index in (0..idle.len()).rev() {
+            let entry = &idle[index];
             // The remaining ones are older still and are kept for idempotent requests.
             if !idempotent && entry.idle_since.elapsed() > self.settings.non_idempotent_idle_timeout
             {
                 return None;
             }
-            let entry = idle.pop()?;
+            if self.peer == PeerKind::Upstream && !entry.history.allows(request) {
+                continue;
+            }
+            let entry = idle.remove(index);
             if entry.connection.is_reusable() {
-                return Some(entry.connection);
+                return Some(entry);
             }
         }
         None
@@ -227,15 +250,33 @@
 #[derive(Debug)]
 pub(crate) struct ConnectionLease {
     connection: ClientConnection,
+    history: AnswerHistory,
+    /// Whether the connection may be used again after the exchange.
+    is_kept: bool,
     permit: PoolPermit,
 }
 
 impl ConnectionLease {
+    async fn send(&mut self, request: Request, sent: SentRequest) -> Result<Response, SendError> {
+        match self.permit.0.peer {
+            // A node sends one answer to each request, in order.
+            PeerKind::Node => self.connection.send(request).await,
+            PeerKind::Upstream => {
+                self.history.record_sent(sent);
+                let history = &self.history;
+                self.connection
+                    .send_matched(request, |headers| history.compare(headers, sent))
+                    .await
+            }
+        }
+    }
+
     /// Returns the connection to the pool, or closes it if it cannot be reused.
     pub(crate) fn release(self) {
-        if self.connection.is_idle() {
-            let entry = IdleConnection { connection: self.connection, idle_since: Instant::now() };
-            self.permit.0.lock_idle().push(entry);
+        if self.is_kept && self.connection.is_idle() {
+            let ConnectionLease { connection, history, permit, .. } = self;
+            let entry = IdleConnection { connection, history, idle_since: Instant::now() };
+            permit.0.lock_idle().push(entry);
         }
     }
 }
--- a/upstreams/tests/pool.rs
+++ b/upstreams/tests/pool.rs
@@ -14,9 +14,13 @@
 };
 use http_types::{Method, Request, Response, Url};
 
+/// Number of the next request, which makes its id.
+static NEXT_REQUEST: AtomicUsize = AtomicUsize::new(0);
+
 const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 
-/// A server that sends a fixed response to each request and counts its connections.
+/// A server that sends a fixed response with the id of the request to each request, and counts its
+/// connections.
 struct CountingServer {
     address: SocketAddr,
     opened_connections: Arc<AtomicUsize>,
@@ -59,9 +63,18 @@
     close: bool,
 ) -> std::io::Result<()> {
     let mut buffer = [0; 4096];
-    while stream.read(&mut buffer).await? > 0 {
+    loop {
+        let count = stream.read(&mut buffer).await?;
+        if count == 0 {
+            break;
+        }
+        let request = String::from_utf8_lossy(&buffer[..count]).to_lowercase();
+        let id = request.lines().find(|line| line.starts_with("fescuestack-request:"));
+        let head_end = response.windows(4).position(|bytes| bytes == b"\r\n\r\n");
+        let head = &response[..head_end.unwrap_or(0)];
+        let id = head_end.and(id).map(|line| format!("\r\n{line}")).unwrap_or_default();
         task::sleep(delay).await;
-        stream.write_all(response).await?;
+        stream.write_all(&[head, id.as_bytes(), &response[head.len()..]].concat()).await?;
         if close {
             break;
         }
@@ -81,7 +94,10 @@
 }
 
 fn request() -> Request {
-    Request::new(Method::Get, Url::parse("http://service/path").unwrap())
+    let mut request = Request::new(Method::Get, Url::parse("http://service/path").unwrap());
+    let number = NEXT_REQUEST.fetch_add(1, Ordering::SeqCst);
+    request.insert_header("fescuestack-request", number.to_string());
+    request
 }
 
 async fn call(pool: &Arc<ConnectionPool>, limits: ExchangeLimits) -> Result<String, ExchangeError> {
