Let the upstreams of the call tests name requests in their answers

The upstream of callers/tests/mesh ignored fescuestack-request, so that its nodes would open a connection for each request and the tests and the latency benchmark would no longer cover kept connections to it.

--- a/callers/tests/mesh/mod.rs
+++ b/callers/tests/mesh/mod.rs
@@ -100,7 +100,7 @@
             while let Ok((stream, _)) = listener.accept().await {
                 let (name, seen) = (name.clone(), seen.clone());
                 let serving = task::spawn(async move {
-                    let handler = |incoming| run(name.clone(), seen.clone(), incoming);
+                    let handler = |incoming| run_with_echo(name.clone(), seen.clone(), incoming);
                     let _ = serve_connection(stream, &ServerSettings::default(), &handler).await;
                 });
                 opened.lock().unwrap().push(serving);
@@ -121,6 +121,21 @@
     }
 }
 
+/// Runs a request; the answer names it.
+async fn run_with_echo(
+    name: String,
+    log: Arc<UpstreamLog>,
+    incoming: Result<Request, HttpFault>,
+) -> Response {
+    let request = incoming.as_ref().expect("a valid request");
+    let id = request.header("fescuestack-request").map(|id| id.last().to_string());
+    let mut answer = run(name, log, incoming).await;
+    if let Some(id) = id {
+        answer.insert_header("fescuestack-request", id);
+    }
+    answer
+}
+
 async fn run(
     name: String,
     log: Arc<UpstreamLog>,
