--- a/http/tests/exchange.rs
+++ b/http/tests/exchange.rs
@@ -127,6 +127,8 @@
         let address = serve_script(vec![
             b"HTTP/1.1 200 OK\r\nid: 1\r\ncontent-length: 3\r\n\r\none",
             b"HTTP/1.1 200 OK\r\nid: 1\r\nconnection: close\r\ncontent-length: 3\r\n\r\noneHTTP/1.1 200 OK\r\nid: 2\r\ncontent-length: 3\r\n\r\ntwo",
+            // The server waits for a third request.
+            b"",
         ])
         .await;
         let mut connection = ExchangeConnection::open(address, LIMIT).await.expect("a server");
