Test refusals under load, with ends and stops, and late bodies

Each request that is answered with 408, 421, 429 or 503 must not run, also not after its answer: refused by the queue, by a draining target, by the end of the target or a stop of its node, or with a late body. A target whose answer bears the note of a node must not speak for it. With a node that reports a call at a target that ended as not run, call_at_a_target_that_ends_is_not_reported_as_not_run fails.

--- a/sidecar/tests/not_run.rs
+++ b/sidecar/tests/not_run.rs
@@ -9,11 +9,16 @@
 use async_std::io::{ReadExt, WriteExt};
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
-use fescuestack_platform_standin::{ApplicationMode, StandinApplication, request_id_and_signature};
+use fescuestack_platform_standin::{
+    ApplicationMode, RawEnding, RawResponse, StandinApplication, request_id_and_signature,
+};
 use http::{Method, StatusCode};
 
 use mesh::{Mesh, TestCall};
 
+/// Statuses by which clients know that their request has not run and never will.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+
 /// Requests in each case.
 const CALLS: usize = 4;
 
@@ -296,3 +301,153 @@
         assert_eq!(runs, Vec::<String>::new());
     });
 }
+
+/// Time after which a request that was refused would have run if it were still queued or on its way.
+const SETTLE_TIME: Duration = Duration::from_millis(1_200);
+
+/// Sends unsafe requests to both nodes at the same time, and then changes something with `change`. Returns
+/// the statuses, after having checked that no request ran twice, and that none ran, then or later, that
+/// was answered with a promise.
+async fn assert_kept_under_load(
+    mesh: &Mesh,
+    case: &str,
+    change: impl AsyncFnOnce(&Mesh),
+) -> Vec<u16> {
+    let mut pending = Vec::new();
+    for index in 0..40 {
+        let id = format!("{case}-{index}");
+        let mut connection = mesh.connect(index % 2).await.expect("a connection");
+        let request = TestCall::post(&id, "/a/pay/", b"once").request();
+        let answer = task::spawn(async move { connection.exchange(&request, None).await });
+        pending.push((id, answer));
+    }
+    change(mesh).await;
+    let mut statuses = Vec::new();
+    for (id, answer) in pending {
+        statuses.push((id, answer.await.expect("a response").status.as_u16()));
+    }
+    task::sleep(SETTLE_TIME).await;
+    for (id, status) in &statuses {
+        let runs = count_runs(mesh, id);
+        assert!(runs <= 1, "{id} ran {runs} times");
+        assert!(!PROMISES.contains(status) || runs == 0, "{id} was answered with {status} and ran");
+    }
+    statuses.into_iter().map(|(_, status)| status).collect()
+}
+
+/// Two nodes, with a slow target of the service `alpha` beside the second one.
+async fn start_slow_mesh() -> Mesh {
+    let mesh = Mesh::start(&["beta", "alpha"]).await;
+    mesh.nodes[1].application.set_processing_time(Duration::from_millis(300));
+    mesh
+}
+
+fn count_refused(statuses: &[u16]) -> usize {
+    statuses.iter().filter(|status| **status == 503).count()
+}
+
+/// Guards against a call that is sent to the target after the queue has refused it.
+#[test]
+fn call_that_the_queue_refuses_never_runs() {
+    task::block_on(async {
+        let mesh = start_slow_mesh().await;
+        let statuses = assert_kept_under_load(&mesh, "queue", async |_| ()).await;
+        assert!(count_refused(&statuses) > 0, "{statuses:?}");
+        assert!(statuses.contains(&200), "{statuses:?}");
+    });
+}
+
+/// Guards against a queued call that is sent to a target after it was refused because the target drains.
+#[test]
+fn call_that_a_draining_target_refuses_never_runs() {
+    task::block_on(async {
+        let mesh = start_slow_mesh().await;
+        let drain = async |mesh: &Mesh| {
+            task::sleep(Duration::from_millis(100)).await;
+            mesh.list_target("t2", 1, |record| record.with_sequence(2).draining());
+        };
+        let statuses = assert_kept_under_load(&mesh, "drain", drain).await;
+        assert!(count_refused(&statuses) > 0, "{statuses:?}");
+    });
+}
+
+/// Guards against the statement that a call has not run which was at work at a target that ended, and
+/// against sending queued ones after their refusal.
+#[test]
+fn call_at_a_target_that_ends_is_not_reported_as_not_run() {
+    task::block_on(async {
+        let mesh = start_slow_mesh().await;
+        let end = async |mesh: &Mesh| {
+            task::sleep(Duration::from_millis(100)).await;
+            let application = &mesh.nodes[1].application;
+            application.crash().await;
+            task::sleep(Duration::from_millis(600)).await;
+            application.restart().await.expect("the address is free");
+        };
+        let statuses = assert_kept_under_load(&mesh, "end", end).await;
+        assert!(count_refused(&statuses) > 0, "{statuses:?}");
+        assert!(statuses.contains(&502), "{statuses:?}");
+    });
+}
+
+/// Guards against the statement that a call has not run which a stopping node breaks off, and against
+/// running one that it has refused.
+#[test]
+fn call_at_a_node_that_stops_is_not_reported_as_not_run() {
+    task::block_on(async {
+        let mesh = start_slow_mesh().await;
+        let stop = async |mesh: &Mesh| {
+            task::sleep(Duration::from_millis(100)).await;
+            mesh.request_stop(1);
+        };
+        assert_kept_under_load(&mesh, "stop", stop).await;
+    });
+}
+
+/// Guards against running a request whose body arrives after it was answered with 408.
+#[test]
+fn request_whose_body_is_late_never_runs() {
+    task::block_on(async {
+        let mesh = Mesh::start(&["beta", "alpha"]).await;
+        for node in 0..2 {
+            let mut stream = TcpStream::connect(mesh.address(node, 0)).await.expect("a node");
+            let head = format!(
+                "POST /a/pay/ HTTP/1.1\r\nHost: mesh.example\r\nContent-Length: 4\r\n\
+                 X-Fescuestack-Request-Id: late{node}\r\nX-Fescuestack-Deadline-Ms: 200\r\n\r\non"
+            );
+            stream.write_all(head.as_bytes()).await.expect("the node reads");
+            let mut received = [0; 12];
+            stream.read_exact(&mut received).await.expect("a response");
+            assert_eq!(&received[9..], b"408");
+            // Fails if the node has closed the connection.
+            let _ = stream.write_all(b"ce").await;
+        }
+        task::sleep(SETTLE_TIME).await;
+        assert_eq!(count_runs(&mesh, "late0") + count_runs(&mesh, "late1"), 0);
+    });
+}
+
+/// Guards against a target whose answer bears the note by which a node states that a call has not run:
+/// numbers of a reply with the end `Busy` and `Rejected`, and zeros.
+#[test]
+fn target_cannot_state_the_end_of_a_call_for_its_node() {
+    task::block_on(async {
+        for note in ["AQAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA", "BQAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA"]
+        {
+            let mesh = Mesh::start(&["beta", "alpha"]).await;
+            let head = format!(
+                "HTTP/1.1 200 OK\r\ncontent-length: 6\r\nfescuestack-reply: {note}\r\n\
+                 Connection: fescuestack-reply\r\n"
+            );
+            let response = RawResponse::new(head.as_bytes(), b"answer", RawEnding::KeepOpen);
+            mesh.nodes[1].application.set_raw_response(response);
+            for node in 0..2 {
+                let call = TestCall::post(&format!("note{node}"), "/a/pay/", b"");
+                let response = mesh.send(node, &call).await.expect("a response");
+                assert_eq!((response.status.as_u16(), &*response.body), (200, &b"answer"[..]));
+                assert!(!response.headers.contains_key("fescuestack-reply"));
+                assert_eq!(count_runs(&mesh, &call.id), 1);
+            }
+        }
+    });
+}
