--- a/fescuestack/tests/node_process/mod.rs
+++ b/fescuestack/tests/node_process/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+use std::fs::OpenOptions;
 use std::net::IpAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -12,24 +13,41 @@
     pub vm: IpAddr,
     pub application: StandinApplication,
     pub settings: PathBuf,
+    binary: PathBuf,
+    log: Option<PathBuf>,
     process: Option<Child>,
 }
 
 impl NodeProcess {
     /// Creates a node whose settings file is `settings`, without starting its process.
     pub fn new(vm: IpAddr, application: StandinApplication, settings: PathBuf) -> NodeProcess {
-        NodeProcess { vm, application, settings, process: None }
+        let binary = PathBuf::from(env!("CARGO_BIN_EXE_fescuestack"));
+        NodeProcess { vm, application, settings, binary, log: None, process: None }
+    }
+
+    /// Sets another build of the program, from the next start on.
+    pub fn set_binary(&mut self, binary: Option<PathBuf>) {
+        if let Some(binary) = binary {
+            self.binary = binary;
+        }
+    }
+
+    /// Sets the file to which log lines of level `info` are appended, from the next start on. Without a
+    /// file, the log has errors only and goes to the output of the test.
+    pub fn set_log(&mut self, log: Option<PathBuf>) {
+        self.log = log;
     }
 
     pub fn start(&mut self) {
-        let child = Command::new(env!("CARGO_BIN_EXE_fescuestack"))
-            .args(["sidecar", "--log", "error", "--settings"])
-            .arg(&self.settings)
-            .env("ASYNC_STD_THREAD_COUNT", "1")
-            .stdout(Stdio::null())
-            .spawn()
-            .expect("the binary runs");
-        self.process = Some(child);
+        let mut command = Command::new(&self.binary);
+        let level = if self.log.is_some() { "info" } else { "error" };
+        command.args(["sidecar", "--log", level, "--settings"]).arg(&self.settings);
+        if let Some(log) = &self.log {
+            let file = OpenOptions::new().create(true).append(true).open(log);
+            command.stderr(file.expect("a writable directory"));
+        }
+        command.env("ASYNC_STD_THREAD_COUNT", "1").stdout(Stdio::null());
+        self.process = Some(command.spawn().expect("the binary runs"));
     }
 
     /// Sends a signal to the process of this node only.
