Let targets of the soak fail with 503 and 429 after a run

Callers saw these failures of targets, which lack the header that states that the request was not executed, as promises.

--- a/fescuestack/tests/soak/faults.rs
+++ b/fescuestack/tests/soak/faults.rs
@@ -23,7 +23,7 @@
 const REFUSAL_STATUSES: [u16; 4] = [503, 429, 421, 400];
 
 /// Statuses of failures of requests that were executed.
-const FAILURE_STATUSES: [u16; 1] = [500];
+const FAILURE_STATUSES: [u16; 3] = [500, 503, 429];
 
 /// Processing times of targets, in milliseconds.
 const PROCESSING_TIMES_MS: [u64; 3] = [20, 60, 150];
