--- a/sidecar/src/target.rs
+++ b/sidecar/src/target.rs
@@ -317,7 +317,7 @@
                 self.record_actual_id(note, &response);
                 (ReplyEnd::Rejected, None, CallEnd::Aborted)
             }
-            Ok(response) => classify_response(note, response),
+            Ok(response) => classify_response(note, &request, response),
             Err(ExchangeError::NotSent { .. }) if confirm_outage(self, &note.target).await => {
                 (ReplyEnd::Down, None, CallEnd::Aborted)
             }
@@ -591,6 +591,7 @@
 /// Derives the outcome of a call from the target's response, and whether the call has run to its end.
 fn classify_response(
     note: &CallNote,
+    request: &BufferedRequest,
     response: BufferedResponse,
 ) -> (ReplyEnd, Option<BufferedResponse>, CallEnd) {
     if is_refusal(&response) {
@@ -598,16 +599,19 @@
     }
     // Clients ask for no content coding, so that the body is not the one that the target made.
     if response.headers.contains_key(CONTENT_ENCODING) {
-        log::info!(target = &*note.target; "response with a content coding");
+        log::info!(request = request_id(request), target = &*note.target;
+            "response with a content coding");
         return (ReplyEnd::Lost, None, CallEnd::Aborted);
     }
     if response.status.as_u16() < 400 && !response.headers.contains_key(&RESPONSE_SIGNATURE) {
-        log::info!(target = &*note.target; "response without the target's signature");
+        log::info!(request = request_id(request), target = &*note.target;
+            "response without the target's signature");
         return (ReplyEnd::Lost, None, CallEnd::Aborted);
     }
     // The target may have run the request, and the client would repeat it.
     if PROMISES.contains(&response.status) {
-        log::info!(target = &*note.target, status = response.status.as_u16();
+        log::info!(request = request_id(request), target = &*note.target,
+            status = response.status.as_u16();
             "response that does not state that the request was not executed, as its status does");
         return (ReplyEnd::Lost, None, CallEnd::Answered);
     }
