--- a/fescuestack/tests/node_process/mod.rs
+++ b/fescuestack/tests/node_process/mod.rs
@@ -33,7 +33,7 @@
     }
 
     /// Sets the file to which log lines of level `info` are appended, from the next start on. Without a
-    /// file, the log has errors only and goes to the output of the test.
+    /// file, the log is dropped.
     pub fn set_log(&mut self, log: Option<PathBuf>) {
         self.log = log;
     }
@@ -42,11 +42,11 @@
         let mut command = Command::new(&self.binary);
         let level = if self.log.is_some() { "info" } else { "error" };
         command.args(["sidecar", "--log", level, "--settings"]).arg(&self.settings);
-        if let Some(log) = &self.log {
+        let output = self.log.as_ref().map_or_else(Stdio::null, |log| {
             let file = OpenOptions::new().create(true).append(true).open(log);
-            command.stderr(file.expect("a writable directory"));
-        }
-        command.env("ASYNC_STD_THREAD_COUNT", "1").stdout(Stdio::null());
+            file.expect("a writable directory").into()
+        });
+        command.env("ASYNC_STD_THREAD_COUNT", "1").stdout(output);
         self.process = Some(command.spawn().expect("the binary runs"));
     }
 
