--- a/routing/src/reuse.rs
+++ b/routing/src/reuse.rs
@@ -1,4 +1,4 @@
-//! Decides which requests may use a kept connection to a target.
+//! Decides which requests may use a kept connection to a target, or to an upstream of the product's own form.
 //!
 //! A target marks each answer with the id of its request, and may send a copy of an answer at any later
 //! time. The id distinguishes the copy only if no other request with this id is sent on the connection.
