--- a/fescuestack/tests/soak/callers.rs
+++ b/fescuestack/tests/soak/callers.rs
@@ -57,7 +57,7 @@
 }
 
 impl CallerAnswer {
-    /// Whether the answer promises that the request has not run and never will.
+    /// Whether the answer promises that the request does not run, now or later.
     pub fn is_promise(&self) -> bool {
         matches!(self.status, 408 | 421 | 429 | 503)
     }
